--- /dev/null
+++ b/Source/base/time.h
@@ -0,0 +1,37 @@
+// Time types shared by all packages.
+
+#ifndef SOURCE_BASE_TIME_H_
+#define SOURCE_BASE_TIME_H_
+
+#include <chrono>
+
+namespace hickoryloft {
+
+// The clock behind every deadline, lease and rate. It never goes backwards.
+using MonotonicClock = std::chrono::steady_clock;
+using MonotonicTime = MonotonicClock::time_point;
+using Duration = MonotonicClock::duration;
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Returns `duration` in whole milliseconds, rounded down. Thread-safe.
+inline milliseconds ToMillis(Duration duration) {
+  return std::chrono::floor<milliseconds>(duration);
+}
+
+// Returns `duration` as fractional seconds. Thread-safe.
+inline double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+// Returns the duration nearest to `value` seconds. Thread-safe.
+inline Duration FromSeconds(double value) {
+  return duration_cast<Duration>(std::chrono::duration<double>(value));
+}
+
+}  // namespace hickoryloft
+
+#endif  // SOURCE_BASE_TIME_H_
--- /dev/null
+++ b/Source/endpoint/orders.h
@@ -0,0 +1,107 @@
+// Port for orders to model engines: load and unload, each with an order number
+// and a fencing number, and reports.
+
+#ifndef SOURCE_ENDPOINT_ORDERS_H_
+#define SOURCE_ENDPOINT_ORDERS_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace hickoryloft::endpoint {
+
+// Where to reach an endpoint.
+struct EndpointAddress {
+  EndpointId m_id;
+  std::string m_address;  // An IP number.
+  std::uint16_t m_port = 0;
+};
+
+// A model or an adapter of a model at one version. An empty adapter means the
+// base model.
+struct Artifact {
+  ModelId m_model;
+  AdapterId m_adapter;
+  std::string m_version;
+
+  friend bool operator==(const Artifact&, const Artifact&) = default;
+  friend auto operator<=>(const Artifact&, const Artifact&) = default;
+};
+
+enum class OrderKind { kLoad, kUnload };
+
+struct Order {
+  OrderKind m_kind = OrderKind::kLoad;
+  std::uint64_t m_number =
+      0;  // Unique per endpoint; a repeated number is carried out once.
+  std::string m_scope;  // The exclusive right under which the order is given.
+  FencingNumber m_fencing_number = 0;
+  Artifact m_artifact;
+  std::uint64_t m_bytes = 0;
+};
+
+enum class OrderOutcome { kAccepted, kFenced, kRefused };
+
+struct OrderReply {
+  OrderOutcome m_outcome = OrderOutcome::kRefused;
+  std::string m_reason;
+};
+
+enum class ArtifactPhase { kLoading, kReady, kUnloading };
+
+// Where an engine can load an artifact's checkpoint from, fastest first.
+enum class CheckpointTier { kMemory, kDisk, kRemote };
+
+struct InventoryItem {
+  Artifact m_artifact;
+  ArtifactPhase m_phase = ArtifactPhase::kLoading;
+  std::uint64_t m_bytes = 0;
+  std::uint64_t m_order_number = 0;
+};
+
+struct CachedCheckpoint {
+  Artifact m_artifact;
+  CheckpointTier m_tier = CheckpointTier::kRemote;
+};
+
+// What an engine says of itself. It may lag behind the truth.
+struct InventoryReport {
+  bool m_checks_fencing = false;
+  bool m_leaving = false;
+  std::uint64_t m_memory_bytes = 0;
+  std::uint32_t m_waiting = 0;
+  std::uint32_t m_running = 0;
+  std::uint64_t m_last_order_number = 0;
+  std::vector<InventoryItem> m_items;
+  std::vector<CachedCheckpoint> m_cached;
+};
+
+// Gives orders to engines. Every method returns at once; the callback comes
+// once on the loop's thread. Failures: kUnavailable (not carried out),
+// kOutcomeUnknown or kTimedOut (may be carried out), kProtocol. Use on the
+// loop's thread only.
+class OrderService {
+ public:
+  virtual ~OrderService() = default;
+
+  virtual void Send(const EndpointAddress& endpoint,
+                    const Order& order,
+                    std::function<void(Result<OrderReply>)>) = 0;
+  // Raises the lowest fencing number that the endpoint accepts in `scope`;
+  // kForbidden from one that ignores them.
+  virtual void RaiseFence(const EndpointAddress& endpoint,
+                          const std::string& scope,
+                          FencingNumber fencing_number,
+                          std::function<void(Result<Done>)>) = 0;
+  virtual void FetchInventory(const EndpointAddress& endpoint,
+                              std::function<void(Result<InventoryReport>)>) = 0;
+};
+
+}  // namespace hickoryloft::endpoint
+
+#endif  // SOURCE_ENDPOINT_ORDERS_H_
--- /dev/null
+++ b/Source/entry/token_gate.h
@@ -0,0 +1,42 @@
+// Admission by a client account's rate and burst, in tokens.
+
+#ifndef SOURCE_ENTRY_TOKEN_GATE_H_
+#define SOURCE_ENTRY_TOKEN_GATE_H_
+
+#include <cstdint>
+#include <functional>
+
+#include "base/error.h"
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace hickoryloft::entry {
+
+struct TokenDecision {
+  bool m_admitted = false;
+  Duration m_retry_after{};  // When not admitted.
+};
+
+// Reserves tokens before a request runs. Use on the loop's thread only.
+class TokenGate {
+ public:
+  virtual ~TokenGate() = default;
+
+  // Asks for `tokens` of `account`, a qualified name. Calls `callback` once, at
+  // once when tokens are at hand, else within `limit`. Failure: kUnavailable if
+  // no home of the account's rate shares can be reached.
+  virtual void Reserve(const ClientAccountId& account,
+                       std::uint64_t tokens,
+                       Duration limit,
+                       std::function<void(Result<TokenDecision>)> callback) = 0;
+
+  // Gives back the part of a reservation that was not used.
+  virtual void Refund(const ClientAccountId& account, std::uint64_t tokens) = 0;
+
+  // Gives everything unspent back to the homes, before a planned stop.
+  virtual void ReturnAll() = 0;
+};
+
+}  // namespace hickoryloft::entry
+
+#endif  // SOURCE_ENTRY_TOKEN_GATE_H_
--- /dev/null
+++ b/Source/platform/key_value_service.h
@@ -0,0 +1,115 @@
+// Port to the platform's key-value service: compare-and-swap on one key, leases
+// and watches.
+
+#ifndef SOURCE_PLATFORM_KEY_VALUE_SERVICE_H_
+#define SOURCE_PLATFORM_KEY_VALUE_SERVICE_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace hickoryloft::platform {
+
+using LeaseId = std::int64_t;
+
+struct KeyValue {
+  std::string m_key;
+  std::string m_value;
+  Revision m_create_revision = 0;
+  Revision m_mod_revision = 0;
+  LeaseId m_lease = 0;  // 0: not bound to a lease.
+};
+
+// The keys found by a read, and the service's revision at that read.
+struct ReadReply {
+  std::vector<KeyValue> m_items;
+  Revision m_revision = 0;
+};
+
+// A write to one key, made only if the key's modification revision is
+// `m_expected_revision` (0: the key is absent).
+struct CompareAndSwap {
+  std::string m_key;
+  Revision m_expected_revision = 0;
+  std::optional<std::string> m_value;  // Absent: delete the key.
+  LeaseId m_lease = 0;
+};
+
+// What a compare-and-swap did. When it did not swap, m_current is the key as it
+// stands, if it exists.
+struct SwapReply {
+  bool m_swapped = false;
+  Revision m_revision = 0;  // The service's revision after the operation; the
+                            // key's new one if it swapped.
+  std::optional<KeyValue> m_current;
+};
+
+struct LeaseReply {
+  LeaseId m_lease = 0;
+  Duration m_ttl{};
+  Revision m_revision = 0;
+};
+
+struct WatchEvent {
+  bool m_deleted = false;
+  KeyValue m_item;
+};
+
+struct WatchBatch {
+  std::vector<WatchEvent> m_events;
+  Revision m_revision = 0;
+};
+
+// A running watch. Destroying it ends the watch.
+class Watch {
+ public:
+  virtual ~Watch() = default;
+};
+
+// Calls to the key-value service. Every method returns at once; the callback
+// comes later on the loop's thread, once. Failures: kUnavailable (the call had
+// no effect), kOutcomeUnknown or kTimedOut (it may have had its effect),
+// kProtocol (an answer outside the published protocol). Use on the loop's
+// thread only.
+class KeyValueService {
+ public:
+  template <typename T>
+  using Callback = std::function<void(Result<T>)>;
+
+  virtual ~KeyValueService() = default;
+
+  // Reads one key.
+  virtual void Get(const std::string& key, Callback<ReadReply> callback) = 0;
+  // Reads all keys that start with `prefix`, in key order.
+  virtual void GetPrefix(const std::string& prefix,
+                         Callback<ReadReply> callback) = 0;
+  // Writes or deletes one key if it stands as expected. A conflict is a reply
+  // with m_swapped == false, not a failure.
+  virtual void Swap(CompareAndSwap operation, Callback<SwapReply> callback) = 0;
+
+  virtual void GrantLease(Duration ttl, Callback<LeaseReply> callback) = 0;
+  // A lease that has lapsed gives kNotFound.
+  virtual void KeepAlive(LeaseId lease, Callback<LeaseReply> callback) = 0;
+  // Ends the lease and deletes the keys bound to it.
+  virtual void RevokeLease(LeaseId lease, Callback<Done> callback) = 0;
+
+  // Reports changes of keys under `prefix` after `from_revision`. `ended` is
+  // called once if the watch fails; the caller then reads again and starts a
+  // new watch.
+  virtual std::unique_ptr<Watch> WatchPrefix(
+      const std::string& prefix,
+      Revision from_revision,
+      std::function<void(WatchBatch)> changed,
+      std::function<void(Error)> ended) = 0;
+};
+
+}  // namespace hickoryloft::platform
+
+#endif  // SOURCE_PLATFORM_KEY_VALUE_SERVICE_H_
--- /dev/null
+++ b/Source/wire/socket_address.h
@@ -0,0 +1,37 @@
+// Socket addresses from IP numbers; names are never resolved.
+
+#ifndef SOURCE_WIRE_SOCKET_ADDRESS_H_
+#define SOURCE_WIRE_SOCKET_ADDRESS_H_
+
+#include <sys/socket.h>
+
+#include <cstdint>
+#include <string>
+
+namespace hickoryloft::wire {
+
+// An IPv4 or IPv6 address with a port, in the form that socket calls take.
+// Value type.
+class SocketAddress {
+ public:
+  const sockaddr* get() const {
+    return reinterpret_cast<const sockaddr*>(&m_storage);
+  }
+  int size() const { return m_size; }
+
+ private:
+  friend SocketAddress ParseSocketAddress(const std::string& address,
+                                          std::uint16_t port);
+
+  sockaddr_storage m_storage{};
+  int m_size = 0;
+};
+
+// Returns `address`, an IPv4 or IPv6 number, with `port`. Thread-safe. Throws
+// Error(kInvalidArgument).
+SocketAddress ParseSocketAddress(const std::string& address,
+                                 std::uint16_t port);
+
+}  // namespace hickoryloft::wire
+
+#endif  // SOURCE_WIRE_SOCKET_ADDRESS_H_
--- /dev/null
+++ b/Tests/wire/connection_test.cc
@@ -0,0 +1,146 @@
+#include "wire/connection.h"
+
+#include <sys/socket.h>
+#include <catch2/catch.hpp>
+#include <optional>
+#include <vector>
+
+#include "wire/listener.h"
+
+using namespace hickoryloft;
+using namespace hickoryloft::wire;
+
+namespace {
+
+constexpr Duration kTestLimit = seconds(5);
+
+// A server that answers every ServingQuery and ignores every FreshnessQuery.
+struct EchoServer {
+  explicit EchoServer(EventLoop& loop)
+      : m_listener(loop, "127.0.0.1", 0, [this, &loop](int socket) {
+          Accept(loop, socket);
+        }) {}
+
+  void Accept(EventLoop& loop, int socket) {
+    const std::size_t index = m_connections.size();
+    m_connections.push_back(Connection::Accepted(
+        loop, socket,
+        {.m_connected = {},
+         .m_message =
+             [this, index](const EnvelopeT& request) {
+               if (request.body.AsServingQuery() != nullptr) {
+                 ServingReplyT reply;
+                 reply.documents_revision =
+                     request.body.AsServingQuery()->documents_revision;
+                 m_connections[index]->Send(MakeReply(request, reply));
+               }
+             },
+         .m_closed =
+             [this](const Error& error) {
+               m_closed_with.push_back(error.code());
+             }}));
+  }
+
+  std::vector<std::shared_ptr<Connection>> m_connections;
+  std::vector<ErrorCode> m_closed_with;
+  Listener m_listener;
+};
+
+EnvelopeT MakeServingQuery(std::int64_t revision) {
+  ServingQueryT query;
+  query.documents_revision = revision;
+  return MakeEnvelope(query);
+}
+
+}  // namespace
+
+TEST_CASE("Replies reach their own requests and a missing one times out") {
+  EventLoop loop;
+  EchoServer server(loop);
+  const auto client =
+      Connection::Connect(loop, "127.0.0.1", server.m_listener.port(), {});
+  std::vector<std::int64_t> revisions;
+  std::optional<ErrorCode> timeout;
+  for (std::int64_t i = 1; i <= 3; ++i) {
+    client->Request(
+        MakeServingQuery(i), kTestLimit, [&](const Result<EnvelopeT>& reply) {
+          revisions.push_back(
+              reply.value().body.AsServingReply()->documents_revision);
+        });
+  }
+  client->Request(MakeEnvelope(FreshnessQueryT{}), milliseconds(50),
+                  [&](const Result<EnvelopeT>& reply) {
+                    timeout = reply.error().code();
+                    loop.Stop();
+                  });
+  const auto limit = loop.After(kTestLimit, [&] { loop.Stop(); });
+  loop.Run();
+  CHECK(revisions == std::vector<std::int64_t>{1, 2, 3});
+  CHECK(timeout == ErrorCode::kTimedOut);
+}
+
+TEST_CASE("A malformed frame closes its own connection only") {
+  EventLoop loop;
+  EchoServer server(loop);
+  const auto good =
+      Connection::Connect(loop, "127.0.0.1", server.m_listener.port(), {});
+  std::optional<ErrorCode> bad_closed;
+  std::shared_ptr<Connection> bad;
+  bad = Connection::Connect(
+      loop, "127.0.0.1", server.m_listener.port(),
+      {.m_connected = [&] { server.m_connections.back()->Close(); },
+       .m_message = {},
+       .m_closed = [&](const Error& error) { bad_closed = error.code(); }});
+  bool answered = false;
+  std::unique_ptr<Timer> later = loop.After(milliseconds(50), [&] {
+    good->Request(MakeServingQuery(1), kTestLimit,
+                  [&](const Result<EnvelopeT>& reply) {
+                    answered = reply.ok();
+                    loop.Stop();
+                  });
+  });
+  const auto limit = loop.After(kTestLimit, [&] { loop.Stop(); });
+  loop.Run();
+  CHECK(answered);
+  CHECK(bad_closed == ErrorCode::kOutcomeUnknown);
+}
+
+TEST_CASE("Bytes outside the protocol are reported with their type") {
+  EventLoop loop;
+  EchoServer server(loop);
+  int sockets[2] = {-1, -1};
+  REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, sockets) == 0);
+  std::optional<ErrorCode> closed_with;
+  const auto reader = Connection::Accepted(
+      loop, sockets[0],
+      {.m_connected = {},
+       .m_message = [](const EnvelopeT&) { FAIL("no message was sent"); },
+       .m_closed =
+           [&](const Error& error) {
+             closed_with = error.code();
+             loop.Stop();
+           }});
+  REQUIRE(send(sockets[1], "GET / HTTP/1.1\r\n", 16, 0) == 16);
+  const auto limit = loop.After(kTestLimit, [&] { loop.Stop(); });
+  loop.Run();
+  CHECK(closed_with == ErrorCode::kMalformedFrame);
+}
+
+TEST_CASE("A request on a connection that cannot be made fails with a type") {
+  EventLoop loop;
+  std::uint16_t free_port = 0;
+  {
+    const Listener listener(loop, "127.0.0.1", 0, [](int) {});
+    free_port = listener.port();
+  }
+  const auto client = Connection::Connect(loop, "127.0.0.1", free_port, {});
+  std::optional<ErrorCode> failure;
+  client->Request(MakeServingQuery(1), kTestLimit,
+                  [&](const Result<EnvelopeT>& reply) {
+                    failure = reply.error().code();
+                    loop.Stop();
+                  });
+  const auto limit = loop.After(kTestLimit, [&] { loop.Stop(); });
+  loop.Run();
+  CHECK(failure == ErrorCode::kUnavailable);
+}
--- /dev/null
+++ b/Utilities/check-structure.sh
@@ -0,0 +1,45 @@
+#!/usr/bin/env bash
+# Checks the dependency arrows between packages, the size of files, and that no source names a path of a machine.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+readonly max_lines=500
+status=0
+fail() { printf '%s\n' "$*"; status=1; }
+
+# Each package with the packages that it may include, besides itself.
+declare -A allowed=(
+  [base]=""
+  [settings]="base"
+  [metrics]="base"
+  [wire]="base"
+  [platform]="base"
+  [endpoint]="base"
+  [claims]="base"
+  [documents]="base settings"
+  [limits]="base"
+  [actions]="base"
+  [placement]="base endpoint"
+  [routing]="base"
+  [report]="base metrics documents"
+  [entry]="base settings metrics wire endpoint documents limits actions routing"
+  [coordinator]="base settings metrics wire platform endpoint claims documents limits actions placement"
+  [tools]="base settings metrics wire platform endpoint claims documents limits actions placement routing report"
+)
+
+for package in "${!allowed[@]}"; do
+  while IFS=: read -r file included; do
+    case " $package ${allowed[$package]} " in
+      *" $included "*) ;;
+      *) fail "$file includes package $included, which $package may not use" ;;
+    esac
+  done < <(grep -rnoE --exclude-dir=generated --include='*.h' --include='*.cc' '^#include "[a-z]+/' "Source/$package" 2>/dev/null |
+    sed -E 's/:[0-9]+:#include "([a-z]+)\//:\1/')
+done
+
+while read -r lines file; do
+  [ "$lines" -le "$max_lines" ] || fail "$file has $lines lines; the limit is $max_lines"
+done < <(git ls-files -z --cached --others --exclude-standard '*.cc' '*.h' '*.py' '*.sh' '*.pml' |
+  grep -zv '_generated\.h$' | xargs -0 -r wc -l | awk '$2 != "total" {print $1, $2}')
+
+exit "$status"
