--- /dev/null
+++ b/Source/platform/base64.h
@@ -0,0 +1,20 @@
+// Base64 as the key-value service's JSON interface uses it.
+
+#ifndef SOURCE_PLATFORM_BASE64_H_
+#define SOURCE_PLATFORM_BASE64_H_
+
+#include <string>
+#include <string_view>
+
+namespace hickoryloft::platform {
+
+// Returns `bytes` in padded base64. Thread-safe.
+std::string EncodeBase64(std::string_view bytes);
+
+// Returns the bytes that `text` stands for. Thread-safe. Throws
+// Error(kProtocol) if it is not padded base64.
+std::string DecodeBase64(std::string_view text);
+
+}  // namespace hickoryloft::platform
+
+#endif  // SOURCE_PLATFORM_BASE64_H_
--- /dev/null
+++ b/Source/platform/etcd_json.h
@@ -0,0 +1,45 @@
+// JSON of the etcd v3 gateway: 64-bit integers are strings, keys and values are
+// base64.
+
+#ifndef SOURCE_PLATFORM_ETCD_JSON_H_
+#define SOURCE_PLATFORM_ETCD_JSON_H_
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "platform/key_value_service.h"
+
+namespace hickoryloft::platform {
+
+// Returns the JSON object in `text`. Thread-safe. Throws Error(kProtocol).
+nlohmann::json ParseEtcdObject(const std::string& text);
+
+// Returns the integer `name` of `object`, given as string or number; 0 if
+// absent, as the gateway leaves out zeros. Thread-safe. Throws
+// Error(kProtocol).
+std::int64_t EtcdInteger(const nlohmann::json& object, const char* name);
+
+// Returns the decoded base64 field `name`, or "" if absent. Thread-safe. Throws
+// Error(kProtocol).
+std::string EtcdBytes(const nlohmann::json& object, const char* name);
+
+// Returns the object or array `name`, or null if absent. Thread-safe. Throws
+// Error(kProtocol).
+nlohmann::json EtcdMember(const nlohmann::json& object, const char* name);
+
+// Returns the revision in the header of `answer`. Thread-safe. Throws
+// Error(kProtocol) if there is none.
+Revision EtcdRevision(const nlohmann::json& answer);
+
+// Returns one key-value pair. Thread-safe. Throws Error(kProtocol).
+KeyValue ParseEtcdKeyValue(const nlohmann::json& object);
+nlohmann::json ToEtcdJson(const KeyValue& item);
+
+// Returns one event of a watch. Thread-safe. Throws Error(kProtocol).
+WatchEvent ParseEtcdEvent(const nlohmann::json& object);
+nlohmann::json ToEtcdJson(const WatchEvent& event);
+
+}  // namespace hickoryloft::platform
+
+#endif  // SOURCE_PLATFORM_ETCD_JSON_H_
