--- a/StandIns/call.cc
+++ b/StandIns/call.cc
@@ -53,17 +53,13 @@
   return body;
 }
 
-std::string ReadPath(evhttp_request* request) {
-  const std::string uri = evhttp_request_get_uri(request);
-  return uri.substr(0, uri.find('?'));
-}
-
 }  // namespace
 
 Call::Call(evhttp_request* request)
     : m_request(request),
       m_method(MethodName(evhttp_request_get_command(request))),
-      m_path(ReadPath(request)),
+      m_uri(evhttp_request_get_uri(request)),
+      m_path(m_uri.substr(0, m_uri.find('?'))),
       m_body(ReadBody(request)),
       m_headers(ReadHeaders(request)) {
   evhttp_connection* connection = evhttp_request_get_connection(request);
--- a/StandIns/call.h
+++ b/StandIns/call.h
@@ -29,7 +29,9 @@
   Call& operator=(const Call&) = delete;
 
   const std::string& method() const { return m_method; }
+  // The path without the query.
   const std::string& path() const { return m_path; }
+  const std::string& uri() const { return m_uri; }
   const std::string& body() const { return m_body; }
   // Header names are in lower case.
   const Headers& headers() const { return m_headers; }
@@ -64,6 +66,7 @@
 
   evhttp_request* m_request;
   std::string m_method;
+  std::string m_uri;
   std::string m_path;
   std::string m_body;
   Headers m_headers;
--- /dev/null
+++ b/StandIns/engine_memory.h
@@ -0,0 +1,111 @@
+// What an engine holds in memory: artifacts, orders and fencing numbers, as
+// state without clock or socket.
+
+#ifndef STANDINS_ENGINE_MEMORY_H_
+#define STANDINS_ENGINE_MEMORY_H_
+
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace hickoryloft::standins {
+
+// A model, or an adapter of it, at one version. Models bear the name of their
+// service: "<service>/<model>".
+struct EngineArtifact {
+  std::string m_model;
+  std::string m_adapter;
+  std::string m_version;
+
+  // "<model>[:<adapter>]@<version>"
+  std::string ServedName() const;
+  bool is_adapter() const { return !m_adapter.empty(); }
+};
+
+struct EngineOrder {
+  bool m_load = false;
+  std::uint64_t m_number = 0;
+  std::string m_scope;
+  std::int64_t m_fence = 0;
+  EngineArtifact m_artifact;
+  std::uint64_t m_bytes = 0;
+  std::uint64_t m_peak_bytes = 0;
+};
+
+// Throws Error(kInvalidArgument) if `body` is not an order.
+EngineOrder ParseEngineOrder(const nlohmann::json& body);
+
+// The answer to an order.
+struct OrderAnswer {
+  int m_status = 0;
+  std::string m_code;    // "accepted", "fenced" or "refused".
+  std::string m_reason;  // Why it was refused.
+  bool m_repeated = false;
+};
+
+enum class EnginePhase { kLoading, kReady, kUnloading };
+
+struct EngineItem {
+  EngineArtifact m_artifact;
+  EnginePhase m_phase = EnginePhase::kLoading;
+  std::uint64_t m_bytes = 0;       // At rest.
+  std::uint64_t m_peak_bytes = 0;  // While loading.
+  std::uint64_t m_order_number = 0;
+};
+
+// Not thread-safe.
+class EngineMemory {
+ public:
+  EngineMemory(std::uint64_t memory_bytes, bool checks_fencing)
+      : m_memory_bytes(memory_bytes), m_checks_fencing(checks_fencing) {}
+
+  bool checks_fencing() const { return m_checks_fencing; }
+
+  // Carries out an order once; a repeated number gets the first answer. After
+  // an accepted load the artifact is in phase kLoading, after an accepted
+  // unload in phase kUnloading or gone.
+  OrderAnswer Take(const EngineOrder& order);
+  // Raises the lowest accepted number. Precondition: checks_fencing().
+  std::int64_t RaiseFence(const std::string& scope, std::int64_t fence);
+
+  // End the phases kLoading and kUnloading of the artifact, if it is in them; a
+  // load ends only for the order that began it.
+  void FinishLoad(const std::string& served_name, std::uint64_t order_number);
+  void FinishUnload(const std::string& served_name);
+
+  const std::map<std::string, EngineItem>& items() const { return m_items; }
+  // Returns the item if it is ready to serve, else nullptr.
+  const EngineItem* FindReady(const std::string& served_name) const;
+
+  // "/inventory"'s items.
+  nlohmann::json ItemsJson() const;
+  std::uint64_t memory_bytes() const { return m_memory_bytes; }
+  std::uint64_t last_order_number() const { return m_last_order_number; }
+  // Bytes in use, each loading artifact counted at its peak.
+  std::uint64_t UsedBytes() const;
+  // "/record"'s part on orders and memory.
+  nlohmann::json RecordJson() const;
+
+ private:
+  OrderAnswer Decide(const EngineOrder& order);
+  OrderAnswer Load(const EngineOrder& order);
+  OrderAnswer Unload(const EngineOrder& order);
+  bool HasModel(const EngineArtifact& adapter) const;
+  void NoteOrder(const EngineOrder& order, const OrderAnswer& answer);
+
+  std::uint64_t m_memory_bytes;
+  bool m_checks_fencing;
+  std::map<std::string, EngineItem> m_items;  // By served name.
+  std::map<std::string, std::int64_t> m_fences;
+  std::map<std::uint64_t, OrderAnswer> m_answers;  // By order number.
+  std::uint64_t m_last_order_number = 0;
+  std::uint64_t m_most_bytes = 0;
+  std::uint64_t m_loads = 0;
+  nlohmann::json m_orders = nlohmann::json::array();
+};
+
+}  // namespace hickoryloft::standins
+
+#endif  // STANDINS_ENGINE_MEMORY_H_
--- /dev/null
+++ b/StandIns/relay.h
@@ -0,0 +1,86 @@
+// A TCP relay whose traffic can be cut, restored and delayed.
+
+#ifndef STANDINS_RELAY_H_
+#define STANDINS_RELAY_H_
+
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <string>
+
+#include "StandIns/stand_in.h"
+#include "base/event_loop.h"
+
+struct evconnlistener;
+struct sockaddr;
+
+namespace hickoryloft::standins {
+
+enum class RelayCut {
+  kNone,
+  kHang,   // Bytes wait until the relay is restored.
+  kClose,  // Connections are closed, and new ones at once.
+};
+
+// Relays every connection to one target. Use on the loop's thread only.
+class Relay {
+ public:
+  // Listens at once. Throws Error(kIo). Precondition: `loop` outlives it.
+  Relay(EventLoop& loop,
+        const ListenAddress& listen,
+        const ListenAddress& target);
+  ~Relay();
+  Relay(const Relay&) = delete;
+  Relay& operator=(const Relay&) = delete;
+
+  std::uint16_t port() const { return m_port; }
+  std::uint64_t accepted() const { return m_accepted; }
+  std::uint64_t relayed_bytes() const { return m_relayed_bytes; }
+  std::size_t open_connections() const { return m_pairs.size(); }
+
+  void SetCut(RelayCut cut);
+  // Bytes that arrive from now on leave after `delay`.
+  void SetDelay(Duration delay) { m_delay = delay; }
+
+ private:
+  class Pair;
+
+  static void OnAccept(evconnlistener* listener,
+                       int socket,
+                       sockaddr* peer,
+                       int peer_size,
+                       void* self);
+  void Remove(Pair* pair);
+
+  EventLoop& m_loop;
+  ListenAddress m_target;
+  evconnlistener* m_listener = nullptr;
+  std::uint16_t m_port = 0;
+  RelayCut m_cut = RelayCut::kNone;
+  Duration m_delay{};
+  std::uint64_t m_accepted = 0;
+  std::uint64_t m_relayed_bytes = 0;
+  std::list<std::unique_ptr<Pair>> m_pairs;
+};
+
+// The relay's control server. Faults: "cut" ("hang", "close" or false; true
+// means "hang") and "delay_ms" (of relayed bytes). Use on the loop's thread
+// only.
+class RelayControl : public StandIn {
+ public:
+  // Precondition: `relay` outlives it.
+  RelayControl(EventLoop& loop, const ListenAddress& listen, Relay& relay)
+      : StandIn(loop, listen), m_relay(relay) {}
+
+  nlohmann::json Record() const override;
+
+ private:
+  void Handle(const CallPtr& call) override;
+  void ApplyFaults(const nlohmann::json& faults) override;
+
+  Relay& m_relay;
+};
+
+}  // namespace hickoryloft::standins
+
+#endif  // STANDINS_RELAY_H_
--- a/StandIns/stand_in.h
+++ b/StandIns/stand_in.h
@@ -52,6 +52,9 @@
   // Sets the server's own faults; those named by the base are set already.
   virtual void ApplyFaults(const nlohmann::json& faults) = 0;
 
+  // Whether the fault "freeze_ms" is in force.
+  bool frozen() const { return m_loop.Now() < m_frozen_until; }
+
   // Consumes one of the replies that are to be lost. Returns whether the
   // current reply is one of them.
   bool TakeDroppedReply();
