limits: rate shares with escrowed burst, their homes and the entries' buckets

Tokens of a client account must stay within burst + rate x window over all hosts. A share counts a grant as outstanding until the entry reports it or it has surely lapsed, so level + outstanding never passes the share's burst. Entries report grants in the order of their stream, so a report never settles the wrong grant.

--- /dev/null
+++ b/Source/coordinator/rate_module.cc
@@ -0,0 +1,210 @@
+#include "coordinator/rate_module.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/log.h"
+#include "wire/frame.h"
+
+namespace hickoryloft::coordinator {
+
+namespace {
+
+const Logger kLogger("rate");
+
+ClaimName ClaimOf(const std::string& account, std::uint32_t slot) {
+  return "rate/" + account + "/" + std::to_string(slot);
+}
+
+std::string ToText(const limits::ShareState& state) {
+  nlohmann::json open = nlohmann::json::array();
+  for (const limits::OpenGrant& grant : state.m_open) {
+    open.push_back({{"tokens", grant.m_tokens},
+                    {"lapses_in_ms", ToMillis(grant.m_lapses_in).count() + 1}});
+  }
+  return nlohmann::json({{"level", state.m_level}, {"open", open}}).dump();
+}
+
+// Returns the state in `text`, or none if it is not readable; then the share
+// starts empty, which is always safe.
+std::optional<limits::ShareState> ParseState(const std::string& text) {
+  try {
+    const auto json = nlohmann::json::parse(text);
+    limits::ShareState state{.m_level = json.at("level").get<double>()};
+    for (const auto& grant : json.at("open")) {
+      state.m_open.push_back(
+          {.m_tokens = grant.at("tokens").get<double>(),
+           .m_lapses_in =
+               milliseconds(grant.at("lapses_in_ms").get<std::int64_t>())});
+    }
+    return state;
+  } catch (const nlohmann::json::exception& error) {
+    kLogger.Warn("The handed-over state of a share is not readable.",
+                 {{"reason", error.what()}});
+    return std::nullopt;
+  }
+}
+
+limits::DrawRequest ToDraw(const wire::TokenDrawT& message) {
+  return {.m_entry = message.entry,
+          .m_tokens = message.tokens,
+          .m_spent = message.spent,
+          .m_returned = message.returned,
+          .m_refunded = message.refunded,
+          .m_sequence = message.sequence,
+          .m_epoch = message.epoch};
+}
+
+std::uint32_t CeilMillis(Duration duration) {
+  return static_cast<std::uint32_t>(
+      std::chrono::ceil<milliseconds>(duration).count());
+}
+
+wire::TokenGrantT ToGrant(const wire::TokenDrawT& draw,
+                          const limits::DrawReply& reply) {
+  wire::TokenGrantT grant;
+  grant.account = draw.account;
+  grant.slot = draw.slot;
+  grant.granted = reply.m_granted;
+  grant.valid_for_ms =
+      static_cast<std::uint32_t>(ToMillis(reply.m_valid_for).count());
+  grant.retry_after_ms = CeilMillis(reply.m_retry_after);
+  grant.epoch = reply.m_epoch;
+  grant.refill_per_second = reply.m_refill_per_second;
+  grant.burst_tokens = reply.m_burst_tokens;
+  return grant;
+}
+
+}  // namespace
+
+RateModule::RateModule(Core& core)
+    : m_core(core),
+      m_draws(core.Metrics().GetCounter(
+          "loft_token_draws_total",
+          "Draws answered by the rate shares of this host.")),
+      m_granted(core.Metrics().GetCounter(
+          "loft_tokens_granted_total",
+          "Tokens granted by the rate shares of this host.")) {
+  ReadDocuments();
+}
+
+std::vector<ClaimName> RateModule::WantedClaims() const {
+  std::vector<ClaimName> claims;
+  for (const auto& [claim, limit] : m_accounts) {
+    claims.push_back(claim);
+  }
+  return claims;
+}
+
+std::optional<ClaimName> RateModule::ClaimFor(
+    const wire::EnvelopeT& request) const {
+  const auto* draw = request.body.AsTokenDraw();
+  if (draw == nullptr) {
+    return std::nullopt;
+  }
+  return ClaimOf(draw->account, draw->slot);
+}
+
+void RateModule::HandleRequest(const ClaimName& claim,
+                               wire::EnvelopeT request,
+                               Responder respond) {
+  const wire::TokenDrawT& draw = *request.body.AsTokenDraw();
+  const auto home = m_homes.find(claim);
+  if (home == m_homes.end() || draw.entry.empty()) {
+    respond(wire::MakeReply(
+        request, wire::ToRequestFailed(
+                     Error(ErrorCode::kNotFound, "no such rate share here"))));
+    return;
+  }
+  // Right before the effect, since the process may have been paused.
+  if (m_core.HeldFence(claim) != home->second->epoch()) {
+    respond(wire::MakeReply(
+        request, wire::ToRequestFailed(
+                     Error(ErrorCode::kFenced, "the rate share has moved"))));
+    return;
+  }
+  const auto reply = home->second->Draw(ToDraw(draw), m_core.Now());
+  m_draws.Add();
+  m_granted.Add(static_cast<double>(reply.m_granted));
+  respond(wire::MakeReply(request, ToGrant(draw, reply)));
+}
+
+bool RateModule::HandleNotice(const HostId& /*from*/,
+                              const wire::EnvelopeT& /*notice*/) {
+  return false;
+}
+
+void RateModule::OnClaimHeld(const ClaimName& claim,
+                             FencingNumber fence,
+                             const std::optional<std::string>& hand_over) {
+  const auto limit = LimitOf(claim);
+  if (!limit) {
+    return;
+  }
+  const auto state = hand_over ? ParseState(*hand_over) : std::nullopt;
+  m_homes[claim] = std::make_unique<limits::ShareHome>(
+      m_plan.ShareOf(*limit), static_cast<std::uint64_t>(limit->m_burst_tokens),
+      fence, m_core.Now(), state);
+  kLogger.Info("Holding a rate share.",
+               {{"claim", claim}, {"handed_over", state ? "yes" : "no"}});
+}
+
+void RateModule::OnClaimLost(const ClaimName& claim) {
+  m_homes.erase(claim);
+}
+
+std::string RateModule::PrepareHandOver(const ClaimName& claim) {
+  const auto home = m_homes.find(claim);
+  if (home == m_homes.end()) {
+    return "";
+  }
+  const std::string text = ToText(home->second->Stop(m_core.Now()));
+  m_homes.erase(home);
+  return text;
+}
+
+bool RateModule::HasOpenWork(const ClaimName& /*claim*/) const {
+  return false;
+}
+
+void RateModule::OnDocumentsChanged() {
+  ReadDocuments();
+  const MonotonicTime now = m_core.Now();
+  for (auto& [claim, home] : m_homes) {
+    const auto limit = LimitOf(claim).value_or(limits::RateLimit{});
+    home->SetLimit(m_plan.ShareOf(limit),
+                   static_cast<std::uint64_t>(limit.m_burst_tokens), now);
+  }
+}
+
+void RateModule::OnEntryConnected(
+    const std::function<void(const wire::EnvelopeT&)>& /*send*/) {}
+
+void RateModule::OnTick(MonotonicTime /*now*/) {}
+
+std::optional<limits::RateLimit> RateModule::LimitOf(
+    const ClaimName& claim) const {
+  const auto found = m_accounts.find(claim);
+  if (found == m_accounts.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+void RateModule::ReadDocuments() {
+  m_accounts.clear();
+  for (const documents::Document& document : m_core.Documents()) {
+    for (const auto& [id, account] : document.m_accounts) {
+      const limits::RateLimit limit{
+          .m_tokens_per_second = account.m_tokens_per_second,
+          .m_burst_tokens = static_cast<double>(account.m_burst_tokens)};
+      const std::string qualified =
+          documents::QualifiedName(document.m_service, id.value());
+      for (std::uint32_t slot = 0; slot < m_plan.Slots(); ++slot) {
+        m_accounts[ClaimOf(qualified, slot)] = limit;
+      }
+    }
+  }
+}
+
+}  // namespace hickoryloft::coordinator
--- /dev/null
+++ b/Source/coordinator/rate_module.h
@@ -0,0 +1,60 @@
+// The homes of the client accounts' rate shares that this host holds.
+
+#ifndef SOURCE_COORDINATOR_RATE_MODULE_H_
+#define SOURCE_COORDINATOR_RATE_MODULE_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coordinator/module.h"
+#include "limits/share_home.h"
+#include "limits/share_plan.h"
+
+namespace hickoryloft::coordinator {
+
+// Answers TokenDraw requests for the claims "rate/<account>/<slot>". Use on the
+// loop's thread only.
+class RateModule : public Module {
+ public:
+  // `core` outlives the module.
+  explicit RateModule(Core& core);
+
+  std::string_view name() const override { return "rate"; }
+  std::vector<ClaimName> WantedClaims() const override;
+  std::optional<ClaimName> ClaimFor(
+      const wire::EnvelopeT& request) const override;
+  void HandleRequest(const ClaimName& claim,
+                     wire::EnvelopeT request,
+                     Responder respond) override;
+  bool HandleNotice(const HostId& from, const wire::EnvelopeT& notice) override;
+  void OnClaimHeld(const ClaimName& claim,
+                   FencingNumber fence,
+                   const std::optional<std::string>& hand_over) override;
+  void OnClaimLost(const ClaimName& claim) override;
+  std::string PrepareHandOver(const ClaimName& claim) override;
+  bool HasOpenWork(const ClaimName& claim) const override;
+  void OnDocumentsChanged() override;
+  void OnMembersChanged() override {}
+  void OnEntryConnected(
+      const std::function<void(const wire::EnvelopeT&)>& send) override;
+  void OnTick(MonotonicTime now) override;
+
+ private:
+  // An account's limit as the documents in force state it.
+  std::optional<limits::RateLimit> LimitOf(const ClaimName& claim) const;
+  void ReadDocuments();
+
+  Core& m_core;
+  limits::SharedSlots m_plan{limits::kDefaultSlots};
+  std::map<ClaimName, limits::RateLimit> m_accounts;  // By claim, undivided.
+  std::map<ClaimName, std::unique_ptr<limits::ShareHome>> m_homes;
+  metrics::Counter& m_draws;
+  metrics::Counter& m_granted;
+};
+
+}  // namespace hickoryloft::coordinator
+
+#endif  // SOURCE_COORDINATOR_RATE_MODULE_H_
--- /dev/null
+++ b/Source/entry/rate_token_gate.cc
@@ -0,0 +1,164 @@
+#include "entry/rate_token_gate.h"
+
+#include <utility>
+
+#include "base/hashing.h"
+#include "base/random.h"
+#include "wire/frame.h"
+
+namespace hickoryloft::entry {
+
+namespace {
+
+constexpr Duration kDrawTimeout = milliseconds(250);
+constexpr std::size_t kEntryNameBytes = 8;
+
+wire::TokenDrawT ToMessage(const ClientAccountId& account,
+                           const limits::DrawOrder& order) {
+  wire::TokenDrawT draw;
+  draw.account = account.value();
+  draw.slot = order.m_slot;
+  draw.entry = order.m_request.m_entry;
+  draw.tokens = order.m_request.m_tokens;
+  draw.spent = order.m_request.m_spent;
+  draw.returned = order.m_request.m_returned;
+  draw.refunded = order.m_request.m_refunded;
+  draw.sequence = order.m_request.m_sequence;
+  draw.epoch = order.m_request.m_epoch;
+  return draw;
+}
+
+limits::DrawReply ToReply(const wire::TokenGrantT& grant) {
+  return {.m_granted = grant.granted,
+          .m_valid_for = milliseconds(grant.valid_for_ms),
+          .m_retry_after = milliseconds(grant.retry_after_ms),
+          .m_epoch = grant.epoch,
+          .m_refill_per_second = grant.refill_per_second,
+          .m_burst_tokens = grant.burst_tokens};
+}
+
+Result<TokenDecision> ToDecision(const limits::ReserveResult& result) {
+  switch (result.m_verdict) {
+    case limits::ReserveVerdict::kAdmitted:
+      return TokenDecision{.m_admitted = true};
+    case limits::ReserveVerdict::kRefused:
+      return TokenDecision{.m_retry_after = result.m_retry_after};
+    case limits::ReserveVerdict::kExceedsBurst:
+      return TokenDecision{.m_exceeds_burst = true};
+    case limits::ReserveVerdict::kUnavailable:
+      break;
+  }
+  return Error(ErrorCode::kUnavailable,
+               "no home of the account's rate shares answers");
+}
+
+}  // namespace
+
+RateTokenGate::RateTokenGate(EventLoop& loop,
+                             CoordinatorLink& link,
+                             const HostId& host)
+    : m_loop(loop),
+      m_link(link),
+      m_entry(host.value() + "/" + RandomHex(kEntryNameBytes)),
+      m_host_number(static_cast<std::uint32_t>(StableHash(m_entry))) {}
+
+void RateTokenGate::Reserve(const ClientAccountId& account,
+                            std::uint64_t tokens,
+                            Duration limit,
+                            Callback callback) {
+  const std::uint64_t id = m_next_id++;
+  m_callbacks.emplace(id, std::move(callback));
+  Carry(account, BucketOf(account).Reserve(id, tokens, limit, m_loop.Now()));
+}
+
+void RateTokenGate::Refund(const ClientAccountId& account,
+                           std::uint64_t tokens) {
+  if (tokens > 0) {
+    Carry(account, BucketOf(account).Refund(tokens, m_loop.Now()));
+  }
+}
+
+void RateTokenGate::ReturnAll() {
+  m_stopping = true;
+  Tick();
+}
+
+bool RateTokenGate::busy() const {
+  for (const auto& [account, bucket] : m_buckets) {
+    if (bucket.busy()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+limits::EntryBucket& RateTokenGate::BucketOf(const ClientAccountId& account) {
+  const auto found = m_buckets.find(account);
+  if (found != m_buckets.end()) {
+    return found->second;
+  }
+  return m_buckets
+      .emplace(account,
+               limits::EntryBucket(m_entry, m_plan.SlotsFor(m_host_number)))
+      .first->second;
+}
+
+void RateTokenGate::Carry(const ClientAccountId& account,
+                          limits::EntryEffects effects) {
+  for (const limits::DrawOrder& order : effects.m_draws) {
+    SendDraw(account, order);
+  }
+  UpdateTimer();
+  for (const limits::ReserveResult& result : effects.m_results) {
+    const auto found = m_callbacks.find(result.m_id);
+    Callback callback = std::move(found->second);
+    m_callbacks.erase(found);
+    callback(ToDecision(result));
+  }
+}
+
+void RateTokenGate::SendDraw(const ClientAccountId& account,
+                             const limits::DrawOrder& order) {
+  m_link.Request(
+      wire::MakeEnvelope(ToMessage(account, order)), kDrawTimeout,
+      [this, account, slot = order.m_slot,
+       alive = std::weak_ptr<bool>(m_alive)](Result<wire::EnvelopeT> reply) {
+        if (alive.expired()) {
+          return;
+        }
+        const wire::TokenGrantT* grant =
+            reply.ok() ? reply.value().body.AsTokenGrant() : nullptr;
+        limits::EntryBucket& bucket = BucketOf(account);
+        Carry(account, grant == nullptr ? bucket.OnFailure(slot, m_loop.Now())
+                                        : bucket.OnReply(slot, ToReply(*grant),
+                                                         m_loop.Now()));
+      });
+}
+
+void RateTokenGate::Tick() {
+  std::vector<ClientAccountId> accounts;
+  for (const auto& [account, bucket] : m_buckets) {
+    if (bucket.busy()) {
+      accounts.push_back(account);
+    }
+  }
+  for (const ClientAccountId& account : accounts) {
+    limits::EntryBucket& bucket = BucketOf(account);
+    const MonotonicTime now = m_loop.Now();
+    Carry(account, m_stopping ? bucket.ReturnAll(now) : bucket.OnTick(now));
+  }
+  UpdateTimer();
+}
+
+void RateTokenGate::UpdateTimer() {
+  if (!busy()) {
+    m_timer.reset();
+    return;
+  }
+  if (m_timer == nullptr) {
+    m_timer =
+        m_loop.Every(limits::EntryBucket::kTickInterval, [this] { Tick(); });
+  }
+}
+
+}  // namespace hickoryloft::entry
--- a/Source/entry/token_gate.h
+++ b/Source/entry/token_gate.h
@@ -14,7 +14,8 @@
 
 struct TokenDecision {
   bool m_admitted = false;
-  Duration m_retry_after{};  // When not admitted.
+  Duration m_retry_after{};      // When not admitted.
+  bool m_exceeds_burst = false;  // Not admitted, and no retry ever will be.
 };
 
 // Reserves tokens before a request runs. Use on the loop's thread only.
--- /dev/null
+++ b/Source/limits/share_home.cc
@@ -0,0 +1,206 @@
+#include "limits/share_home.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace hickoryloft::limits {
+
+namespace {
+
+// Stream of grants made by previous holders; no entry has this name.
+constexpr const char* kPreviousHolder = "";
+constexpr Duration kSessionIdleTime = seconds(60);
+// The longest time reported as retry delay, for a share without refill.
+constexpr double kMaxRetrySeconds = 3600;
+
+}  // namespace
+
+ShareHome::ShareHome(const RateLimit& share,
+                     std::uint64_t account_burst,
+                     FencingNumber epoch,
+                     MonotonicTime now,
+                     const std::optional<ShareState>& state)
+    : m_limit(share),
+      m_account_burst(account_burst),
+      m_epoch(epoch),
+      m_refilled_at(now),
+      m_sessions_checked_at(now) {
+  ShareState start = state.value_or(ShareState{
+      .m_open = {{.m_tokens = share.m_burst_tokens,
+                  .m_lapses_in = kGrantValidity + kGrantDriftMargin}}});
+  std::sort(start.m_open.begin(), start.m_open.end(),
+            [](const OpenGrant& left, const OpenGrant& right) {
+              return left.m_lapses_in < right.m_lapses_in;
+            });
+  Session& previous = m_sessions[kPreviousHolder];
+  previous.m_used_at = now;
+  for (const OpenGrant& open : start.m_open) {
+    const MonotonicTime lapses_at = now + open.m_lapses_in;
+    previous.m_grants.push_back(
+        {.m_tokens = open.m_tokens, .m_lapses_at = lapses_at});
+    m_lapses.push_back({.m_at = lapses_at, .m_entry = kPreviousHolder});
+    m_outstanding += open.m_tokens;
+  }
+  m_level = start.m_level;
+  ClampLevel();
+}
+
+DrawReply ShareHome::Draw(const DrawRequest& request, MonotonicTime now) {
+  Advance(now);
+  Session& session = m_sessions[request.m_entry];
+  session.m_used_at = now;
+  if (request.m_sequence == session.m_sequence) {
+    return session.m_reply;
+  }
+  if (request.m_sequence < session.m_sequence) {
+    return {.m_epoch =
+                m_epoch};  // Overtaken by a later draw; it has no effect.
+  }
+  if (request.m_epoch == m_epoch) {
+    Settle(session, request);
+  }
+  session.m_sequence = request.m_sequence;
+  session.m_reply = GrantTo(session, request, now);
+  return session.m_reply;
+}
+
+void ShareHome::SetLimit(const RateLimit& share,
+                         std::uint64_t account_burst,
+                         MonotonicTime now) {
+  Advance(now);
+  m_limit = share;
+  m_account_burst = account_burst;
+  ClampLevel();
+}
+
+ShareState ShareHome::Stop(MonotonicTime now) {
+  Advance(now);
+  ShareState state{.m_level = m_level};
+  for (const auto& [entry, session] : m_sessions) {
+    for (const Grant& grant : session.m_grants) {
+      state.m_open.push_back(
+          {.m_tokens = grant.m_tokens, .m_lapses_in = grant.m_lapses_at - now});
+    }
+  }
+  m_level = 0;
+  return state;
+}
+
+double ShareHome::Level(MonotonicTime now) {
+  Advance(now);
+  return m_level;
+}
+
+double ShareHome::Outstanding(MonotonicTime now) {
+  Advance(now);
+  return m_outstanding;
+}
+
+void ShareHome::Advance(MonotonicTime now) {
+  while (!m_lapses.empty() && m_lapses.front().m_at <= now) {
+    RefillUntil(m_lapses.front().m_at);
+    LapseNext();
+  }
+  RefillUntil(now);
+  DropIdleSessions(now);
+}
+
+void ShareHome::RefillUntil(MonotonicTime time) {
+  if (time <= m_refilled_at) {
+    return;
+  }
+  m_level += m_limit.m_tokens_per_second * ToSeconds(time - m_refilled_at);
+  m_refilled_at = time;
+  ClampLevel();
+}
+
+void ShareHome::LapseNext() {
+  const Lapse lapse = std::move(m_lapses.front());
+  m_lapses.pop_front();
+  const auto found = m_sessions.find(lapse.m_entry);
+  if (found == m_sessions.end()) {
+    return;
+  }
+  Session& session = found->second;
+  while (!session.m_grants.empty() &&
+         session.m_grants.front().m_lapses_at <= lapse.m_at) {
+    const double tokens = session.m_grants.front().m_tokens;
+    session.m_grants.pop_front();
+    session.m_lapsed += tokens;
+    m_outstanding -= tokens;
+  }
+}
+
+void ShareHome::ClampLevel() {
+  m_outstanding = std::max(m_outstanding, 0.0);
+  m_level = std::clamp(m_level, 0.0,
+                       std::max(m_limit.m_burst_tokens - m_outstanding, 0.0));
+}
+
+void ShareHome::DropIdleSessions(MonotonicTime now) {
+  if (now - m_sessions_checked_at < kSessionIdleTime) {
+    return;
+  }
+  m_sessions_checked_at = now;
+  std::erase_if(m_sessions, [now](const auto& item) {
+    return now - item.second.m_used_at >= kSessionIdleTime &&
+           item.second.m_grants.empty();
+  });
+}
+
+void ShareHome::Settle(Session& session, const DrawRequest& request) {
+  const auto spent = static_cast<double>(request.m_spent);
+  const auto returned = static_cast<double>(request.m_returned);
+  const double lapsed = ResolveStream(session, spent + returned);
+  // The lapsed tokens may have been the returned ones, and what lapsed has been
+  // replaced by refill already.
+  m_level += std::max(returned - lapsed, 0.0);
+  m_level += static_cast<double>(request.m_refunded);
+  ClampLevel();
+}
+
+double ShareHome::ResolveStream(Session& session, double tokens) {
+  const double lapsed = std::min(session.m_lapsed, tokens);
+  session.m_lapsed -= lapsed;
+  tokens -= lapsed;
+  while (tokens > 0 && !session.m_grants.empty()) {
+    Grant& front = session.m_grants.front();
+    const double taken = std::min(front.m_tokens, tokens);
+    front.m_tokens -= taken;
+    tokens -= taken;
+    m_outstanding -= taken;
+    if (front.m_tokens <= 0) {
+      session.m_grants.pop_front();
+    }
+  }
+  // What was never granted counts as lapsed, so that it earns no credit.
+  return lapsed + tokens;
+}
+
+DrawReply ShareHome::GrantTo(Session& session,
+                             const DrawRequest& request,
+                             MonotonicTime now) {
+  const auto wanted = static_cast<double>(request.m_tokens);
+  const double granted = std::floor(std::min(wanted, m_level));
+  DrawReply reply{.m_granted = static_cast<std::uint64_t>(granted),
+                  .m_valid_for = kGrantValidity,
+                  .m_epoch = m_epoch,
+                  .m_refill_per_second = m_limit.m_tokens_per_second,
+                  .m_burst_tokens = m_account_burst};
+  if (granted > 0) {
+    const MonotonicTime lapses_at = now + kGrantValidity + kGrantDriftMargin;
+    m_level -= granted;
+    m_outstanding += granted;
+    session.m_grants.push_back({.m_tokens = granted, .m_lapses_at = lapses_at});
+    m_lapses.push_back({.m_at = lapses_at, .m_entry = request.m_entry});
+  }
+  const double missing = wanted - granted - m_level;
+  if (granted < wanted && missing > 0) {
+    const double wait = missing / std::max(m_limit.m_tokens_per_second, 1e-9);
+    reply.m_retry_after = FromSeconds(std::min(wait, kMaxRetrySeconds));
+  }
+  return reply;
+}
+
+}  // namespace hickoryloft::limits
