metrics: write the series as JSON too

Cause: the burn report must read counters back, and a reader of the Prometheus text would be a further parser. Ruled out: parsing the Prometheus text by hand.

--- a/Source/metrics/registry.cc
+++ b/Source/metrics/registry.cc
@@ -1,6 +1,7 @@
 #include "metrics/registry.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <sstream>
 
 namespace hickoryloft::metrics {
@@ -118,11 +119,12 @@
                       const Labels& labels) {
   Family<Metric>& family = families[name];
   family.m_help = help;
-  std::unique_ptr<Metric>& metric = family.m_by_labels[FormatLabels(labels)];
-  if (!metric) {
-    metric = std::make_unique<Metric>();
+  auto& series = family.m_by_labels[FormatLabels(labels)];
+  if (!series) {
+    series = std::make_unique<Series<Metric>>();
+    series->m_labels = labels;
   }
-  return *metric;
+  return series->m_metric;
 }
 
 Counter& Registry::GetCounter(const std::string& name,
@@ -148,22 +150,63 @@
   for (const auto& [name, family] : m_counters) {
     WriteHeader(out, name, family.m_help, "counter");
     for (const auto& [labels, counter] : family.m_by_labels) {
-      out << name << Braces(labels) << ' ' << counter->value() << '\n';
+      out << name << Braces(labels) << ' ' << counter->m_metric.value() << '\n';
     }
   }
   for (const auto& [name, family] : m_gauges) {
     WriteHeader(out, name, family.m_help, "gauge");
     for (const auto& [labels, gauge] : family.m_by_labels) {
-      out << name << Braces(labels) << ' ' << gauge->value() << '\n';
+      out << name << Braces(labels) << ' ' << gauge->m_metric.value() << '\n';
     }
   }
   for (const auto& [name, family] : m_latencies) {
     WriteHeader(out, name, family.m_help, "histogram");
     for (const auto& [labels, latency] : family.m_by_labels) {
-      WriteLatency(out, name, labels, *latency);
+      WriteLatency(out, name, labels, latency->m_metric);
     }
   }
   return out.str();
 }
 
+namespace {
+
+nlohmann::json SeriesJson(const std::string& name, const Labels& labels) {
+  nlohmann::json json = {{"name", name}, {"labels", nlohmann::json::object()}};
+  for (const Label& label : labels) {
+    json["labels"][label.m_name] = label.m_value;
+  }
+  return json;
+}
+
+// Appends the counters or gauges of `families` to `out`.
+template <typename Families>
+void AppendValues(const Families& families, nlohmann::json& out) {
+  for (const auto& [name, family] : families) {
+    for (const auto& [key, series] : family.m_by_labels) {
+      nlohmann::json json = SeriesJson(name, series->m_labels);
+      json["value"] = series->m_metric.value();
+      out.push_back(std::move(json));
+    }
+  }
+}
+
+}  // namespace
+
+std::string Registry::ToJson() const {
+  nlohmann::json out = nlohmann::json::array();
+  AppendValues(m_counters, out);
+  AppendValues(m_gauges, out);
+  for (const auto& [name, family] : m_latencies) {
+    for (const auto& [key, series] : family.m_by_labels) {
+      nlohmann::json json = SeriesJson(name, series->m_labels);
+      json["count"] = series->m_metric.Count();
+      json["sum"] = ToSeconds(series->m_metric.Sum());
+      json["bounds"] = Latency::kBounds;
+      json["buckets"] = series->m_metric.buckets();
+      out.push_back(std::move(json));
+    }
+  }
+  return out.dump();
+}
+
 }  // namespace hickoryloft::metrics
--- a/Source/metrics/registry.h
+++ b/Source/metrics/registry.h
@@ -107,12 +107,23 @@
   // Returns all metrics in the Prometheus text format.
   std::string ToPrometheusText() const;
 
+  // Returns all metrics as a JSON array, for programs that read them back:
+  // {"name","labels":{..},"value"} for counters and gauges,
+  // {"name","labels":{..},"count","sum","bounds":[..],"buckets":[..]} for
+  // latencies, in seconds, with buckets that are not cumulative.
+  std::string ToJson() const;
+
  private:
+  template <typename Metric>
+  struct Series {
+    Labels m_labels;
+    Metric m_metric;
+  };
   template <typename Metric>
   struct Family {
     std::string m_help;
-    std::map<std::string, std::unique_ptr<Metric>>
-        m_by_labels;  // Key: the labels as Prometheus text.
+    // Key: the labels as Prometheus text.
+    std::map<std::string, std::unique_ptr<Series<Metric>>> m_by_labels;
   };
   template <typename Metric>
   using Families = std::map<std::string, Family<Metric>>;
--- a/Tests/metrics/registry_test.cc
+++ b/Tests/metrics/registry_test.cc
@@ -32,3 +32,12 @@
   CHECK(text.find("loft_wait_seconds_bucket{le=\"+Inf\"} 1000\n") !=
         std::string::npos);
 }
+
+TEST_CASE("A registry writes its series as JSON") {
+  Registry registry;
+  registry.GetCounter("loft_requests_total", "Requests.", {{"kind", "payout"}})
+      .Add(2);
+  CHECK(
+      registry.ToJson() ==
+      R"([{"labels":{"kind":"payout"},"name":"loft_requests_total","value":2.0}])");
+}
