report: burn rates per objective, account and kind; text and HTML

Ruled out: one window only (a short burst and a slow leak look alike). Change: package report: samples, history as JSON lines, burn over 5 min, 1 h and 6 h, a terminal table and a self-contained page with SVG plots.

--- /dev/null
+++ b/Source/report/burn.cc
@@ -0,0 +1,234 @@
+#include "report/burn.h"
+
+#include <algorithm>
+#include <set>
+
+namespace hickoryloft::report {
+
+namespace {
+
+// Names of the entry's metrics; see docs/operators/burn-report.md.
+constexpr char kRequests[] = "loft_entry_requests_total";
+constexpr char kCompletions[] = "loft_entry_completions_total";
+constexpr char kRefusals[] = "loft_entry_refusals_total";
+constexpr char kFirstAnswer[] = "loft_entry_first_answer_seconds";
+constexpr char kLateFirstAnswers[] = "loft_entry_late_first_answers_total";
+constexpr char kDoubledActions[] = "loft_entry_doubled_actions_total";
+
+bool IsEntrySeries(const Series& series) {
+  static const std::set<std::string> kNames = {
+      kRequests,    kCompletions,      kRefusals,
+      kFirstAnswer, kLateFirstAnswers, kDoubledActions};
+  return kNames.count(series.m_name) > 0;
+}
+
+double Weight(const BurnInputs& inputs, const std::string& kind) {
+  const auto found = inputs.m_kind_weights.find(kind);
+  return found == inputs.m_kind_weights.end() ? 1 : found->second;
+}
+
+// Returns how many values exceed `limit`, interpolating inside a bucket.
+double CountAbove(const BucketCounts& buckets, double limit_seconds) {
+  double below = 0;
+  double lower = 0;
+  for (std::size_t i = 0; i < buckets.m_counts.size(); ++i) {
+    const double upper = buckets.m_bounds_seconds[i];
+    if (limit_seconds >= upper) {
+      below += buckets.m_counts[i];
+    } else if (limit_seconds > lower) {
+      const double part = (limit_seconds - lower) / (upper - lower);
+      below += buckets.m_counts[i] * part;
+    }
+    lower = upper;
+  }
+  return std::max(0.0, buckets.m_total - below);
+}
+
+// Adds `total` and `bad` to the burn and to its account's and kind's tallies.
+void Count(Burn& burn, const Series& series, double total, double bad) {
+  for (Tally* tally :
+       {&burn.m_tally, &burn.m_by_account[series.Label("account")],
+        &burn.m_by_kind[series.Label("kind")]}) {
+    tally->m_total += total;
+    tally->m_bad += bad;
+  }
+}
+
+void SetRate(Burn& burn) {
+  const double share = burn.m_tally.BadShare();
+  if (burn.m_allowed_share > 0) {
+    burn.m_rate = share / burn.m_allowed_share;
+  } else {
+    burn.m_rate = burn.m_tally.m_bad;
+  }
+}
+
+Burn FirstAnswerBurn(const std::vector<Growth>& growth,
+                     const BurnInputs& inputs) {
+  Burn burn{.m_objective = Objective::kFirstAnswer,
+            .m_allowed_share = 1 - inputs.m_objectives.m_first_answer_share};
+  const double limit = ToSeconds(inputs.m_objectives.m_first_answer);
+  for (const auto& [series] : growth) {
+    if (series.m_name == kFirstAnswer) {
+      Count(burn, series, series.m_buckets.m_total,
+            CountAbove(series.m_buckets, limit));
+    }
+    if (series.m_name == kLateFirstAnswers) {
+      burn.m_tally.m_causes[series.Label("cause")] += series.m_value;
+    }
+  }
+  SetRate(burn);
+  return burn;
+}
+
+Burn RefusedWithinRateBurn(const std::vector<Growth>& growth,
+                           const BurnInputs& inputs) {
+  Burn burn{.m_objective = Objective::kRefusedWithinRate,
+            .m_allowed_share = inputs.m_objectives.m_refused_within_rate_share};
+  for (const auto& [series] : growth) {
+    if (series.m_name == kRequests) {
+      Count(burn, series, series.m_value, 0);
+    }
+    if (series.m_name == kRefusals && series.Label("within_rate") == "true") {
+      Count(burn, series, 0, series.m_value);
+      burn.m_tally.m_causes[series.Label("reason")] += series.m_value;
+    }
+  }
+  SetRate(burn);
+  return burn;
+}
+
+// The tally of the account whose weighted service is the worst. Requests beyond
+// the rate do not count.
+Burn WorstAccountBurn(const std::vector<Growth>& growth,
+                      const BurnInputs& inputs) {
+  Burn burn{.m_objective = Objective::kWorstAccount,
+            .m_allowed_share = 1 - inputs.m_objectives.m_worst_account_share};
+  for (const auto& [series] : growth) {
+    const double weighted =
+        series.m_value * Weight(inputs, series.Label("kind"));
+    if (series.m_name == kRequests) {
+      Count(burn, series, weighted, weighted);
+    }
+    if (series.m_name == kCompletions) {
+      Count(burn, series, 0, -weighted);
+    }
+    if (series.m_name == kRefusals && series.Label("within_rate") != "true") {
+      Count(burn, series, -weighted, -weighted);
+    }
+  }
+  Tally worst;
+  for (auto& [account, tally] : burn.m_by_account) {
+    // Requests in progress make a few completions belong to earlier requests.
+    tally.m_bad = std::max(0.0, tally.m_bad);
+    if (tally.BadShare() >= worst.BadShare() && tally.m_total > 0) {
+      worst = tally;
+      worst.m_causes = {{account, tally.m_bad}};
+    }
+  }
+  burn.m_tally = worst;
+  SetRate(burn);
+  return burn;
+}
+
+Burn DoubledActionsBurn(const std::vector<Growth>& growth,
+                        const BurnInputs& /*inputs*/) {
+  Burn burn{.m_objective = Objective::kDoubledActions, .m_allowed_share = 0};
+  for (const auto& [series] : growth) {
+    if (series.m_name == kDoubledActions) {
+      Count(burn, series, series.m_value, series.m_value);
+    }
+  }
+  SetRate(burn);
+  return burn;
+}
+
+using BurnFunction = Burn (*)(const std::vector<Growth>&, const BurnInputs&);
+
+// In the order of kObjectives.
+constexpr std::array<BurnFunction, kObjectives.size()> kBurnFunctions = {
+    &FirstAnswerBurn, &RefusedWithinRateBurn, &WorstAccountBurn,
+    &DoubledActionsBurn};
+
+}  // namespace
+
+std::string_view ToString(Objective objective) {
+  switch (objective) {
+    case Objective::kFirstAnswer:
+      return "first answer in time";
+    case Objective::kRefusedWithinRate:
+      return "refused within rate";
+    case Objective::kWorstAccount:
+      return "worst-served account";
+    case Objective::kDoubledActions:
+      return "doubled actions";
+  }
+  return "unknown";
+}
+
+const std::vector<Window>& Windows() {
+  static const std::vector<Window> kWindows = {
+      {"5 min", std::chrono::minutes(5)},
+      {"1 h", std::chrono::hours(1)},
+      {"6 h", std::chrono::hours(6)}};
+  return kWindows;
+}
+
+BurnInputs InputsFrom(const documents::Document& document) {
+  BurnInputs inputs;
+  inputs.m_objectives = document.m_objectives;
+  for (const auto& [name, kind] : document.m_kinds) {
+    inputs.m_kind_weights[name] = kind.m_weight;
+  }
+  return inputs;
+}
+
+std::vector<Burn> ComputeBurn(const History& history,
+                              const BurnInputs& inputs,
+                              WallTime begin,
+                              WallTime end) {
+  const auto growth = history.GrowthBetween(begin, end, &IsEntrySeries);
+  std::vector<Burn> burns;
+  burns.reserve(kBurnFunctions.size());
+  for (const BurnFunction function : kBurnFunctions) {
+    burns.push_back(function(growth, inputs));
+  }
+  return burns;
+}
+
+std::vector<WindowBurn> ComputeWindows(const History& history,
+                                       const BurnInputs& inputs) {
+  const WallTime end = history.last_time();
+  std::vector<WindowBurn> windows;
+  for (const Window& window : Windows()) {
+    const WallTime begin = end - window.m_length;
+    windows.push_back({.m_window = window,
+                       .m_covered = history.first_time() <= begin,
+                       .m_burns = ComputeBurn(history, inputs, begin, end)});
+  }
+  return windows;
+}
+
+std::vector<BurnPoint> ComputePlot(const History& history,
+                                   const BurnInputs& inputs,
+                                   std::chrono::milliseconds step,
+                                   std::size_t points) {
+  std::vector<BurnPoint> plot;
+  const WallTime last = history.last_time();
+  for (std::size_t i = 0; i < points; ++i) {
+    const WallTime end =
+        last - step * static_cast<std::int64_t>(points - 1 - i);
+    if (end < history.first_time()) {
+      continue;
+    }
+    BurnPoint point{.m_time = end};
+    const auto burns = ComputeBurn(history, inputs, end - step, end);
+    for (std::size_t j = 0; j < burns.size(); ++j) {
+      point.m_rates[j] = burns[j].m_rate;
+    }
+    plot.push_back(point);
+  }
+  return plot;
+}
+
+}  // namespace hickoryloft::report
--- /dev/null
+++ b/Source/report/history.cc
@@ -0,0 +1,140 @@
+#include "report/history.h"
+
+#include <algorithm>
+#include <fstream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <tuple>
+#include <utility>
+
+#include "base/error.h"
+
+namespace hickoryloft::report {
+
+namespace {
+
+using Millis = std::chrono::milliseconds;
+
+// Identifies a series of one process.
+using SeriesKey =
+    std::tuple<std::string, std::string, std::map<std::string, std::string>>;
+
+double GrowthOf(double before, double after) {
+  return after >= before ? after - before : after;
+}
+
+// Adds to `sum` how much `after` exceeds `before`.
+void AddGrowth(const Series& before, const Series& after, Series& sum) {
+  const bool reset = after.m_value < before.m_value ||
+                     after.m_buckets.m_total < before.m_buckets.m_total;
+  sum.m_value += GrowthOf(before.m_value, after.m_value);
+  const BucketCounts& from = before.m_buckets;
+  const BucketCounts& to = after.m_buckets;
+  sum.m_buckets.m_bounds_seconds = to.m_bounds_seconds;
+  sum.m_buckets.m_counts.resize(to.m_counts.size());
+  for (std::size_t i = 0; i < to.m_counts.size(); ++i) {
+    const bool comparable = !reset && i < from.m_counts.size();
+    const double base = comparable ? from.m_counts[i] : 0;
+    sum.m_buckets.m_counts[i] += GrowthOf(base, to.m_counts[i]);
+  }
+  sum.m_buckets.m_total += reset ? to.m_total : to.m_total - from.m_total;
+}
+
+nlohmann::json ToJson(const Series& series) {
+  nlohmann::json json = {{"name", series.m_name}, {"labels", series.m_labels}};
+  if (series.m_buckets.m_bounds_seconds.empty()) {
+    json["value"] = series.m_value;
+    return json;
+  }
+  json["bounds"] = series.m_buckets.m_bounds_seconds;
+  json["buckets"] = series.m_buckets.m_counts;
+  json["count"] = series.m_buckets.m_total;
+  return json;
+}
+
+}  // namespace
+
+void History::Add(Sample sample) {
+  if (!m_samples.empty() && sample.m_time < m_samples.back().m_time) {
+    throw Error(ErrorCode::kInvalidArgument,
+                "samples of " + sample.m_source + " are out of order");
+  }
+  m_samples.push_back(std::move(sample));
+}
+
+std::vector<Growth> History::GrowthBetween(
+    WallTime begin,
+    WallTime end,
+    const std::function<bool(const Series&)>& wanted) const {
+  std::map<SeriesKey, Series> last;
+  std::map<std::pair<std::string, std::map<std::string, std::string>>, Series>
+      sums;
+  std::map<std::string, bool> source_seen;
+  for (const Sample& sample : m_samples) {
+    if (sample.m_time > end) {
+      break;
+    }
+    const bool first_of_source = !source_seen[sample.m_source];
+    source_seen[sample.m_source] = true;
+    for (const Series& series : sample.m_series) {
+      if (!wanted(series)) {
+        continue;
+      }
+      Series& before = last[{sample.m_source, series.m_name, series.m_labels}];
+      // What a process counted before its first sample has no known time.
+      if (sample.m_time > begin && !first_of_source) {
+        Series& sum = sums[{series.m_name, series.m_labels}];
+        sum.m_name = series.m_name;
+        sum.m_labels = series.m_labels;
+        AddGrowth(before, series, sum);
+      }
+      before = series;
+    }
+  }
+  std::vector<Growth> growth;
+  growth.reserve(sums.size());
+  for (auto& [key, series] : sums) {
+    growth.push_back({std::move(series)});
+  }
+  return growth;
+}
+
+void AppendToFile(const std::string& path, const Sample& sample) {
+  nlohmann::json json;
+  json["time_ms"] =
+      std::chrono::duration_cast<Millis>(sample.m_time.time_since_epoch())
+          .count();
+  json["source"] = sample.m_source;
+  json["series"] = nlohmann::json::array();
+  for (const Series& series : sample.m_series) {
+    json["series"].push_back(ToJson(series));
+  }
+  std::ofstream file(path, std::ios::app);
+  file << json.dump() << '\n';
+  if (!file.flush()) {
+    throw Error(ErrorCode::kIo, path + ": cannot be written");
+  }
+}
+
+History ReadHistory(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    throw Error(ErrorCode::kIo, path + ": cannot be opened for reading");
+  }
+  History history;
+  std::string line;
+  for (std::size_t number = 1; std::getline(file, line); ++number) {
+    try {
+      const auto json = nlohmann::json::parse(line);
+      const WallTime time{Millis(json.at("time_ms").get<std::int64_t>())};
+      history.Add(ParseSample(time, json.at("source").get<std::string>(),
+                              json.at("series").dump()));
+    } catch (const std::exception& error) {
+      throw Error(ErrorCode::kInvalidArgument,
+                  path + ":" + std::to_string(number) + ": " + error.what());
+    }
+  }
+  return history;
+}
+
+}  // namespace hickoryloft::report
--- /dev/null
+++ b/Source/report/svg_plot.cc
@@ -0,0 +1,110 @@
+#include "report/svg_plot.h"
+
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+
+namespace hickoryloft::report {
+
+namespace {
+
+// Sizes in SVG user units.
+constexpr double kWidth = 560;
+constexpr double kHeight = 170;
+constexpr double kLeft = 48;
+constexpr double kRight = 12;
+constexpr double kTop = 28;
+constexpr double kBottom = 24;
+
+double X(std::size_t index, std::size_t count) {
+  const double span = kWidth - kLeft - kRight;
+  if (count < 2) {
+    return kLeft + span;
+  }
+  return kLeft +
+         span * static_cast<double>(index) / static_cast<double>(count - 1);
+}
+
+double Y(double value, double maximum) {
+  return kHeight - kBottom - (kHeight - kTop - kBottom) * value / maximum;
+}
+
+void WriteLine(std::ostream& out,
+               double y,
+               const char* style,
+               double label_value) {
+  out << "<line x1='" << kLeft << "' x2='" << kWidth - kRight << "' y1='" << y
+      << "' y2='" << y << "' " << style << "/><text x='" << kLeft - 6 << "' y='"
+      << y + 4 << "' text-anchor='end'>" << label_value << "</text>";
+}
+
+void WriteCurve(std::ostream& out, const PlotSpec& plot, double maximum) {
+  out << "<polyline fill='none' stroke='#1f5f8b' stroke-width='2' points='";
+  for (std::size_t i = 0; i < plot.m_values.size(); ++i) {
+    out << X(i, plot.m_values.size()) << ',' << Y(plot.m_values[i], maximum)
+        << ' ';
+  }
+  out << "'/>";
+}
+
+void WriteTimes(std::ostream& out, const PlotSpec& plot) {
+  if (plot.m_time_labels.empty()) {
+    return;
+  }
+  out << "<text x='" << kLeft << "' y='" << kHeight - 6 << "'>"
+      << EscapeHtml(plot.m_time_labels.front()) << "</text><text x='"
+      << kWidth - kRight << "' y='" << kHeight - 6 << "' text-anchor='end'>"
+      << EscapeHtml(plot.m_time_labels.back()) << "</text>";
+}
+
+}  // namespace
+
+std::string SvgPlot(const PlotSpec& plot) {
+  double maximum = std::max(1.0, plot.m_limit * 1.25);
+  for (const double value : plot.m_values) {
+    maximum = std::max(maximum, value * 1.1);
+  }
+  std::ostringstream out;
+  out << std::setprecision(3);
+  out << "<svg viewBox='0 0 " << kWidth << ' ' << kHeight
+      << "' role='img' aria-label='" << EscapeHtml(plot.m_title)
+      << "'><text x='" << kLeft << "' y='16' class='title'>"
+      << EscapeHtml(plot.m_title) << "</text>";
+  WriteLine(out, Y(0, maximum), "stroke='#888'", 0);
+  WriteLine(out, Y(plot.m_limit, maximum),
+            "stroke='#b03a2e' stroke-dasharray='5 4'", plot.m_limit);
+  const double top_value = maximum;
+  WriteLine(out, Y(top_value, maximum), "stroke='#ddd'", top_value);
+  WriteCurve(out, plot, maximum);
+  WriteTimes(out, plot);
+  out << "</svg>";
+  return out.str();
+}
+
+std::string EscapeHtml(const std::string& text) {
+  std::string out;
+  for (const char c : text) {
+    switch (c) {
+      case '&':
+        out += "&amp;";
+        break;
+      case '<':
+        out += "&lt;";
+        break;
+      case '>':
+        out += "&gt;";
+        break;
+      case '\'':
+        out += "&#39;";
+        break;
+      case '"':
+        out += "&quot;";
+        break;
+      default:
+        out.push_back(c);
+    }
+  }
+  return out;
+}
+
+}  // namespace hickoryloft::report
