actions: a fenced ledger of non-idempotent requests, its module and gate

A payout must run at most once through takeovers, lost replies and late writes. Records gather while a write is in flight.

--- /dev/null
+++ b/Source/actions/action_table.h
@@ -0,0 +1,49 @@
+// The state of every action of one shard, as its records tell it.
+
+#ifndef SOURCE_ACTIONS_ACTION_TABLE_H_
+#define SOURCE_ACTIONS_ACTION_TABLE_H_
+
+#include <map>
+#include <string>
+
+#include "actions/action_record.h"
+
+namespace hickoryloft::actions {
+
+struct ActionState {
+  RecordKind m_kind = RecordKind::kStarted;
+  std::string m_digest;
+  std::uint64_t m_attempt = 0;
+  ActionAnswer m_answer;
+  WallTime m_at{};                  // Of the last record.
+  bool m_durable = false;           // False: the start is being written.
+  MonotonicTime m_running_until{};  // After it a start without end is unknown.
+};
+
+// Not thread-safe.
+class ActionTable {
+ public:
+  // Applies a durable record. An attempt that is started counts as running
+  // until `running_until`.
+  void Apply(const ActionRecord& record, MonotonicTime running_until);
+
+  // Notes a start whose record is being written.
+  void NoteStarting(const ActionRecord& record);
+  // Takes back NoteStarting().
+  void TakeBack(const ActionRecord& record);
+
+  // Returns the state of `id`, or nullptr. Valid until the next change.
+  const ActionState* Find(const ActionId& id) const;
+
+  // Forgets actions whose last record is from before `horizon`.
+  void Forget(WallTime horizon);
+
+  std::size_t size() const { return m_states.size(); }
+
+ private:
+  std::map<ActionId, ActionState> m_states;
+};
+
+}  // namespace hickoryloft::actions
+
+#endif  // SOURCE_ACTIONS_ACTION_TABLE_H_
--- a/Source/coordinator/rate_module.cc
+++ b/Source/coordinator/rate_module.cc
@@ -158,7 +158,7 @@
   if (home == m_homes.end()) {
     return "";
   }
-  const std::string text = ToText(home->second->Stop(m_core.Now()));
+  std::string text = ToText(home->second->Stop(m_core.Now()));
   m_homes.erase(home);
   return text;
 }
--- /dev/null
+++ b/Source/entry/ledger_action_gate.h
@@ -0,0 +1,69 @@
+// At-most-once execution by the action ledger that the coordinators keep.
+
+#ifndef SOURCE_ENTRY_LEDGER_ACTION_GATE_H_
+#define SOURCE_ENTRY_LEDGER_ACTION_GATE_H_
+
+#include <map>
+#include <memory>
+
+#include "base/event_loop.h"
+#include "entry/action_gate.h"
+#include "entry/coordinator_link.h"
+
+namespace hickoryloft::entry {
+
+// Asks the coordinator of this host. Use on the loop's thread only; `loop` and
+// `link` outlive the gate.
+class LedgerActionGate : public ActionGate {
+ public:
+  LedgerActionGate(EventLoop& loop, CoordinatorLink& link);
+
+  void Begin(const ActionRequest& request,
+             Duration limit,
+             std::function<void(Result<ActionDecision>)> callback) override;
+  void Finish(const ActionRequest& request,
+              std::uint64_t attempt,
+              ActionResult result,
+              const RecordedAnswer& answer,
+              std::function<void(bool)> recorded) override;
+
+  // Whether ends of attempts are still to be recorded.
+  bool busy() const { return !m_finishes.empty(); }
+
+ private:
+  struct BeginCall {
+    ActionRequest m_request;
+    std::uint64_t m_attempt = 0;
+    MonotonicTime m_give_up_at{};
+    MonotonicTime m_move_until{};
+    std::function<void(Result<ActionDecision>)> m_callback;
+    std::unique_ptr<Timer> m_retry;
+  };
+  struct FinishCall {
+    wire::ActionFinishT m_message;
+    MonotonicTime m_give_up_at{};
+    std::function<void(bool)> m_recorded;
+    std::unique_ptr<Timer> m_retry;
+  };
+
+  void SendBegin(std::uint64_t call);
+  void OnBeginReply(std::uint64_t call,
+                    MonotonicTime sent_at,
+                    const Result<wire::EnvelopeT>& reply);
+  // Sends the begin again after `delay` and returns true, if there is time.
+  bool RetryBegin(std::uint64_t call, Duration delay);
+  void EndBegin(std::uint64_t call, Result<ActionDecision> result);
+  void SendFinish(std::uint64_t call);
+  void OnFinishReply(std::uint64_t call, const Result<wire::EnvelopeT>& reply);
+
+  EventLoop& m_loop;
+  CoordinatorLink& m_link;
+  std::uint64_t m_next_call = 1;
+  std::map<std::uint64_t, BeginCall> m_begins;
+  std::map<std::uint64_t, FinishCall> m_finishes;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}  // namespace hickoryloft::entry
+
+#endif  // SOURCE_ENTRY_LEDGER_ACTION_GATE_H_
--- a/Source/entry/rate_token_gate.cc
+++ b/Source/entry/rate_token_gate.cc
@@ -104,7 +104,7 @@
 }
 
 void RateTokenGate::Carry(const ClientAccountId& account,
-                          limits::EntryEffects effects) {
+                          const limits::EntryEffects& effects) {
   for (const limits::DrawOrder& order : effects.m_draws) {
     SendDraw(account, order);
   }
--- a/Source/entry/rate_token_gate.h
+++ b/Source/entry/rate_token_gate.h
@@ -38,7 +38,8 @@
   using Callback = std::function<void(Result<TokenDecision>)>;
 
   limits::EntryBucket& BucketOf(const ClientAccountId& account);
-  void Carry(const ClientAccountId& account, limits::EntryEffects effects);
+  void Carry(const ClientAccountId& account,
+             const limits::EntryEffects& effects);
   void SendDraw(const ClientAccountId& account, const limits::DrawOrder& order);
   void Tick();
   // Starts or stops the timer as buckets need it.
