--- /dev/null
+++ b/Source/placement/cas_register.h
@@ -0,0 +1,88 @@
+// The local view of one record that is written by compare-and-swap.
+
+#ifndef SOURCE_PLACEMENT_CAS_REGISTER_H_
+#define SOURCE_PLACEMENT_CAS_REGISTER_H_
+
+#include <optional>
+#include <string>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "placement/effects.h"
+
+namespace hickoryloft::placement {
+
+// What the key-value service said of a record: the outcome of a write, or what
+// stands there now.
+struct RecordReply {
+  RecordName m_record;
+  bool m_swapped = false;
+  Revision m_revision = 0;  // Of the record; 0: absent.
+  std::string m_value;      // As it stands, when not swapped.
+};
+
+// One record as last seen, and the write in flight. A write whose reply is lost
+// is settled by reading the record again: the caller compares what stands there
+// with what it wants and writes what is missing. Not thread-safe.
+template <typename Value>
+class CasRegister {
+ public:
+  const Value& value() const { return m_value; }
+  bool idle() const { return m_known && !m_busy; }
+  bool busy() const { return m_busy; }
+  // Returns whether the record must be read before it can be written.
+  bool lost() const { return !m_known && !m_busy; }
+  MonotonicTime retry_at() const { return m_retry_at; }
+
+  // Starts a write. Precondition: idle().
+  SwapRecord Write(const RecordName& record, Value value) {
+    m_busy = true;
+    std::string text = value.ToJson();
+    m_written = std::move(value);
+    return {.m_record = record,
+            .m_expected = m_revision,
+            .m_value = std::move(text)};
+  }
+
+  // Starts a read.
+  ReadRecord Read(const RecordName& record) {
+    m_busy = true;
+    m_written.reset();
+    return {.m_record = record};
+  }
+
+  // Takes the reply to Write() or Read(), or an unasked read. Throws
+  // Error(kProtocol) if the record cannot be understood.
+  void Take(const RecordReply& reply) {
+    m_busy = false;
+    m_known = false;
+    if (reply.m_swapped && m_written.has_value()) {
+      m_value = std::move(*m_written);
+    } else {
+      m_value = Value::FromJson(reply.m_value);
+    }
+    m_written.reset();
+    m_revision = reply.m_revision;
+    m_known = true;
+  }
+
+  // The write or read failed; its effect is unknown.
+  void Fail(MonotonicTime retry_at) {
+    m_busy = false;
+    m_known = false;
+    m_written.reset();
+    m_retry_at = retry_at;
+  }
+
+ private:
+  Value m_value;
+  Revision m_revision = 0;
+  bool m_known = false;
+  bool m_busy = false;
+  std::optional<Value> m_written;
+  MonotonicTime m_retry_at{};
+};
+
+}  // namespace hickoryloft::placement
+
+#endif  // SOURCE_PLACEMENT_CAS_REGISTER_H_
--- /dev/null
+++ b/Source/placement/idle_histogram.h
@@ -0,0 +1,39 @@
+// A histogram of the times between uses of one artifact.
+
+#ifndef SOURCE_PLACEMENT_IDLE_HISTOGRAM_H_
+#define SOURCE_PLACEMENT_IDLE_HISTOGRAM_H_
+
+#include <array>
+#include <cstdint>
+
+#include "base/time.h"
+
+namespace hickoryloft::placement {
+
+// Counts idle times in exponential buckets, and forgets old ones slowly. Value
+// type; not thread-safe.
+class IdleHistogram {
+ public:
+  void Record(Duration idle);
+
+  // Returns the probability per second that the next use comes within `window`
+  // after `idle`, given none so far.
+  double ReturnRate(Duration idle, Duration window) const;
+
+  double total() const { return m_total; }
+
+ private:
+  static constexpr std::size_t kBuckets = 40;
+
+  static double UpperBound(std::size_t bucket);
+  static std::size_t BucketOf(double seconds);
+  // Returns the weight of idle times above `seconds`.
+  double Above(double seconds) const;
+
+  std::array<float, kBuckets> m_weights{};
+  double m_total = 0;
+};
+
+}  // namespace hickoryloft::placement
+
+#endif  // SOURCE_PLACEMENT_IDLE_HISTOGRAM_H_
--- /dev/null
+++ b/Source/placement/keep_policy.cc
@@ -0,0 +1,108 @@
+#include "placement/keep_policy.h"
+
+#include <algorithm>
+
+namespace hickoryloft::placement {
+namespace {
+
+constexpr double kBytesPerGigabyte = 1e9;
+constexpr double kNeverUsedWorth = 0;
+// Looks this far ahead, as a share of the idle time so far.
+constexpr double kLookAheadShare = 0.5;
+constexpr Duration kLeastLookAhead = seconds(5);
+// Ahead of a return whose rate passes this, a replica is loaded again.
+constexpr double kPreWarmRate = 0.05;
+constexpr double kPreWarmLeastHistory = 4;
+
+Duration LookAhead(Duration idle) {
+  return std::max(kLeastLookAhead,
+                  FromSeconds(ToSeconds(idle) * kLookAheadShare));
+}
+
+}  // namespace
+
+void FixedKeepPolicy::OnUse(const Artifact& artifact, MonotonicTime now) {
+  m_last_use[artifact] = now;
+}
+
+double FixedKeepPolicy::Worth(const Artifact& artifact,
+                              std::uint64_t /*bytes*/,
+                              Duration /*load_time*/,
+                              MonotonicTime now) const {
+  const auto last = m_last_use.find(artifact);
+  if (last == m_last_use.end()) {
+    return kNeverUsedWorth;
+  }
+  return 1 / (1 + ToSeconds(now - last->second));
+}
+
+bool FixedKeepPolicy::ShouldRelease(const Artifact& artifact,
+                                    std::uint64_t /*bytes*/,
+                                    Duration /*load_time*/,
+                                    MonotonicTime now) const {
+  const auto last = m_last_use.find(artifact);
+  return last != m_last_use.end() && now - last->second > m_keep;
+}
+
+bool FixedKeepPolicy::ShouldPreWarm(const Artifact& /*artifact*/,
+                                    Duration /*load_time*/,
+                                    MonotonicTime /*now*/) const {
+  return false;
+}
+
+HistogramKeepPolicy::HistogramKeepPolicy(double least_worth, Duration min_keep)
+    : m_least_worth(least_worth), m_min_keep(min_keep) {}
+
+void HistogramKeepPolicy::OnUse(const Artifact& artifact, MonotonicTime now) {
+  const auto [found, added] = m_histories.try_emplace(artifact);
+  History& history = found->second;
+  if (!added) {
+    history.m_idle_times.Record(now - history.m_last_use);
+  }
+  history.m_last_use = now;
+}
+
+double HistogramKeepPolicy::Worth(const Artifact& artifact,
+                                  std::uint64_t bytes,
+                                  Duration load_time,
+                                  MonotonicTime now) const {
+  const auto found = m_histories.find(artifact);
+  if (found == m_histories.end()) {
+    return kNeverUsedWorth;
+  }
+  const Duration idle = now - found->second.m_last_use;
+  const double rate =
+      found->second.m_idle_times.ReturnRate(idle, LookAhead(idle));
+  const double gigabytes =
+      std::max(static_cast<double>(bytes) / kBytesPerGigabyte, 1e-3);
+  return rate * ToSeconds(load_time) / gigabytes;
+}
+
+bool HistogramKeepPolicy::ShouldRelease(const Artifact& artifact,
+                                        std::uint64_t bytes,
+                                        Duration load_time,
+                                        MonotonicTime now) const {
+  const auto found = m_histories.find(artifact);
+  if (found == m_histories.end()) {
+    return false;
+  }
+  const Duration idle = now - found->second.m_last_use;
+  return idle >= m_min_keep &&
+         Worth(artifact, bytes, load_time, now) < m_least_worth;
+}
+
+bool HistogramKeepPolicy::ShouldPreWarm(const Artifact& artifact,
+                                        Duration load_time,
+                                        MonotonicTime now) const {
+  const auto found = m_histories.find(artifact);
+  if (found == m_histories.end() ||
+      found->second.m_idle_times.total() < kPreWarmLeastHistory) {
+    return false;
+  }
+  const Duration idle = now - found->second.m_last_use;
+  return idle >= m_min_keep &&
+         found->second.m_idle_times.ReturnRate(idle, 2 * load_time) >
+             kPreWarmRate;
+}
+
+}  // namespace hickoryloft::placement
--- /dev/null
+++ b/Source/placement/keep_policy.h
@@ -0,0 +1,102 @@
+// How long an idle replica stays loaded, and when it is loaded again before its
+// next use.
+
+#ifndef SOURCE_PLACEMENT_KEEP_POLICY_H_
+#define SOURCE_PLACEMENT_KEEP_POLICY_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+#include "base/time.h"
+#include "placement/idle_histogram.h"
+#include "placement/types.h"
+
+namespace hickoryloft::placement {
+
+// Decides on the artifacts of one shard. Not thread-safe.
+class KeepPolicy {
+ public:
+  virtual ~KeepPolicy() = default;
+
+  // A caller used the artifact. Uses must come in the order of their times.
+  virtual void OnUse(const Artifact& artifact, MonotonicTime now) = 0;
+
+  // Returns the worth of holding the artifact: cold-start seconds saved per
+  // gigabyte-second. The replica with the least worth is evicted first.
+  virtual double Worth(const Artifact& artifact,
+                       std::uint64_t bytes,
+                       Duration load_time,
+                       MonotonicTime now) const = 0;
+
+  // Returns whether an idle replica should be released now.
+  virtual bool ShouldRelease(const Artifact& artifact,
+                             std::uint64_t bytes,
+                             Duration load_time,
+                             MonotonicTime now) const = 0;
+
+  // Returns whether an artifact without a replica should be loaded now, ahead
+  // of its predicted next use.
+  virtual bool ShouldPreWarm(const Artifact& artifact,
+                             Duration load_time,
+                             MonotonicTime now) const = 0;
+};
+
+// Baseline: a fixed time after the last use; evicts the least recently used.
+class FixedKeepPolicy : public KeepPolicy {
+ public:
+  explicit FixedKeepPolicy(Duration keep) : m_keep(keep) {}
+
+  void OnUse(const Artifact& artifact, MonotonicTime now) override;
+  double Worth(const Artifact& artifact,
+               std::uint64_t bytes,
+               Duration load_time,
+               MonotonicTime now) const override;
+  bool ShouldRelease(const Artifact& artifact,
+                     std::uint64_t bytes,
+                     Duration load_time,
+                     MonotonicTime now) const override;
+  bool ShouldPreWarm(const Artifact& artifact,
+                     Duration load_time,
+                     MonotonicTime now) const override;
+
+ private:
+  Duration m_keep;
+  std::map<Artifact, MonotonicTime> m_last_use;
+};
+
+// Weighs the expected saving against the bytes held, by each artifact's
+// histogram of idle times.
+class HistogramKeepPolicy : public KeepPolicy {
+ public:
+  // A replica is released when its worth falls below `least_worth`, but not
+  // within `min_keep` of its last use, so that replicas do not thrash.
+  HistogramKeepPolicy(double least_worth, Duration min_keep);
+
+  void OnUse(const Artifact& artifact, MonotonicTime now) override;
+  double Worth(const Artifact& artifact,
+               std::uint64_t bytes,
+               Duration load_time,
+               MonotonicTime now) const override;
+  bool ShouldRelease(const Artifact& artifact,
+                     std::uint64_t bytes,
+                     Duration load_time,
+                     MonotonicTime now) const override;
+  bool ShouldPreWarm(const Artifact& artifact,
+                     Duration load_time,
+                     MonotonicTime now) const override;
+
+ private:
+  struct History {
+    MonotonicTime m_last_use{};
+    IdleHistogram m_idle_times;
+  };
+
+  double m_least_worth;
+  Duration m_min_keep;
+  std::map<Artifact, History> m_histories;
+};
+
+}  // namespace hickoryloft::placement
+
+#endif  // SOURCE_PLACEMENT_KEEP_POLICY_H_
--- /dev/null
+++ b/Source/placement/model_record.h
@@ -0,0 +1,38 @@
+// The decided replicas of one model.
+
+#ifndef SOURCE_PLACEMENT_MODEL_RECORD_H_
+#define SOURCE_PLACEMENT_MODEL_RECORD_H_
+
+#include <set>
+#include <string>
+
+#include "base/ids.h"
+
+namespace hickoryloft::placement {
+
+// One decided replica of a base model.
+struct DecidedReplica {
+  EndpointId m_endpoint;
+  std::string m_version;
+
+  friend bool operator==(const DecidedReplica&,
+                         const DecidedReplica&) = default;
+  friend auto operator<=>(const DecidedReplica&,
+                          const DecidedReplica&) = default;
+};
+
+// Value type; not thread-safe.
+struct ModelRecord {
+  std::set<DecidedReplica> m_replicas;
+
+  std::string ToJson() const;
+  // Returns the record in `text`; an empty text has no replicas. Throws
+  // Error(kProtocol) if it is not a record.
+  static ModelRecord FromJson(const std::string& text);
+
+  friend bool operator==(const ModelRecord&, const ModelRecord&) = default;
+};
+
+}  // namespace hickoryloft::placement
+
+#endif  // SOURCE_PLACEMENT_MODEL_RECORD_H_
--- /dev/null
+++ b/Source/placement/shard_orders.cc
@@ -0,0 +1,331 @@
+// Orders to engines, their replies, and inventories.
+
+#include <algorithm>
+
+#include "placement/shard.h"
+
+namespace hickoryloft::placement {
+namespace {
+
+bool IsBase(const ReplicaKey& key) {
+  return key.m_artifact.m_adapter.empty();
+}
+
+}  // namespace
+
+void Shard::DispatchLoads(MonotonicTime now) {
+  const std::set<ReplicaKey> reserved = m_replicas.In(ReplicaStep::kReserved);
+  for (const ReplicaKey& key : reserved) {
+    if (!IsBase(key)) {
+      continue;
+    }
+    Replica& replica = *m_replicas.Find(key);
+    if (replica.m_tier != CheckpointTier::kRemote) {
+      SendLoad(key, replica, now);
+      continue;
+    }
+    const ServiceId service = ServiceOf(key.m_artifact.m_model);
+    StoreSlots& slots = SlotsOf(service);
+    if (!slots.Has(key)) {
+      slots.Want(key);
+      Touch(RecordKind::kStore, service.value());
+    }
+  }
+}
+
+void Shard::DispatchAdapters(MonotonicTime now) {
+  std::map<ServiceId, std::uint32_t> in_flight;
+  for (const ReplicaKey& key : m_replicas.In(ReplicaStep::kLoading)) {
+    if (!IsBase(key)) {
+      ++in_flight[ServiceOf(key.m_artifact.m_model)];
+    }
+  }
+  const std::set<ReplicaKey> reserved = m_replicas.In(ReplicaStep::kReserved);
+  for (const ReplicaKey& key : reserved) {
+    const ServiceId service = ServiceOf(key.m_artifact.m_model);
+    if (IsBase(key) ||
+        in_flight[service] >= BudgetOf(service).m_adapter_loads_in_flight) {
+      continue;
+    }
+    ++in_flight[service];
+    SendLoad(key, *m_replicas.Find(key), now);
+  }
+}
+
+void Shard::SendLoad(const ReplicaKey& key,
+                     Replica& replica,
+                     MonotonicTime now) {
+  m_replicas.Move(key, replica, ReplicaStep::kLoading);
+  replica.m_ordered_at = now;
+  replica.m_order_open = true;
+  replica.m_seen = false;
+  replica.m_absent_after =
+      now + m_settings.m_order_effect_limit + m_settings.m_report_lag;
+  m_effects.emplace_back(SendOrder{
+      key.m_endpoint,
+      {.m_kind = endpoint::OrderKind::kLoad,
+       .m_number = replica.m_order_number,
+       .m_scope = m_settings.m_scope,
+       .m_fencing_number = m_fence,
+       .m_artifact = key.m_artifact,
+       .m_bytes = replica.m_bytes,
+       .m_peak_bytes = replica.m_peak_bytes}});
+}
+
+void Shard::SendUnload(const ReplicaKey& key,
+                       Replica& replica,
+                       MonotonicTime now) {
+  m_replicas.Move(key, replica, ReplicaStep::kUnloading);
+  replica.m_ordered_at = now;
+  replica.m_order_open = true;
+  m_effects.emplace_back(
+      SendOrder{key.m_endpoint,
+                {.m_kind = endpoint::OrderKind::kUnload,
+                 .m_number = replica.m_order_number,
+                 .m_scope = m_settings.m_scope,
+                 .m_fencing_number = m_fence,
+                 .m_artifact = key.m_artifact,
+                 .m_bytes = replica.m_bytes,
+                 .m_peak_bytes = replica.m_peak_bytes}});
+}
+
+Effects Shard::OnOrderReply(const EndpointId& endpoint,
+                            std::uint64_t order_number,
+                            const Result<endpoint::OrderReply>& reply,
+                            MonotonicTime now) {
+  for (const ReplicaKey& key : m_replicas.On(endpoint)) {
+    Replica& replica = *m_replicas.Find(key);
+    if (replica.m_order_number == order_number && replica.m_order_open) {
+      TakeOrderReply(key, replica, reply, now);
+      break;
+    }
+  }
+  return TakeEffects(now);
+}
+
+void Shard::TakeOrderReply(const ReplicaKey& key,
+                           Replica& replica,
+                           const Result<endpoint::OrderReply>& reply,
+                           MonotonicTime now) {
+  replica.m_order_open = false;
+  const bool no_effect =
+      reply.ok() ? reply.value().m_outcome != endpoint::OrderOutcome::kAccepted
+                 : reply.error().code() == ErrorCode::kUnavailable;
+  if (replica.m_step == ReplicaStep::kLoading) {
+    if (no_effect) {
+      RefuseWaiting(replica, RefusalReason::kNoCapacity);
+      BecomeAbsent(key, replica);
+    } else if (reply.ok()) {
+      replica.m_absent_after = now + m_settings.m_report_lag;
+    }
+    return;
+  }
+  if (replica.m_step == ReplicaStep::kUnloading && no_effect) {
+    // It stays loaded, as far as known; the inventory settles it.
+    m_replicas.Move(key, replica, ReplicaStep::kUnsure);
+    replica.m_absent_after = now;
+  }
+}
+
+Effects Shard::OnFenceRaised(const EndpointId& endpoint,
+                             bool raised,
+                             MonotonicTime now) {
+  if (!raised) {
+    return TakeEffects(now);
+  }
+  for (const ReplicaKey& key : m_replicas.On(endpoint)) {
+    Replica& replica = *m_replicas.Find(key);
+    if (replica.m_fence_pending) {
+      replica.m_fence_pending = false;
+      replica.m_absent_after = now + m_settings.m_report_lag;
+    }
+  }
+  return TakeEffects(now);
+}
+
+void Shard::EndFenceWaits(MonotonicTime now) {
+  for (const ReplicaKey& key : m_replicas.In(ReplicaStep::kUnsure)) {
+    Replica& replica = *m_replicas.Find(key);
+    const Duration waited = now - replica.m_asked_at;
+    if (replica.m_fence_pending && waited >= m_settings.m_order_effect_limit) {
+      replica.m_fence_pending = false;
+    }
+  }
+}
+
+Effects Shard::OnInventory(const EndpointId& endpoint,
+                           const endpoint::InventoryReport& report,
+                           MonotonicTime requested_at,
+                           MonotonicTime now) {
+  std::map<Artifact, const endpoint::InventoryItem*> items;
+  for (const endpoint::InventoryItem& item : report.m_items) {
+    items[item.m_artifact] = &item;
+  }
+  for (const ReplicaKey& key : m_replicas.On(endpoint)) {
+    Replica& replica = *m_replicas.Find(key);
+    const auto item = items.find(key.m_artifact);
+    if (item != items.end()) {
+      ObserveItem(key, replica, *item->second, now);
+    } else {
+      ObserveAbsence(key, replica, requested_at);
+    }
+  }
+  return TakeEffects(now);
+}
+
+void Shard::ObserveItem(const ReplicaKey& key,
+                        Replica& replica,
+                        const endpoint::InventoryItem& item,
+                        MonotonicTime now) {
+  const bool ready = item.m_phase == ArtifactPhase::kReady;
+  switch (replica.m_step) {
+    case ReplicaStep::kLoading:
+      // An item of another order is what an earlier report still shows.
+      if (item.m_order_number != replica.m_order_number) {
+        return;
+      }
+      replica.m_seen = true;
+      if (ready) {
+        BecomeReady(key, replica, now);
+      }
+      return;
+    case ReplicaStep::kUnsure:
+      replica.m_seen = true;
+      if (ready && !replica.m_fence_pending) {
+        BecomeReady(key, replica, now);
+      }
+      return;
+    case ReplicaStep::kReady:
+      replica.m_seen = true;
+      return;
+    case ReplicaStep::kUnloading:
+      if (ready && now - replica.m_ordered_at >
+                       m_settings.m_order_effect_limit +
+                           m_settings.m_report_lag) {
+        // The order was lost; a new one needs a new number.
+        m_replicas.Move(key, replica, ReplicaStep::kReady);
+        BeginRelease(key);
+      }
+      return;
+    default:
+      return;
+  }
+}
+
+void Shard::ObserveAbsence(const ReplicaKey& key,
+                           Replica& replica,
+                           MonotonicTime requested_at) {
+  const bool may_be_present = replica.m_step == ReplicaStep::kLoading ||
+                              replica.m_step == ReplicaStep::kReady ||
+                              replica.m_step == ReplicaStep::kDraining ||
+                              replica.m_step == ReplicaStep::kUnloading ||
+                              replica.m_step == ReplicaStep::kUnsure;
+  if (!may_be_present || replica.m_fence_pending) {
+    return;
+  }
+  // A load order without a reply may still land after a restart.
+  const bool settled = !replica.m_order_open ||
+                       replica.m_step != ReplicaStep::kLoading;
+  const bool proved = (replica.m_seen && settled) ||
+                      requested_at >= replica.m_absent_after;
+  if (proved) {
+    BecomeAbsent(key, replica);
+  }
+}
+
+void Shard::BecomeReady(const ReplicaKey& key,
+                        Replica& replica,
+                        MonotonicTime now) {
+  if (replica.m_step == ReplicaStep::kLoading) {
+    m_chooser.load_times().Record(replica.m_tier, replica.m_bytes,
+                                  now - replica.m_ordered_at);
+  }
+  m_replicas.Move(key, replica, ReplicaStep::kReady);
+  replica.m_ready_at = now;
+  replica.m_order_open = false;
+  EndSlot(key);
+  TouchFor(key);
+  if (!IsBase(key)) {
+    return;
+  }
+  for (const ReplicaKey& other : m_replicas.On(key.m_endpoint)) {
+    Replica& adapter = *m_replicas.Find(other);
+    if (other.m_artifact.m_model == key.m_artifact.m_model &&
+        adapter.m_step == ReplicaStep::kAwaitingBase) {
+      m_replicas.Move(other, adapter, ReplicaStep::kReserving);
+    }
+  }
+}
+
+void Shard::BecomeAbsent(const ReplicaKey& key, Replica& replica) {
+  if (replica.m_step == ReplicaStep::kForgetting) {
+    return;
+  }
+  EndSlot(key);
+  RefuseWaiting(replica, RefusalReason::kNoCapacity);
+  m_replicas.Move(key, replica, ReplicaStep::kReleasing);
+  TouchFor(key);
+  if (!IsBase(key)) {
+    return;
+  }
+  for (const ReplicaKey& other : m_replicas.On(key.m_endpoint)) {
+    Replica* adapter = m_replicas.Find(other);
+    if (other.m_artifact.m_model == key.m_artifact.m_model &&
+        adapter->m_step == ReplicaStep::kAwaitingBase) {
+      GiveUp(other, *adapter);
+    }
+  }
+}
+
+void Shard::EndSlot(const ReplicaKey& key) {
+  if (!IsBase(key)) {
+    return;
+  }
+  const ServiceId service = ServiceOf(key.m_artifact.m_model);
+  SlotsOf(service).End(key);
+  Touch(RecordKind::kStore, service.value());
+}
+
+void Shard::PollUnsettled(MonotonicTime now) {
+  std::set<EndpointId> endpoints;
+  for (const ReplicaStep step : {ReplicaStep::kLoading, ReplicaStep::kUnloading,
+                                 ReplicaStep::kUnsure}) {
+    for (const ReplicaKey& key : m_replicas.In(step)) {
+      if (NeedsInventory(*m_replicas.Find(key))) {
+        endpoints.insert(key.m_endpoint);
+      }
+    }
+  }
+  for (const EndpointId& endpoint : endpoints) {
+    MonotonicTime& next = m_next_poll[endpoint];
+    if (now >= next) {
+      next = now + m_settings.m_poll_interval;
+      m_effects.emplace_back(FetchInventory{endpoint});
+    }
+  }
+}
+
+Effects Shard::OnTick(MonotonicTime now) {
+  if (!m_recovered) {
+    return {};
+  }
+  EndFenceWaits(now);
+  RetryLost(now);
+  PollUnsettled(now);
+  for (const ReplicaKey& key : m_replicas.In(ReplicaStep::kReserving)) {
+    TouchFor(key);
+  }
+  for (auto& [service, slots] : m_slots) {
+    if (slots.HasWork()) {
+      Touch(RecordKind::kStore, service.value());
+    }
+  }
+  if (now >= m_next_review) {
+    m_next_review = now + m_settings.m_review_interval;
+    ReviewReplicas(now);
+    ReviewModels(now);
+  }
+  return TakeEffects(now);
+}
+
+}  // namespace hickoryloft::placement
--- /dev/null
+++ b/Source/placement/shard_room.cc
@@ -0,0 +1,188 @@
+// Room for new replicas, and the review of idle ones.
+
+#include <algorithm>
+
+#include "placement/shard.h"
+
+namespace hickoryloft::placement {
+namespace {
+
+// A replica that became ready is not evicted for another before this time.
+constexpr Duration kLeastResidence = seconds(5);
+
+}  // namespace
+
+double Shard::WorthOf(const ReplicaKey& key,
+                      const Replica& replica,
+                      MonotonicTime now) const {
+  const Duration load_time = m_chooser.LoadTime(replica.m_tier, replica.m_bytes);
+  return m_policies.m_keep->Worth(key.m_artifact, replica.m_bytes, load_time,
+                                  now);
+}
+
+std::vector<std::pair<double, ReplicaKey>> Shard::Evictable(
+    const EndpointId& endpoint,
+    double worth,
+    MonotonicTime now) const {
+  std::vector<std::pair<double, ReplicaKey>> found;
+  for (const ReplicaKey& key : m_replicas.On(endpoint)) {
+    const Replica& replica = *m_replicas.Find(key);
+    if (replica.m_step != ReplicaStep::kReady ||
+        now - replica.m_ready_at < kLeastResidence) {
+      continue;
+    }
+    const double own_worth = WorthOf(key, replica, now);
+    if (own_worth < worth) {
+      found.emplace_back(own_worth, key);
+    }
+  }
+  std::sort(found.begin(), found.end());
+  return found;
+}
+
+std::uint64_t Shard::EvictableBytes(const EndpointId& endpoint,
+                                    double worth,
+                                    MonotonicTime now) const {
+  std::uint64_t bytes = 0;
+  for (const auto& [own_worth, key] : Evictable(endpoint, worth, now)) {
+    bytes += m_replicas.Find(key)->m_bytes;
+  }
+  const EndpointLedger* ledger = LedgerOf(endpoint);
+  if (ledger == nullptr) {
+    return bytes;
+  }
+  for (const auto& [artifact, reservation] : ledger->m_reservations) {
+    const bool foreign = reservation.m_scope != m_settings.m_scope;
+    if (foreign && !reservation.m_peaks && artifact.m_adapter.empty()) {
+      bytes += reservation.m_bytes;
+    }
+  }
+  return bytes;
+}
+
+void Shard::MakeRoom(const EndpointId& endpoint,
+                     std::uint64_t bytes,
+                     double worth,
+                     MonotonicTime now) {
+  std::uint64_t free = m_chooser.FreeBytes(endpoint);
+  for (const auto& [own_worth, key] : Evictable(endpoint, worth, now)) {
+    if (free >= bytes) {
+      return;
+    }
+    free += m_replicas.Find(key)->m_bytes;
+    BeginRelease(key);
+  }
+  if (free < bytes) {
+    AskForRoom(endpoint, bytes - free, worth);
+  }
+}
+
+void Shard::AskForRoom(const EndpointId& endpoint,
+                       std::uint64_t bytes,
+                       double worth) {
+  const EndpointLedger* ledger = LedgerOf(endpoint);
+  if (ledger == nullptr) {
+    return;
+  }
+  std::uint64_t asked = 0;
+  for (const auto& [artifact, reservation] : ledger->m_reservations) {
+    const bool foreign = reservation.m_scope != m_settings.m_scope;
+    if (!foreign || reservation.m_peaks || !artifact.m_adapter.empty()) {
+      continue;
+    }
+    if (asked >= bytes) {
+      return;
+    }
+    asked += reservation.m_bytes;
+    m_effects.emplace_back(AskRelease{
+        {.m_artifact = artifact, .m_endpoint = endpoint}, worth});
+  }
+}
+
+Effects Shard::OnReleaseAsked(const ReplicaKey& key,
+                              double worth,
+                              MonotonicTime now) {
+  const Replica* replica = m_replicas.Find(key);
+  if (replica != nullptr && replica->m_step == ReplicaStep::kReady &&
+      now - replica->m_ready_at >= kLeastResidence &&
+      WorthOf(key, *replica, now) < worth) {
+    BeginRelease(key);
+  }
+  return TakeEffects(now);
+}
+
+void Shard::BeginRelease(const ReplicaKey& key) {
+  Replica* replica = m_replicas.Find(key);
+  if (replica == nullptr || replica->m_step != ReplicaStep::kReady) {
+    return;
+  }
+  if (!key.m_artifact.m_adapter.empty()) {
+    m_replicas.Move(key, *replica, ReplicaStep::kMarking);
+    TouchFor(key);
+    return;
+  }
+  m_replicas.Move(key, *replica, ReplicaStep::kDraining);
+}
+
+void Shard::ContinueDrains() {
+  const std::set<ReplicaKey> draining =
+      m_replicas.In(ReplicaStep::kDraining);
+  for (const ReplicaKey& base : draining) {
+    bool empty = true;
+    for (const ReplicaKey& key : m_replicas.On(base.m_endpoint)) {
+      if (key.m_artifact.m_model != base.m_artifact.m_model ||
+          key.m_artifact.m_adapter.empty()) {
+        continue;
+      }
+      empty = false;
+      BeginRelease(key);
+    }
+    if (empty) {
+      m_replicas.Move(base, *m_replicas.Find(base), ReplicaStep::kMarking);
+      TouchFor(base);
+    }
+  }
+}
+
+bool Shard::ShouldRelease(const ReplicaKey& key,
+                          const Replica& replica,
+                          MonotonicTime now) const {
+  const CatalogModel* model = FindModel(key.m_artifact.m_model);
+  if (!IsAllowed(key.m_artifact)) {
+    return true;
+  }
+  if (now - replica.m_ready_at < kLeastResidence ||
+      (key.m_artifact.m_adapter.empty() &&
+       CountedReplicas(model->m_id) <= model->m_min_replicas)) {
+    return false;
+  }
+  const Duration load_time = m_chooser.LoadTime(replica.m_tier, replica.m_bytes);
+  return m_policies.m_keep->ShouldRelease(key.m_artifact, replica.m_bytes,
+                                          load_time, now);
+}
+
+void Shard::ReviewReplicas(MonotonicTime now) {
+  const std::set<ReplicaKey> ready = m_replicas.In(ReplicaStep::kReady);
+  for (const ReplicaKey& key : ready) {
+    if (ShouldRelease(key, *m_replicas.Find(key), now)) {
+      BeginRelease(key);
+    }
+  }
+}
+
+void Shard::ReviewModels(MonotonicTime now) {
+  for (const auto& [id, model] : m_catalog) {
+    const std::uint32_t replicas = CountedReplicas(id);
+    const Artifact artifact{.m_model = id, .m_version = model.m_version};
+    const Duration load_time =
+        m_chooser.LoadTime(CheckpointTier::kRemote, model.m_bytes);
+    const bool pre_warm =
+        replicas == 0 && StoreWait(ServiceOf(id)) == Duration{} &&
+        m_policies.m_keep->ShouldPreWarm(artifact, load_time, now);
+    if (replicas < model.m_min_replicas || pre_warm) {
+      AddModel(model, 0, Duration::max(), now);
+    }
+  }
+}
+
+}  // namespace hickoryloft::placement
