--- /dev/null
+++ b/Source/endpoint/http_client.h
@@ -0,0 +1,89 @@
+// Port for HTTP calls to endpoints, with streamed answers.
+
+#ifndef SOURCE_ENDPOINT_HTTP_CLIENT_H_
+#define SOURCE_ENDPOINT_HTTP_CLIENT_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/error.h"
+#include "base/time.h"
+#include "endpoint/orders.h"
+
+namespace hickoryloft::endpoint {
+
+struct HeaderField {
+  std::string m_name;
+  std::string m_value;
+};
+using HeaderFields = std::vector<HeaderField>;
+
+// Returns the value of the first field named `name`, or nullptr. Names are
+// compared without regard to case. Thread-safe.
+const std::string* FindHeader(const HeaderFields& fields,
+                              std::string_view name);
+
+enum class HttpMethod { kGet, kHead, kPost, kPut, kDelete, kPatch };
+
+// Silence of an endpoint after which a call fails.
+constexpr Duration kDefaultIdleTimeout = seconds(30);
+// Time for a connection to be established.
+constexpr Duration kDefaultConnectTimeout = seconds(1);
+
+struct CallRequest {
+  EndpointAddress m_endpoint;
+  HttpMethod m_method = HttpMethod::kPost;
+  std::string m_target;  // Path and query.
+  HeaderFields m_headers;
+  std::string m_body;
+  // True: use a new connection, so that a failure to connect proves that no
+  // byte has left. Set it for calls that are not idempotent.
+  bool m_fresh_connection = false;
+  Duration m_idle_timeout = kDefaultIdleTimeout;
+};
+
+struct AnswerHead {
+  int m_status = 0;
+  HeaderFields m_headers;
+};
+
+// What becomes of a call, in order: m_head, any number of m_bytes, m_done; or
+// m_failed at any point. Failures: kUnavailable (no byte has left),
+// kOutcomeUnknown or kTimedOut (the request may have been sent), kProtocol (the
+// answer is not HTTP). No event follows m_done or m_failed, or the destruction
+// of the Call.
+struct CallEvents {
+  std::function<void(const AnswerHead&)> m_head;
+  std::function<void(std::string_view)> m_bytes;
+  std::function<void()> m_done;
+  std::function<void(const Error&)> m_failed;
+};
+
+// A running call. Destroying it cancels the call by closing its connection.
+// Use on the loop's thread only; may be destroyed from its own events.
+class Call {
+ public:
+  virtual ~Call() = default;
+
+  // Stops and restarts reading, so that a slow reader of the answer holds back
+  // the endpoint. A few pieces may still arrive after Pause().
+  virtual void Pause() = 0;
+  virtual void Resume() = 0;
+};
+
+// Starts calls. Never retries. Use on the loop's thread only.
+class HttpClient {
+ public:
+  virtual ~HttpClient() = default;
+
+  // Starts `request`; the events come later on the loop's thread.
+  [[nodiscard]] virtual std::unique_ptr<Call> Start(CallRequest request,
+                                                    CallEvents events) = 0;
+};
+
+}  // namespace hickoryloft::endpoint
+
+#endif  // SOURCE_ENDPOINT_HTTP_CLIENT_H_
