--- a/Source/platform/evhttp_connection_holder.cc
+++ b/Source/platform/evhttp_connection_holder.cc
@@ -24,6 +24,8 @@
       return EVHTTP_REQ_PUT;
     case HttpMethod::kPost:
       return EVHTTP_REQ_POST;
+    case HttpMethod::kDelete:
+      return EVHTTP_REQ_DELETE;
   }
   return EVHTTP_REQ_POST;
 }
--- a/Source/platform/http_client.cc
+++ b/Source/platform/http_client.cc
@@ -2,6 +2,8 @@
 
 #include <event2/http.h>
 #include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/util.h>
 
 #include <optional>
 
@@ -20,12 +22,32 @@
           "the connection ended before the whole answer"};
 }
 
+std::vector<std::pair<std::string, std::string>> CopyHeaders(
+    evhttp_request* raw) {
+  std::vector<std::pair<std::string, std::string>> headers;
+  const evkeyvalq* fields = evhttp_request_get_input_headers(raw);
+  for (const evkeyval* field = fields->tqh_first; field != nullptr;
+       field = field->next.tqe_next) {
+    headers.emplace_back(field->key, field->value);
+  }
+  return headers;
+}
+
 Error NotConnected() {
   return {ErrorCode::kUnavailable, "the connection could not be established"};
 }
 
 }  // namespace
 
+std::string HttpReply::Header(const std::string& name) const {
+  for (const auto& [key, value] : m_headers) {
+    if (evutil_ascii_strcasecmp(key.c_str(), name.c_str()) == 0) {
+      return value;
+    }
+  }
+  return "";
+}
+
 // One pooled connection, which carries one call at a time.
 class HttpClient::Slot {
  public:
@@ -68,7 +90,9 @@
       slot->Complete(NotConnected());
       return;
     }
-    slot->Complete(HttpReply{.m_status = status, .m_body = DrainInput(raw)});
+    slot->Complete(HttpReply{.m_status = status,
+                             .m_body = DrainInput(raw),
+                             .m_headers = CopyHeaders(raw)});
   }
 
   void OnTimeout() {
--- a/Source/platform/http_client.h
+++ b/Source/platform/http_client.h
@@ -19,7 +19,7 @@
 
 namespace hickoryloft::platform {
 
-enum class HttpMethod { kGet, kPost, kPut };
+enum class HttpMethod { kGet, kPost, kPut, kDelete };
 
 struct HttpRequest {
   HttpMethod m_method = HttpMethod::kPost;
@@ -32,6 +32,11 @@
 struct HttpReply {
   int m_status = 0;
   std::string m_body;
+  std::vector<std::pair<std::string, std::string>> m_headers;
+
+  // Returns the value of header `name`, or "" if there is none. The case of
+  // letters does not matter.
+  std::string Header(const std::string& name) const;
 };
 
 struct HttpClientSettings {
