--- a/Source/tools/ctl/document_edit.cc
+++ b/Source/tools/ctl/document_edit.cc
@@ -43,8 +43,7 @@
 
 // Returns the key's digest in the parsed document, or "" if there is none.
 std::string DigestOf(const documents::Document& document, const KeyName& name) {
-  const auto found =
-      document.m_accounts.find(ClientAccountId(name.m_account));
+  const auto found = document.m_accounts.find(ClientAccountId(name.m_account));
   if (found == document.m_accounts.end()) {
     throw Error(ErrorCode::kInvalidDocument,
                 "the document has no account '" + name.m_account + "'");
