--- /dev/null
+++ b/Examples/embed/embed_rate_share.cc
@@ -0,0 +1,67 @@
+// Embeds a rate share of libhickoryloft in a program of its own: one home, two
+// entries that draw from it, virtual time. Prints what was admitted and checks
+// that it stays within burst + rate x window.
+
+#include <cstdint>
+#include <iostream>
+#include <string>
+
+#include "base/time.h"
+#include "limits/share_home.h"
+
+namespace {
+
+using hickoryloft::Duration;
+using hickoryloft::milliseconds;
+using hickoryloft::MonotonicTime;
+using hickoryloft::limits::DrawReply;
+using hickoryloft::limits::DrawRequest;
+using hickoryloft::limits::RateLimit;
+using hickoryloft::limits::ShareHome;
+
+// An entry that spends whatever it is granted at once.
+class GreedyEntry {
+ public:
+  explicit GreedyEntry(std::string name) { m_request.m_entry = name; }
+
+  // Draws `tokens` from `home` and returns how many were admitted.
+  std::uint64_t Draw(ShareHome& home, std::uint64_t tokens, MonotonicTime now) {
+    m_request.m_tokens = tokens;
+    ++m_request.m_sequence;
+    const DrawReply reply = home.Draw(m_request, now);
+    m_request.m_spent = reply.m_granted;
+    m_request.m_epoch = reply.m_epoch;
+    return reply.m_granted;
+  }
+
+ private:
+  DrawRequest m_request;
+};
+
+}  // namespace
+
+int main() {
+  constexpr RateLimit kLimit = {.m_tokens_per_second = 100,
+                                .m_burst_tokens = 500};
+  constexpr milliseconds kStep{50};
+  constexpr int kSteps = 400;
+  constexpr std::uint64_t kTokensPerDraw = 40;
+
+  MonotonicTime now{};
+  ShareHome home(kLimit, /*account_burst=*/500, /*epoch=*/1, now, {});
+  GreedyEntry first("first");
+  GreedyEntry second("second");
+  std::uint64_t admitted = 0;
+  for (int i = 0; i < kSteps; ++i) {
+    now += kStep;
+    admitted += first.Draw(home, kTokensPerDraw, now);
+    admitted += second.Draw(home, kTokensPerDraw, now);
+  }
+
+  const double window = hickoryloft::ToSeconds(Duration(kStep * kSteps));
+  const double allowed =
+      kLimit.m_burst_tokens + kLimit.m_tokens_per_second * window;
+  std::cout << "admitted " << admitted << " of at most " << allowed
+            << " tokens in " << window << " s\n";
+  return admitted > 0 && static_cast<double>(admitted) <= allowed ? 0 : 1;
+}
--- /dev/null
+++ b/Utilities/check-embed.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Installs libhickoryloft into a fresh folder, builds the embedding example against it alone, and runs it.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+work=$(mktemp -d)
+trap 'rm -r "$work"' EXIT
+cmake --install build --prefix "$work/install" >/dev/null
+cmake -S Examples/embed -B "$work/build" -DCMAKE_PREFIX_PATH="$work/install" >/dev/null
+cmake --build "$work/build" >/dev/null
+"$work/build/embed-rate-share"
