placement: shard state machine, endpoint table and coordinator module

Thin but whole: a demand for an idle model is decided by compare-and-swap in the model record, reserved in the engine's ledger and ordered. The weight store's slots are a third shared record, since four slots cannot be divided among sixteen shards. Not yet tested.

--- /dev/null
+++ b/Source/coordinator/endpoint_observer.cc
@@ -0,0 +1,232 @@
+#include "coordinator/endpoint_observer.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/hashing.h"
+#include "wire/frame.h"
+
+namespace hickoryloft::coordinator {
+namespace {
+
+constexpr Duration kListInterval = seconds(1);
+constexpr Duration kInventoryInterval = milliseconds(500);
+// Unanswered reads after which an engine counts as unreachable.
+constexpr int kFailuresToSilence = 3;
+constexpr std::size_t kListPollersPerDomain = 2;
+// All observers together repeat about one endpoint in this time, so that a lost
+// notice is made good.
+constexpr Duration kRepeatInterval = seconds(1);
+constexpr std::string_view kListItem = "host-list";
+
+std::vector<std::string> HostNames(const std::vector<Member>& members) {
+  std::vector<std::string> names;
+  names.reserve(members.size());
+  for (const Member& member : members) {
+    names.push_back(member.m_host.value());
+  }
+  return names;
+}
+
+}  // namespace
+
+EndpointObserver::EndpointObserver(Core& core,
+                                   endpoint::OrderService& orders,
+                                   platform::HostList& host_list,
+                                   EndpointListener& listener)
+    : m_core(core),
+      m_orders(orders),
+      m_host_list(host_list),
+      m_listener(listener) {}
+
+bool EndpointObserver::PollsList() const {
+  const std::vector<Member>& members = m_core.Members();
+  std::size_t ahead = 0;
+  for (const std::size_t index :
+       RendezvousOrder(kListItem, HostNames(members))) {
+    const Member& member = members[index];
+    if (member.m_failure_domain != m_core.Self().m_failure_domain) {
+      continue;
+    }
+    if (member.m_host == m_core.Self().m_host) {
+      return ahead < kListPollersPerDomain;
+    }
+    ++ahead;
+  }
+  return true;  // Alone, as far as known.
+}
+
+bool EndpointObserver::Observes(const EndpointId& endpoint) const {
+  const std::vector<Member>& members = m_core.Members();
+  if (members.empty()) {
+    return true;
+  }
+  const std::vector<std::size_t> order =
+      RendezvousOrder(endpoint.value(), HostNames(members));
+  return members[order.front()].m_host == m_core.Self().m_host;
+}
+
+EndpointSet EndpointObserver::Observed() const {
+  EndpointSet observed;
+  for (const auto& [id, entry] : m_table.entries()) {
+    if (entry.m_state.kind == wire::EndpointKind::Engine && Observes(id)) {
+      observed.insert(id);
+    }
+  }
+  return observed;
+}
+
+void EndpointObserver::OnTick(MonotonicTime now) {
+  if (now >= m_next_list && !m_list_busy && PollsList()) {
+    m_next_list = now + kListInterval;
+    PollList();
+  }
+  PollInventories(now);
+  RepeatOne(now);
+}
+
+void EndpointObserver::PollList() {
+  m_list_busy = true;
+  std::weak_ptr<bool> alive = m_alive;
+  m_host_list.Fetch(
+      [this, alive](Result<std::vector<platform::ListedTarget>> reply) {
+        if (alive.expired()) {
+          return;
+        }
+        m_list_busy = false;
+        if (!reply.ok()) {
+          m_log.Warn("The host list cannot be read.",
+                     {{"error", ToString(reply.error().code())}});
+          return;
+        }
+        Publish(m_table.TakeList(reply.value()), /*to_hosts=*/true);
+        ApplyDraining();
+      });
+}
+
+void EndpointObserver::PollInventories(MonotonicTime now) {
+  for (const auto& [id, entry] : m_table.entries()) {
+    if (entry.m_state.kind != wire::EndpointKind::Engine) {
+      continue;
+    }
+    Poll& poll = m_polls[id];
+    if (now < poll.m_next || poll.m_busy) {
+      continue;
+    }
+    poll.m_next = now + kInventoryInterval;
+    if (Observes(id)) {
+      Fetch(id);
+    }
+  }
+}
+
+void EndpointObserver::RepeatOne(MonotonicTime now) {
+  if (now < m_next_repeat) {
+    return;
+  }
+  const auto members = static_cast<int>(m_core.Members().size());
+  m_next_repeat = now + kRepeatInterval * std::max(members, 1);
+  const EndpointSet observed = Observed();
+  if (observed.empty()) {
+    return;
+  }
+  auto next = observed.upper_bound(m_last_repeated);
+  if (next == observed.end()) {
+    next = observed.begin();
+  }
+  m_last_repeated = *next;
+  m_core.NotifyAllHosts(wire::MakeEnvelope(m_table.ForHosts({*next})));
+}
+
+void EndpointObserver::Fetch(const EndpointId& endpoint) {
+  Poll& poll = m_polls[endpoint];
+  if (poll.m_busy || m_table.Find(endpoint) == nullptr) {
+    return;
+  }
+  poll.m_busy = true;
+  const MonotonicTime requested_at = m_core.Now();
+  std::weak_ptr<bool> alive = m_alive;
+  m_orders.FetchInventory(m_table.AddressOf(endpoint),
+                          [this, alive, endpoint, requested_at](
+                              const Result<endpoint::InventoryReport>& reply) {
+                            if (!alive.expired()) {
+                              TakeReply(endpoint, requested_at, reply);
+                            }
+                          });
+}
+
+void EndpointObserver::TakeReply(
+    const EndpointId& endpoint,
+    MonotonicTime requested_at,
+    const Result<endpoint::InventoryReport>& reply) {
+  Poll& poll = m_polls[endpoint];
+  poll.m_busy = false;
+  if (!reply.ok()) {
+    if (++poll.m_failures >= kFailuresToSilence &&
+        m_table.TakeSilence(endpoint)) {
+      m_log.Warn("An engine does not answer.",
+                 {{"endpoint", endpoint.value()}});
+      Publish({endpoint}, /*to_hosts=*/true);
+    }
+    return;
+  }
+  poll.m_failures = 0;
+  if (m_table.TakeReport(endpoint, reply.value())) {
+    Publish({endpoint}, /*to_hosts=*/true);
+  }
+  m_listener.OnInventory(endpoint, reply.value(), requested_at);
+}
+
+void EndpointObserver::Publish(const EndpointSet& changed, bool to_hosts) {
+  if (changed.empty()) {
+    return;
+  }
+  for (const EndpointId& id : changed) {
+    if (m_table.Find(id) == nullptr) {
+      m_polls.erase(id);
+    }
+  }
+  m_core.NotifyEntries(wire::MakeEnvelope(m_table.ForEntries(changed)));
+  if (to_hosts) {
+    m_core.NotifyAllHosts(wire::MakeEnvelope(m_table.ForHosts(changed)));
+  }
+  m_listener.OnEndpointsChanged(changed);
+}
+
+void EndpointObserver::OnUpdate(const wire::EndpointUpdateT& update) {
+  Publish(m_table.TakeUpdate(update), /*to_hosts=*/false);
+  ApplyDraining();
+}
+
+void EndpointObserver::OnMembersChanged() {
+  std::map<HostId, Incarnation> informed;
+  const EndpointSet observed = Observed();
+  for (const Member& member : m_core.Members()) {
+    const auto known = m_informed.find(member.m_host);
+    const bool fresh =
+        known == m_informed.end() || known->second != member.m_incarnation;
+    if (fresh && member.m_host != m_core.Self().m_host && !observed.empty()) {
+      m_core.NotifyHost(member.m_host,
+                        wire::MakeEnvelope(m_table.ForHosts(observed)));
+    }
+    informed[member.m_host] = member.m_incarnation;
+  }
+  m_informed = std::move(informed);
+}
+
+void EndpointObserver::OnDocumentsChanged() {
+  ApplyDraining();
+}
+
+void EndpointObserver::ApplyDraining() {
+  std::set<EndpointId> draining;
+  for (const documents::Document& document : m_core.Documents()) {
+    draining.insert(document.m_capacity.m_draining.begin(),
+                    document.m_capacity.m_draining.end());
+  }
+  Publish(m_table.TakeDraining(draining), /*to_hosts=*/false);
+}
+
+}  // namespace hickoryloft::coordinator
--- /dev/null
+++ b/Source/coordinator/endpoint_observer.h
@@ -0,0 +1,89 @@
+// Keeps the endpoint table: polls the host list and the inventories that fall
+// to this host, and tells the other hosts and this host's entries of changes of
+// state. Loads are never passed on.
+
+#ifndef SOURCE_COORDINATOR_ENDPOINT_OBSERVER_H_
+#define SOURCE_COORDINATOR_ENDPOINT_OBSERVER_H_
+
+#include <map>
+#include <memory>
+#include <set>
+
+#include "base/log.h"
+#include "coordinator/endpoint_table.h"
+#include "coordinator/module.h"
+#include "endpoint/orders.h"
+#include "platform/host_list.h"
+
+namespace hickoryloft::coordinator {
+
+// Hears of the table's changes. Called on the loop's thread.
+class EndpointListener {
+ public:
+  virtual ~EndpointListener() = default;
+
+  virtual void OnEndpointsChanged(const EndpointSet& endpoints) = 0;
+  virtual void OnInventory(const EndpointId& endpoint,
+                           const endpoint::InventoryReport& report,
+                           MonotonicTime requested_at) = 0;
+};
+
+// Use on the loop's thread only.
+class EndpointObserver {
+ public:
+  // All arguments must outlive this.
+  EndpointObserver(Core& core,
+                   endpoint::OrderService& orders,
+                   platform::HostList& host_list,
+                   EndpointListener& listener);
+
+  const EndpointTable& table() const { return m_table; }
+
+  // Reads the inventory of an endpoint now, unless a read is in progress.
+  void Fetch(const EndpointId& endpoint);
+
+  void OnTick(MonotonicTime now);
+  void OnMembersChanged();
+  void OnDocumentsChanged();
+  void OnUpdate(const wire::EndpointUpdateT& update);
+
+ private:
+  struct Poll {
+    bool m_busy = false;
+    MonotonicTime m_next{};
+    int m_failures = 0;
+  };
+
+  bool PollsList() const;
+  bool Observes(const EndpointId& endpoint) const;
+  EndpointSet Observed() const;
+  void PollList();
+  void PollInventories(MonotonicTime now);
+  void RepeatOne(MonotonicTime now);
+  void TakeReply(const EndpointId& endpoint,
+                 MonotonicTime requested_at,
+                 const Result<endpoint::InventoryReport>& reply);
+  // Tells this host's parts, and with `to_hosts` the other hosts.
+  void Publish(const EndpointSet& changed, bool to_hosts);
+  void ApplyDraining();
+
+  Core& m_core;
+  endpoint::OrderService& m_orders;
+  platform::HostList& m_host_list;
+  EndpointListener& m_listener;
+  Logger m_log{"endpoints"};
+  EndpointTable m_table;
+  std::map<EndpointId, Poll> m_polls;
+  std::map<HostId, Incarnation>
+      m_informed;  // Members that have the full state.
+  bool m_list_busy = false;
+  MonotonicTime m_next_list{};
+  MonotonicTime m_next_repeat{};
+  EndpointId m_last_repeated;
+  // Replies that arrive after this object's end find it gone.
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}  // namespace hickoryloft::coordinator
+
+#endif  // SOURCE_COORDINATOR_ENDPOINT_OBSERVER_H_
--- /dev/null
+++ b/Source/coordinator/placement_module.cc
@@ -0,0 +1,368 @@
+#include "coordinator/placement_module.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "base/hashing.h"
+#include "wire/frame.h"
+
+namespace hickoryloft::coordinator {
+namespace {
+
+constexpr std::string_view kClaimPrefix = "placement/";
+// An endpoint outside the host list that does not answer for this long is gone.
+constexpr Duration kVanishedLimit = seconds(10);
+constexpr double kLeastWorth = 0.0005;
+constexpr Duration kMinKeep = seconds(20);
+
+ClaimName ClaimOf(const ModelId& model) {
+  return std::string(kClaimPrefix) +
+         std::to_string(StableHash(model.value()) % kPlacementShards);
+}
+
+placement::CatalogModel ToCatalog(const documents::Document& document,
+                                  const documents::ModelSpec& spec) {
+  placement::CatalogModel model{
+      .m_id = ModelId(
+          documents::QualifiedName(document.m_service, spec.m_id.value())),
+      .m_version = spec.m_version,
+      .m_bytes = spec.m_bytes,
+      .m_peak_bytes = std::max(spec.m_peak_bytes, spec.m_bytes),
+      .m_max_replicas = spec.m_max_replicas,
+      .m_min_replicas = spec.m_min_replicas};
+  for (const auto& [id, adapter] : spec.m_adapters) {
+    model.m_adapters[id] = {.m_version = adapter.m_version,
+                            .m_bytes = adapter.m_bytes};
+  }
+  return model;
+}
+
+placement::Policies DefaultPolicies() {
+  return {
+      .m_endpoint = std::make_unique<placement::TierAwarePolicy>(),
+      .m_keep = std::make_unique<placement::HistogramKeepPolicy>(kLeastWorth,
+                                                                 kMinKeep),
+      .m_load_order = std::make_unique<placement::EarliestDeadlinePolicy>()};
+}
+
+// Returns the part of `total` that falls to the item at `index` of `count`.
+std::uint32_t PartOf(std::uint32_t total,
+                     std::size_t index,
+                     std::size_t count) {
+  const auto parts = static_cast<std::uint32_t>(count);
+  return total / parts + (index < total % parts ? 1 : 0);
+}
+
+}  // namespace
+
+PlacementModule::PlacementModule(Core& core,
+                                 endpoint::OrderService& orders,
+                                 platform::HostList& host_list)
+    : m_core(core),
+      m_orders(orders),
+      m_observer(core, orders, host_list, *this) {}
+
+std::vector<ClaimName> PlacementModule::WantedClaims() const {
+  std::set<ClaimName> claims;
+  for (const documents::Document& document : m_core.Documents()) {
+    for (const auto& [id, spec] : document.m_models) {
+      claims.insert(ClaimOf(
+          ModelId(documents::QualifiedName(document.m_service, id.value()))));
+    }
+  }
+  return {claims.begin(), claims.end()};
+}
+
+std::optional<ClaimName> PlacementModule::ClaimFor(
+    const wire::EnvelopeT& request) const {
+  if (const auto* demand = request.body.AsDemandRequest()) {
+    return ClaimOf(ModelId(demand->model));
+  }
+  if (const auto* release = request.body.AsReleaseRequest()) {
+    return ClaimOf(ModelId(release->model));
+  }
+  return std::nullopt;
+}
+
+void PlacementModule::HandleRequest(const ClaimName& claim,
+                                    wire::EnvelopeT request,
+                                    Responder respond) {
+  if (request.body.AsReleaseRequest() != nullptr) {
+    HandleRelease(claim, request, respond);
+    return;
+  }
+  HandleDemand(claim, std::move(request), std::move(respond));
+}
+
+void PlacementModule::HandleDemand(const ClaimName& claim,
+                                   wire::EnvelopeT request,
+                                   Responder respond) {
+  const auto held = m_held.find(claim);
+  const auto* body = request.body.AsDemandRequest();
+  if (held == m_held.end() || held->second.m_handed_over || body == nullptr) {
+    respond(wire::MakeReply(
+        request, wire::ToRequestFailed(Error(ErrorCode::kUnavailable,
+                                             "the claim is not held here"))));
+    return;
+  }
+  const placement::Demand demand{.m_id = ++m_last_demand,
+                                 .m_model = ModelId(body->model),
+                                 .m_adapter = AdapterId(body->adapter),
+                                 .m_patience = milliseconds(body->patience_ms),
+                                 .m_requests = body->requests};
+  m_open_demands[demand.m_id] = {.m_claim = claim,
+                                 .m_request = std::move(request),
+                                 .m_respond = std::move(respond)};
+  CarryOut(claim, held->second.m_fence,
+           held->second.m_shard->OnDemand(demand, m_core.Now()));
+}
+
+void PlacementModule::HandleRelease(const ClaimName& claim,
+                                    const wire::EnvelopeT& request,
+                                    const Responder& respond) {
+  const auto held = m_held.find(claim);
+  const auto* body = request.body.AsReleaseRequest();
+  wire::ReleaseReplyT reply;
+  reply.considered = held != m_held.end() && !held->second.m_handed_over;
+  if (reply.considered) {
+    const placement::ReplicaKey replica{
+        .m_artifact = {.m_model = ModelId(body->model),
+                       .m_adapter = AdapterId(body->adapter),
+                       .m_version = body->version},
+        .m_endpoint = EndpointId(body->endpoint)};
+    CarryOut(claim, held->second.m_fence,
+             held->second.m_shard->OnReleaseAsked(replica, body->worth,
+                                                  m_core.Now()));
+  }
+  respond(wire::MakeReply(request, std::move(reply)));
+}
+
+bool PlacementModule::HandleNotice(const HostId& /*from*/,
+                                   const wire::EnvelopeT& notice) {
+  const auto* update = notice.body.AsEndpointUpdate();
+  if (update == nullptr) {
+    return false;
+  }
+  m_observer.OnUpdate(*update);
+  return true;
+}
+
+void PlacementModule::OnClaimHeld(
+    const ClaimName& claim,
+    FencingNumber fence,
+    const std::optional<std::string>& /*hand_over*/) {
+  auto shard = std::make_unique<placement::Shard>(
+      placement::ShardSettings{.m_scope = claim}, DefaultPolicies(), fence);
+  const MonotonicTime now = m_core.Now();
+  shard->SetCatalog(CatalogOf(claim), BudgetsOf(claim), now);
+  for (const auto& [id, entry] : m_observer.table().entries()) {
+    if (entry.m_state.kind == wire::EndpointKind::Engine) {
+      shard->OnEndpoint(m_observer.table().ViewOf(id), now);
+    }
+  }
+  placement::Effects effects = shard->Start();
+  m_held[claim] = {.m_fence = fence, .m_shard = std::move(shard)};
+  CarryOut(claim, fence, std::move(effects));
+}
+
+void PlacementModule::OnClaimLost(const ClaimName& claim) {
+  m_held.erase(claim);
+  RefuseOpen(claim);
+}
+
+std::string PlacementModule::PrepareHandOver(const ClaimName& claim) {
+  // The records hold all that the next holder needs.
+  const auto held = m_held.find(claim);
+  if (held != m_held.end()) {
+    held->second.m_handed_over = true;
+  }
+  RefuseOpen(claim);
+  return "";
+}
+
+void PlacementModule::RefuseOpen(const ClaimName& claim) {
+  std::vector<OpenDemand> open;
+  std::erase_if(m_open_demands, [&](auto& item) {
+    if (item.second.m_claim != claim) {
+      return false;
+    }
+    open.push_back(std::move(item.second));
+    return true;
+  });
+  for (const OpenDemand& demand : open) {
+    demand.m_respond(wire::MakeReply(
+        demand.m_request,
+        wire::ToRequestFailed(
+            Error(ErrorCode::kUnavailable, "the claim has moved on"))));
+  }
+}
+
+bool PlacementModule::HasOpenWork(const ClaimName& claim) const {
+  const auto held = m_held.find(claim);
+  return held != m_held.end() && held->second.m_shard->HasOpenWork();
+}
+
+void PlacementModule::OnDocumentsChanged() {
+  m_observer.OnDocumentsChanged();
+  const MonotonicTime now = m_core.Now();
+  for (const ClaimName& claim : HeldClaims()) {
+    const auto held = m_held.find(claim);
+    if (held != m_held.end()) {
+      CarryOut(claim, held->second.m_fence,
+               held->second.m_shard->SetCatalog(CatalogOf(claim),
+                                                BudgetsOf(claim), now));
+    }
+  }
+}
+
+void PlacementModule::OnMembersChanged() {
+  m_observer.OnMembersChanged();
+}
+
+void PlacementModule::OnEntryConnected(
+    const std::function<void(const wire::EnvelopeT&)>& send) {
+  send(wire::MakeEnvelope(m_observer.table().FullForEntries()));
+}
+
+void PlacementModule::OnTick(MonotonicTime now) {
+  m_observer.OnTick(now);
+  CheckVanished(now);
+  for (const ClaimName& claim : HeldClaims()) {
+    const auto held = m_held.find(claim);
+    if (held != m_held.end() && !held->second.m_handed_over) {
+      CarryOut(claim, held->second.m_fence, held->second.m_shard->OnTick(now));
+    }
+  }
+}
+
+std::vector<ClaimName> PlacementModule::HeldClaims() const {
+  std::vector<ClaimName> claims;
+  for (const auto& [claim, held] : m_held) {
+    claims.push_back(claim);
+  }
+  return claims;
+}
+
+void PlacementModule::OnEndpointsChanged(const EndpointSet& endpoints) {
+  const EndpointTable& table = m_observer.table();
+  const MonotonicTime now = m_core.Now();
+  for (const EndpointId& id : endpoints) {
+    const EndpointEntry* entry = table.Find(id);
+    if (entry == nullptr) {
+      m_vanished.try_emplace(
+          id, Vanished{.m_address = m_addresses[id], .m_since = now});
+      continue;
+    }
+    m_vanished.erase(id);
+    m_addresses[id] = table.AddressOf(id);
+    if (entry->m_state.kind != wire::EndpointKind::Engine) {
+      continue;
+    }
+    for (const ClaimName& claim : HeldClaims()) {
+      const auto held = m_held.find(claim);
+      if (held != m_held.end()) {
+        CarryOut(claim, held->second.m_fence,
+                 held->second.m_shard->OnEndpoint(table.ViewOf(id), now));
+      }
+    }
+  }
+}
+
+void PlacementModule::OnInventory(const EndpointId& endpoint,
+                                  const endpoint::InventoryReport& report,
+                                  MonotonicTime requested_at) {
+  for (const ClaimName& claim : HeldClaims()) {
+    const auto held = m_held.find(claim);
+    if (held != m_held.end()) {
+      CarryOut(claim, held->second.m_fence,
+               held->second.m_shard->OnInventory(endpoint, report, requested_at,
+                                                 m_core.Now()));
+    }
+  }
+}
+
+void PlacementModule::CheckVanished(MonotonicTime now) {
+  for (auto& [id, vanished] : m_vanished) {
+    if (now - vanished.m_since < kVanishedLimit || vanished.m_asked) {
+      continue;
+    }
+    vanished.m_asked = true;
+    std::weak_ptr<bool> alive = m_alive;
+    m_orders.FetchInventory(
+        vanished.m_address,
+        [this, alive,
+         endpoint = id](const Result<endpoint::InventoryReport>& reply) {
+          if (alive.expired()) {
+            return;
+          }
+          if (!reply.ok()) {
+            ConfirmVanished(endpoint);
+            return;
+          }
+          const auto found = m_vanished.find(endpoint);
+          if (found != m_vanished.end()) {
+            found->second = {.m_address = found->second.m_address,
+                             .m_since = m_core.Now()};
+          }
+        });
+  }
+}
+
+void PlacementModule::ConfirmVanished(const EndpointId& endpoint) {
+  if (m_vanished.erase(endpoint) == 0) {
+    return;
+  }
+  m_addresses.erase(endpoint);
+  for (const ClaimName& claim : HeldClaims()) {
+    const auto held = m_held.find(claim);
+    if (held != m_held.end()) {
+      CarryOut(claim, held->second.m_fence,
+               held->second.m_shard->OnEndpointGone(endpoint, m_core.Now()));
+    }
+  }
+}
+
+placement::Catalog PlacementModule::CatalogOf(const ClaimName& claim) const {
+  placement::Catalog catalog;
+  for (const documents::Document& document : m_core.Documents()) {
+    for (const auto& [id, spec] : document.m_models) {
+      placement::CatalogModel model = ToCatalog(document, spec);
+      if (ClaimOf(model.m_id) == claim) {
+        catalog[model.m_id] = std::move(model);
+      }
+    }
+  }
+  return catalog;
+}
+
+std::map<ServiceId, placement::LoadBudget> PlacementModule::BudgetsOf(
+    const ClaimName& claim) const {
+  std::map<ServiceId, placement::LoadBudget> budgets;
+  const std::vector<ClaimName> claims = WantedClaims();
+  const auto own = std::find(claims.begin(), claims.end(), claim);
+  if (own == claims.end()) {
+    return budgets;
+  }
+  const auto index = static_cast<std::size_t>(own - claims.begin());
+  for (const documents::Document& document : m_core.Documents()) {
+    const documents::CapacitySpec& capacity = document.m_capacity;
+    budgets[document.m_service] = {
+        .m_store = {.m_loads_per_second = capacity.m_loads_per_second,
+                    .m_loads_at_full_speed = capacity.m_loads_at_full_speed},
+        .m_adapter_loads_in_flight =
+            PartOf(capacity.m_adapter_loads_in_flight, index, claims.size())};
+  }
+  return budgets;
+}
+
+PlacementModule::Held* PlacementModule::FindHeld(const ClaimName& claim,
+                                                 FencingNumber fence) {
+  const auto found = m_held.find(claim);
+  if (found == m_held.end() || found->second.m_fence != fence) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+}  // namespace hickoryloft::coordinator
--- /dev/null
+++ b/Source/coordinator/placement_module.h
@@ -0,0 +1,143 @@
+// Placement in the coordinator: carries out the effects of the placement shards
+// that this host holds, and keeps the endpoint table.
+
+#ifndef SOURCE_COORDINATOR_PLACEMENT_MODULE_H_
+#define SOURCE_COORDINATOR_PLACEMENT_MODULE_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/log.h"
+#include "coordinator/endpoint_observer.h"
+#include "coordinator/module.h"
+#include "endpoint/orders.h"
+#include "placement/shard.h"
+#include "platform/host_list.h"
+
+namespace hickoryloft::coordinator {
+
+// The number of placement claims; fixed, since it is part of the records.
+constexpr std::uint64_t kPlacementShards = 16;
+
+// Use on the loop's thread only.
+class PlacementModule : public Module, private EndpointListener {
+ public:
+  // All arguments must outlive this.
+  PlacementModule(Core& core,
+                  endpoint::OrderService& orders,
+                  platform::HostList& host_list);
+
+  std::string_view name() const override { return "placement"; }
+  std::vector<ClaimName> WantedClaims() const override;
+  std::optional<ClaimName> ClaimFor(
+      const wire::EnvelopeT& request) const override;
+  void HandleRequest(const ClaimName& claim,
+                     wire::EnvelopeT request,
+                     Responder respond) override;
+  bool HandleNotice(const HostId& from, const wire::EnvelopeT& notice) override;
+  void OnClaimHeld(const ClaimName& claim,
+                   FencingNumber fence,
+                   const std::optional<std::string>& hand_over) override;
+  void OnClaimLost(const ClaimName& claim) override;
+  std::string PrepareHandOver(const ClaimName& claim) override;
+  bool HasOpenWork(const ClaimName& claim) const override;
+  void OnDocumentsChanged() override;
+  void OnMembersChanged() override;
+  void OnEntryConnected(
+      const std::function<void(const wire::EnvelopeT&)>& send) override;
+  void OnTick(MonotonicTime now) override;
+
+ private:
+  // A shard for as long as this host holds its claim.
+  struct Held {
+    FencingNumber m_fence = 0;
+    std::unique_ptr<placement::Shard> m_shard;
+    bool m_handed_over = false;
+  };
+  struct OpenDemand {
+    ClaimName m_claim;
+    wire::EnvelopeT m_request;
+    Responder m_respond;
+  };
+  // An endpoint that has left the host list.
+  struct Vanished {
+    endpoint::EndpointAddress m_address;
+    MonotonicTime m_since{};
+    bool m_asked = false;
+  };
+  using RecordReplies = std::vector<placement::RecordReply>;
+
+  void OnEndpointsChanged(const EndpointSet& endpoints) override;
+  void OnInventory(const EndpointId& endpoint,
+                   const endpoint::InventoryReport& report,
+                   MonotonicTime requested_at) override;
+
+  std::vector<ClaimName> HeldClaims() const;
+  Held* FindHeld(const ClaimName& claim, FencingNumber fence);
+  placement::Catalog CatalogOf(const ClaimName& claim) const;
+  std::map<ServiceId, placement::LoadBudget> BudgetsOf(
+      const ClaimName& claim) const;
+  void HandleDemand(const ClaimName& claim,
+                    wire::EnvelopeT request,
+                    Responder respond);
+  void HandleRelease(const ClaimName& claim,
+                     const wire::EnvelopeT& request,
+                     const Responder& respond);
+  void CheckVanished(MonotonicTime now);
+  void ConfirmVanished(const EndpointId& endpoint);
+
+  // Carries out the effects of a shard, each under a check of its claim.
+  void CarryOut(const ClaimName& claim,
+                FencingNumber fence,
+                placement::Effects effects);
+  void Do(const ClaimName& claim,
+          FencingNumber fence,
+          placement::SwapRecord& effect);
+  void Do(const ClaimName& claim,
+          FencingNumber fence,
+          placement::ReadRecord& effect);
+  void Do(const ClaimName& claim,
+          FencingNumber fence,
+          placement::ReadAllRecords& effect);
+  void Do(const ClaimName& claim,
+          FencingNumber fence,
+          placement::SendOrder& effect);
+  void Do(const ClaimName& claim,
+          FencingNumber fence,
+          placement::RaiseFence& effect);
+  void Do(const ClaimName& claim,
+          FencingNumber fence,
+          placement::FetchInventory& effect);
+  void Do(const ClaimName& claim,
+          FencingNumber fence,
+          placement::AnswerDemand& effect);
+  void Do(const ClaimName& claim,
+          FencingNumber fence,
+          placement::AskRelease& effect);
+  void ReadNext(const ClaimName& claim,
+                FencingNumber fence,
+                std::size_t kind,
+                std::shared_ptr<RecordReplies> found);
+  void RefuseOpen(const ClaimName& claim);
+
+  Core& m_core;
+  endpoint::OrderService& m_orders;
+  Logger m_log{"placement"};
+  EndpointObserver m_observer;
+  std::map<ClaimName, Held> m_held;
+  std::map<placement::DemandId, OpenDemand> m_open_demands;
+  placement::DemandId m_last_demand = 0;
+  std::map<EndpointId, endpoint::EndpointAddress> m_addresses;
+  std::map<EndpointId, Vanished> m_vanished;
+  std::map<ClaimName, std::unique_ptr<Timer>> m_retries;  // Of recovery.
+  // Replies that arrive after this object's end find it gone.
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}  // namespace hickoryloft::coordinator
+
+#endif  // SOURCE_COORDINATOR_PLACEMENT_MODULE_H_
--- a/Source/endpoint/orders.h
+++ b/Source/endpoint/orders.h
@@ -42,8 +42,8 @@
   std::string m_scope;  // The exclusive right under which the order is given.
   FencingNumber m_fencing_number = 0;
   Artifact m_artifact;
-  std::uint64_t m_bytes = 0;       // Once loaded.
-  std::uint64_t m_peak_bytes = 0;  // While loading; at least m_bytes.
+  std::uint64_t m_bytes = 0;       // Resting size.
+  std::uint64_t m_peak_bytes = 0;  // Largest size while loading.
 };
 
 enum class OrderOutcome { kAccepted, kFenced, kRefused };
--- a/Source/placement/cas_register.h
+++ b/Source/placement/cas_register.h
@@ -21,20 +21,20 @@
   std::string m_value;      // As it stands, when not swapped.
 };
 
-// One record as last seen, and the write in flight. A write whose reply is lost
+// One record as last seen, and the write in flight. A record is taken to be
+// absent until it was read or a write found it. A write whose reply is lost
 // is settled by reading the record again: the caller compares what stands there
 // with what it wants and writes what is missing. Not thread-safe.
 template <typename Value>
 class CasRegister {
  public:
   const Value& value() const { return m_value; }
-  bool idle() const { return m_known && !m_busy; }
   bool busy() const { return m_busy; }
   // Returns whether the record must be read before it can be written.
   bool lost() const { return !m_known && !m_busy; }
   MonotonicTime retry_at() const { return m_retry_at; }
 
-  // Starts a write. Precondition: idle().
+  // Starts a write. Precondition: !busy() && !lost().
   SwapRecord Write(const RecordName& record, Value value) {
     m_busy = true;
     std::string text = value.ToJson();
@@ -77,7 +77,7 @@
  private:
   Value m_value;
   Revision m_revision = 0;
-  bool m_known = false;
+  bool m_known = true;
   bool m_busy = false;
   std::optional<Value> m_written;
   MonotonicTime m_retry_at{};
--- a/Source/placement/endpoint_chooser.cc
+++ b/Source/placement/endpoint_chooser.cc
@@ -49,12 +49,11 @@
   if (ledger == nullptr) {
     return 0;
   }
-  return static_cast<std::uint32_t>(
-      std::count_if(ledger->m_reservations.begin(),
-                    ledger->m_reservations.end(), [](const auto& item) {
-                      return item.first.m_adapter.empty() &&
-                             item.second.m_peaks;
-                    }));
+  return static_cast<std::uint32_t>(std::count_if(
+      ledger->m_reservations.begin(), ledger->m_reservations.end(),
+      [](const auto& item) {
+        return item.first.m_adapter.empty() && item.second.m_peaks;
+      }));
 }
 
 std::map<FailureDomainId, std::uint32_t> EndpointChooser::Domains(
@@ -88,13 +87,12 @@
     if (room < query.m_bytes) {
       continue;
     }
-    options.push_back(
-        {.m_view = &view,
-         .m_free_bytes = free,
-         .m_load_time =
-             LoadTime(TierOf(id, query.m_artifact), query.m_load_bytes),
-         .m_loads_in_progress = LoadsInProgress(id),
-         .m_replicas_in_domain = domains[view.m_failure_domain]});
+    options.push_back({.m_view = &view,
+                       .m_free_bytes = free,
+                       .m_load_time = LoadTime(TierOf(id, query.m_artifact),
+                                               query.m_load_bytes),
+                       .m_loads_in_progress = LoadsInProgress(id),
+                       .m_replicas_in_domain = domains[view.m_failure_domain]});
   }
   return options;
 }
--- a/Source/placement/endpoint_ledger.cc
+++ b/Source/placement/endpoint_ledger.cc
@@ -36,14 +36,14 @@
       .m_model = ModelId(item.at("model").get<std::string>()),
       .m_adapter = AdapterId(item.at("adapter").get<std::string>()),
       .m_version = item.at("version").get<std::string>()};
-  ledger.m_reservations[artifact] = Reservation{
-      .m_scope = item.at("scope").get<std::string>(),
-      .m_fence = item.at("fence").get<FencingNumber>(),
-      .m_bytes = item.at("bytes").get<std::uint64_t>(),
-      .m_peak_bytes = item.at("peak_bytes").get<std::uint64_t>(),
-      .m_state = ToState(item.at("state").get<int>()),
-      .m_order_number = item.at("order").get<std::uint64_t>(),
-      .m_peaks = item.at("peaks").get<bool>()};
+  ledger.m_reservations[artifact] =
+      Reservation{.m_scope = item.at("scope").get<std::string>(),
+                  .m_fence = item.at("fence").get<FencingNumber>(),
+                  .m_bytes = item.at("bytes").get<std::uint64_t>(),
+                  .m_peak_bytes = item.at("peak_bytes").get<std::uint64_t>(),
+                  .m_state = ToState(item.at("state").get<int>()),
+                  .m_order_number = item.at("order").get<std::uint64_t>(),
+                  .m_peaks = item.at("peaks").get<bool>()};
 }
 
 }  // namespace
@@ -78,8 +78,7 @@
       AddItem(item, ledger);
     }
   } catch (const Json::exception& failure) {
-    throw Error(ErrorCode::kProtocol,
-                std::string("ledger: ") + failure.what());
+    throw Error(ErrorCode::kProtocol, std::string("ledger: ") + failure.what());
   }
   return ledger;
 }
--- a/Source/placement/keep_policy.cc
+++ b/Source/placement/keep_policy.cc
@@ -100,9 +100,8 @@
     return false;
   }
   const Duration idle = now - found->second.m_last_use;
-  return idle >= m_min_keep &&
-         found->second.m_idle_times.ReturnRate(idle, 2 * load_time) >
-             kPreWarmRate;
+  return idle >= m_min_keep && found->second.m_idle_times.ReturnRate(
+                                   idle, 2 * load_time) > kPreWarmRate;
 }
 
 }  // namespace hickoryloft::placement
--- a/Source/placement/load_order_policy.cc
+++ b/Source/placement/load_order_policy.cc
@@ -11,11 +11,10 @@
 std::vector<std::size_t> SortedBy(std::size_t size, Key key) {
   std::vector<std::size_t> order(size);
   std::iota(order.begin(), order.end(), std::size_t{0});
-  std::stable_sort(
-      order.begin(), order.end(),
-      [&key](std::size_t left, std::size_t right) {
-        return key(left) < key(right);
-      });
+  std::stable_sort(order.begin(), order.end(),
+                   [&key](std::size_t left, std::size_t right) {
+                     return key(left) < key(right);
+                   });
   return order;
 }
 
--- a/Source/placement/replica.h
+++ b/Source/placement/replica.h
@@ -43,9 +43,9 @@
   // An inventory requested from here on proves absence, even if it never showed
   // the replica.
   MonotonicTime m_absent_after = MonotonicTime::max();
-  bool m_seen = false;       // An inventory has shown it since the last order.
+  bool m_seen = false;        // An inventory has shown it since the last order.
   bool m_order_open = false;  // No reply to the order yet.
-  bool m_fence_pending = false;  // The earlier holder's orders may still land.
+  bool m_fence_pending = false;   // The earlier holder's orders may still land.
   std::vector<Demand> m_waiting;  // Answered once its memory is reserved.
 };
 
--- a/Source/placement/shard.cc
+++ b/Source/placement/shard.cc
@@ -104,8 +104,8 @@
       continue;
     }
     const EndpointView* view = m_chooser.Find(key.m_endpoint);
-    if (best == nullptr || view->m_waiting + view->m_running <
-                               best->m_waiting + best->m_running) {
+    if (best == nullptr ||
+        view->m_waiting + view->m_running < best->m_waiting + best->m_running) {
       best = view;
     }
   }
@@ -127,9 +127,8 @@
     if (!IsComing(replica) || !m_chooser.Usable(key.m_endpoint)) {
       continue;
     }
-    if (!best.has_value() ||
-        ReadyIn(key, replica, now) <
-            ReadyIn(*best, *m_replicas.Find(*best), now)) {
+    if (!best.has_value() || ReadyIn(key, replica, now) <
+                                 ReadyIn(*best, *m_replicas.Find(*best), now)) {
       best = key;
     }
   }
@@ -212,11 +211,9 @@
   const auto evictable = [&](const EndpointId& id) {
     return EvictableBytes(id, worth, now);
   };
-  const std::optional<EndpointId> endpoint =
-      m_chooser.Choose({.m_artifact = artifact,
-                        .m_bytes = bytes,
-                        .m_load_bytes = model.m_bytes},
-                       evictable);
+  const std::optional<EndpointId> endpoint = m_chooser.Choose(
+      {.m_artifact = artifact, .m_bytes = bytes, .m_load_bytes = model.m_bytes},
+      evictable);
   if (!endpoint.has_value()) {
     return no_room;
   }
--- a/Source/placement/shard.h
+++ b/Source/placement/shard.h
@@ -40,6 +40,9 @@
   Duration m_report_lag = milliseconds(2500);
   Duration m_poll_interval = milliseconds(50);
   Duration m_retry_interval = milliseconds(200);
+  // How often a record is read again while another shard must free a part of
+  // it.
+  Duration m_refresh_interval = milliseconds(100);
   // The longest wait for memory that is being released.
   Duration m_room_limit = seconds(3);
   // How often idle replicas are reviewed.
@@ -158,10 +161,8 @@
   double WorthOf(const ReplicaKey& key,
                  const Replica& replica,
                  MonotonicTime now) const;
-  std::vector<std::pair<double, ReplicaKey>> Evictable(
-      const EndpointId& endpoint,
-      double worth,
-      MonotonicTime now) const;
+  std::vector<std::pair<double, ReplicaKey>>
+  Evictable(const EndpointId& endpoint, double worth, MonotonicTime now) const;
   std::uint64_t EvictableBytes(const EndpointId& endpoint,
                                double worth,
                                MonotonicTime now) const;
@@ -216,6 +217,7 @@
   void TouchFor(const ReplicaKey& key);
   void Take(const RecordReply& reply, MonotonicTime now);
   void RetryLost(MonotonicTime now);
+  void RefreshAwaited(MonotonicTime now);
 
   // Orders and reports (shard_orders.cc).
   void DispatchLoads(MonotonicTime now);
@@ -262,10 +264,11 @@
   std::map<ServiceId, CasRegister<StoreRecord>> m_stores;
   std::set<RecordName> m_touched;  // To be compared with what is wanted.
 
-  std::deque<Demand> m_undecided;  // To decide in Run().
+  std::deque<Demand> m_undecided;                         // To decide in Run().
   std::vector<std::pair<Demand, MonotonicTime>> m_early;  // Before recovery.
   std::map<EndpointId, MonotonicTime> m_next_poll;
   MonotonicTime m_next_review{};
+  MonotonicTime m_next_refresh{};
   Effects m_effects;
 };
 
--- a/Source/placement/shard_orders.cc
+++ b/Source/placement/shard_orders.cc
@@ -61,15 +61,14 @@
   replica.m_seen = false;
   replica.m_absent_after =
       now + m_settings.m_order_effect_limit + m_settings.m_report_lag;
-  m_effects.emplace_back(SendOrder{
-      key.m_endpoint,
-      {.m_kind = endpoint::OrderKind::kLoad,
-       .m_number = replica.m_order_number,
-       .m_scope = m_settings.m_scope,
-       .m_fencing_number = m_fence,
-       .m_artifact = key.m_artifact,
-       .m_bytes = replica.m_bytes,
-       .m_peak_bytes = replica.m_peak_bytes}});
+  m_effects.emplace_back(SendOrder{key.m_endpoint,
+                                   {.m_kind = endpoint::OrderKind::kLoad,
+                                    .m_number = replica.m_order_number,
+                                    .m_scope = m_settings.m_scope,
+                                    .m_fencing_number = m_fence,
+                                    .m_artifact = key.m_artifact,
+                                    .m_bytes = replica.m_bytes,
+                                    .m_peak_bytes = replica.m_peak_bytes}});
 }
 
 void Shard::SendUnload(const ReplicaKey& key,
@@ -78,15 +77,14 @@
   m_replicas.Move(key, replica, ReplicaStep::kUnloading);
   replica.m_ordered_at = now;
   replica.m_order_open = true;
-  m_effects.emplace_back(
-      SendOrder{key.m_endpoint,
-                {.m_kind = endpoint::OrderKind::kUnload,
-                 .m_number = replica.m_order_number,
-                 .m_scope = m_settings.m_scope,
-                 .m_fencing_number = m_fence,
-                 .m_artifact = key.m_artifact,
-                 .m_bytes = replica.m_bytes,
-                 .m_peak_bytes = replica.m_peak_bytes}});
+  m_effects.emplace_back(SendOrder{key.m_endpoint,
+                                   {.m_kind = endpoint::OrderKind::kUnload,
+                                    .m_number = replica.m_order_number,
+                                    .m_scope = m_settings.m_scope,
+                                    .m_fencing_number = m_fence,
+                                    .m_artifact = key.m_artifact,
+                                    .m_bytes = replica.m_bytes,
+                                    .m_peak_bytes = replica.m_peak_bytes}});
 }
 
 Effects Shard::OnOrderReply(const EndpointId& endpoint,
@@ -199,9 +197,9 @@
       replica.m_seen = true;
       return;
     case ReplicaStep::kUnloading:
-      if (ready && now - replica.m_ordered_at >
-                       m_settings.m_order_effect_limit +
-                           m_settings.m_report_lag) {
+      if (ready &&
+          now - replica.m_ordered_at >
+              m_settings.m_order_effect_limit + m_settings.m_report_lag) {
         // The order was lost; a new one needs a new number.
         m_replicas.Move(key, replica, ReplicaStep::kReady);
         BeginRelease(key);
@@ -224,10 +222,10 @@
     return;
   }
   // A load order without a reply may still land after a restart.
-  const bool settled = !replica.m_order_open ||
-                       replica.m_step != ReplicaStep::kLoading;
-  const bool proved = (replica.m_seen && settled) ||
-                      requested_at >= replica.m_absent_after;
+  const bool settled =
+      !replica.m_order_open || replica.m_step != ReplicaStep::kLoading;
+  const bool proved =
+      (replica.m_seen && settled) || requested_at >= replica.m_absent_after;
   if (proved) {
     BecomeAbsent(key, replica);
   }
@@ -288,8 +286,8 @@
 
 void Shard::PollUnsettled(MonotonicTime now) {
   std::set<EndpointId> endpoints;
-  for (const ReplicaStep step : {ReplicaStep::kLoading, ReplicaStep::kUnloading,
-                                 ReplicaStep::kUnsure}) {
+  for (const ReplicaStep step :
+       {ReplicaStep::kLoading, ReplicaStep::kUnloading, ReplicaStep::kUnsure}) {
     for (const ReplicaKey& key : m_replicas.In(step)) {
       if (NeedsInventory(*m_replicas.Find(key))) {
         endpoints.insert(key.m_endpoint);
@@ -312,14 +310,7 @@
   EndFenceWaits(now);
   RetryLost(now);
   PollUnsettled(now);
-  for (const ReplicaKey& key : m_replicas.In(ReplicaStep::kReserving)) {
-    TouchFor(key);
-  }
-  for (auto& [service, slots] : m_slots) {
-    if (slots.HasWork()) {
-      Touch(RecordKind::kStore, service.value());
-    }
-  }
+  RefreshAwaited(now);
   if (now >= m_next_review) {
     m_next_review = now + m_settings.m_review_interval;
     ReviewReplicas(now);
--- a/Source/placement/shard_records.cc
+++ b/Source/placement/shard_records.cc
@@ -161,16 +161,15 @@
 void Shard::Adopt(const ReplicaKey& key,
                   const Reservation& reservation,
                   MonotonicTime now) {
-  Replica replica{
-      .m_step = ReplicaStep::kUnsure,
-      .m_bytes = reservation.m_bytes,
-      .m_peak_bytes = reservation.m_peak_bytes,
-      .m_tier = m_chooser.TierOf(key.m_endpoint, key.m_artifact),
-      .m_order_number = reservation.m_order_number,
-      .m_asked_at = now,
-      .m_absent_after =
-          now + m_settings.m_order_effect_limit + m_settings.m_report_lag,
-      .m_fence_pending = true};
+  Replica replica{.m_step = ReplicaStep::kUnsure,
+                  .m_bytes = reservation.m_bytes,
+                  .m_peak_bytes = reservation.m_peak_bytes,
+                  .m_tier = m_chooser.TierOf(key.m_endpoint, key.m_artifact),
+                  .m_order_number = reservation.m_order_number,
+                  .m_asked_at = now,
+                  .m_absent_after = now + m_settings.m_order_effect_limit +
+                                    m_settings.m_report_lag,
+                  .m_fence_pending = true};
   if (const Replica* known = m_replicas.Find(key)) {
     replica.m_waiting = known->m_waiting;
     m_replicas.Erase(key);
@@ -379,8 +378,7 @@
               Effects& effects) {
   for (auto& [id, cas] : registers) {
     if (cas.lost() && now >= cas.retry_at()) {
-      effects.emplace_back(
-          cas.Read({.m_kind = kind, .m_name = id.value()}));
+      effects.emplace_back(cas.Read({.m_kind = kind, .m_name = id.value()}));
     }
   }
 }
@@ -393,6 +391,32 @@
   ReadLost(m_stores, RecordKind::kStore, now, m_effects);
 }
 
+void Shard::RefreshAwaited(MonotonicTime now) {
+  for (auto& [service, slots] : m_slots) {
+    if (slots.HasWork()) {
+      Touch(RecordKind::kStore, service.value());
+    }
+  }
+  if (now < m_next_refresh) {
+    return;
+  }
+  m_next_refresh = now + m_settings.m_refresh_interval;
+  for (auto& [service, slots] : m_slots) {
+    CasRegister<StoreRecord>& cas = m_stores[service];
+    if (!slots.Wanted().empty() && !cas.busy()) {
+      m_effects.emplace_back(
+          cas.Read({.m_kind = RecordKind::kStore, .m_name = service.value()}));
+    }
+  }
+  for (const ReplicaKey& key : m_replicas.In(ReplicaStep::kReserving)) {
+    CasRegister<EndpointLedger>& cas = m_ledgers[key.m_endpoint];
+    if (!cas.busy()) {
+      m_effects.emplace_back(cas.Read(
+          {.m_kind = RecordKind::kLedger, .m_name = key.m_endpoint.value()}));
+    }
+  }
+}
+
 Effects Shard::Start() {
   return {ReadAllRecords{}};
 }
--- a/Source/placement/shard_room.cc
+++ b/Source/placement/shard_room.cc
@@ -15,7 +15,8 @@
 double Shard::WorthOf(const ReplicaKey& key,
                       const Replica& replica,
                       MonotonicTime now) const {
-  const Duration load_time = m_chooser.LoadTime(replica.m_tier, replica.m_bytes);
+  const Duration load_time =
+      m_chooser.LoadTime(replica.m_tier, replica.m_bytes);
   return m_policies.m_keep->Worth(key.m_artifact, replica.m_bytes, load_time,
                                   now);
 }
@@ -94,8 +95,8 @@
       return;
     }
     asked += reservation.m_bytes;
-    m_effects.emplace_back(AskRelease{
-        {.m_artifact = artifact, .m_endpoint = endpoint}, worth});
+    m_effects.emplace_back(
+        AskRelease{{.m_artifact = artifact, .m_endpoint = endpoint}, worth});
   }
 }
 
@@ -125,8 +126,7 @@
 }
 
 void Shard::ContinueDrains() {
-  const std::set<ReplicaKey> draining =
-      m_replicas.In(ReplicaStep::kDraining);
+  const std::set<ReplicaKey> draining = m_replicas.In(ReplicaStep::kDraining);
   for (const ReplicaKey& base : draining) {
     bool empty = true;
     for (const ReplicaKey& key : m_replicas.On(base.m_endpoint)) {
@@ -156,7 +156,8 @@
        CountedReplicas(model->m_id) <= model->m_min_replicas)) {
     return false;
   }
-  const Duration load_time = m_chooser.LoadTime(replica.m_tier, replica.m_bytes);
+  const Duration load_time =
+      m_chooser.LoadTime(replica.m_tier, replica.m_bytes);
   return m_policies.m_keep->ShouldRelease(key.m_artifact, replica.m_bytes,
                                           load_time, now);
 }
--- a/Source/placement/store_record.cc
+++ b/Source/placement/store_record.cc
@@ -24,9 +24,8 @@
   try {
     const Json root = Json::parse(text);
     for (const auto& [name, slot] : root.at("slots").items()) {
-      record.m_slots[name] = {
-          .m_scope = slot.at("scope").get<std::string>(),
-          .m_fence = slot.at("fence").get<FencingNumber>()};
+      record.m_slots[name] = {.m_scope = slot.at("scope").get<std::string>(),
+                              .m_fence = slot.at("fence").get<FencingNumber>()};
     }
   } catch (const Json::exception& failure) {
     throw Error(ErrorCode::kProtocol,
