--- /dev/null
+++ b/Source/claims/claim_table.h
@@ -0,0 +1,215 @@
+// Decides which claims this host holds, tries to acquire, gives up or hands
+// over. See docs/design/claims.md for the rules and their reasons.
+
+#ifndef SOURCE_CLAIMS_CLAIM_TABLE_H_
+#define SOURCE_CLAIMS_CLAIM_TABLE_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "claims/claim_effects.h"
+#include "claims/lease_clock.h"
+
+namespace hickoryloft::claims {
+
+// All claims of the fleet as one host sees them. Inputs come as method calls
+// with the time; effects are collected by TakeEffects(). Not thread-safe.
+class ClaimTable {
+ public:
+  ClaimTable(ClaimSettings settings,
+             HostId self,
+             Incarnation incarnation,
+             std::uint64_t seed);
+
+  // The live members, this host included.
+  void SetHosts(std::vector<ClaimHost> hosts, MonotonicTime now);
+  // The claims that should exist.
+  void SetWanted(const std::vector<ClaimName>& claims, MonotonicTime now);
+  // The short lease was granted or renewed by a call sent at `sent_at`, and the
+  // member key is bound to it.
+  void OnShortLease(std::int64_t lease, MonotonicTime sent_at);
+  void OnShortLeaseLost();
+  // The same for the long lease and the standing key.
+  void OnLongLease(std::int64_t lease, MonotonicTime sent_at);
+  void OnLongLeaseLost();
+
+  // Answers ReadEvidence; absent if the read failed.
+  void OnEvidence(const ClaimName& claim,
+                  const std::optional<ClaimEvidence>& evidence,
+                  MonotonicTime now);
+  // Answers WriteClaim; `revision` is the key's new one if it was written.
+  void OnWrite(const ClaimName& claim,
+               std::uint64_t nonce,
+               WriteOutcome outcome,
+               Revision revision,
+               MonotonicTime now);
+  // Answers `request`, which was sent at `sent_at`.
+  void OnPromise(const RequestPromise& request,
+                 MonotonicTime sent_at,
+                 const PromiseAnswer& answer);
+
+  // A holder asks this host, its successor, not to take over yet.
+  PromiseAnswer OnPromiseRequest(const ClaimName& claim,
+                                 FencingNumber fence,
+                                 std::int64_t successor_lease,
+                                 MonotonicTime now);
+  // Another host announced a claim, or its record was read at start.
+  void OnAnnounced(const AnnounceClaim& notice, MonotonicTime now);
+  // The last holder, whose fencing number was `fence`, passed its state on.
+  void OnHandOver(const ClaimName& claim,
+                  FencingNumber fence,
+                  std::string payload,
+                  MonotonicTime now);
+
+  // Gives the claim up at once and passes `payload` to `next`, if not empty.
+  void Release(const ClaimName& claim,
+               const HostId& next,
+               std::string payload,
+               MonotonicTime now);
+  // No claim is acquired from now on.
+  void StopAcquiring() { m_acquiring = false; }
+
+  // Checks for lapses and starts what is due. Call at least every
+  // m_retry_interval.
+  void Tick(MonotonicTime now);
+
+  // Returns the fencing number if this host holds `claim` at `now`.
+  std::optional<FencingNumber> HeldFence(const ClaimName& claim,
+                                         MonotonicTime now) const;
+  // Returns the last known holder.
+  std::optional<HostId> Holder(const ClaimName& claim) const;
+  // Returns the last known fencing number; 0 if none.
+  FencingNumber KnownFence(const ClaimName& claim) const;
+  // Returns the host that should get the claim when this one gives it up.
+  std::optional<HostId> NextHost(const ClaimName& claim) const;
+  std::vector<ClaimName> Held(MonotonicTime now) const;
+  std::vector<ClaimName> Known() const;
+  // Whether a release is still being written.
+  bool Releasing() const;
+
+  std::vector<ClaimEffect> TakeEffects();
+
+ private:
+  enum class WritePurpose { kAcquire, kConfirm, kRelease, kDelete };
+
+  struct PendingWrite {
+    WritePurpose m_purpose = WritePurpose::kAcquire;
+    Revision m_expected = 0;
+    ClaimRecord m_record;
+    // The fencing number of the released record that an acquisition replaces.
+    std::optional<FencingNumber> m_released_fence;
+  };
+
+  struct HandOverState {
+    FencingNumber m_fence = 0;
+    std::string m_payload;
+  };
+
+  // Where this host stands in the order of hosts for a claim.
+  struct Preference {
+    std::size_t m_rank = 0;  // Among the hosts that are not leaving.
+    HostId m_preferred;
+    HostId m_successor;  // Whom this host would name.
+    std::int64_t m_successor_lease = 0;
+  };
+
+  struct Entry {
+    bool m_wanted = false;
+    Preference m_preference;
+
+    HostId m_holder;  // Last known; empty if none.
+    Incarnation m_holder_incarnation = 0;
+    FencingNumber m_fence = 0;  // Of the last known holder.
+    std::optional<MonotonicTime> m_unheld_since;
+
+    // As last read or written by this host.
+    std::optional<StoredClaim> m_stored;
+    bool m_held = false;
+    MonotonicTime m_held_since{};
+    MonotonicTime m_promise_until{};
+    MonotonicTime m_promise_asked{};
+
+    bool m_reading = false;
+    std::optional<PendingWrite> m_write;
+    // A write of unknown outcome at this expected revision may still land.
+    std::optional<PendingWrite> m_unsettled;
+    MonotonicTime m_retry_at{};
+
+    // As successor: no takeover before.
+    MonotonicTime m_promised_until{};
+    // When the successor in m_stored was first seen without its standing key.
+    std::optional<MonotonicTime> m_successor_gone_since;
+
+    std::optional<HandOverState> m_received;  // From the last holder.
+    std::optional<HandOverState> m_outgoing;  // For m_next.
+    HostId m_next;
+    bool m_handed_over = false;  // The last holder chose this host.
+    bool m_releasing = false;
+  };
+
+  Preference MakePreference(const ClaimName& claim) const;
+  const ClaimHost* FindHost(const HostId& host) const;
+  bool HolderInView(const Entry& entry) const;
+  bool IsMine(const ClaimRecord& record) const;
+  bool ValidAt(const Entry& entry, MonotonicTime now) const;
+  bool InContact(MonotonicTime now) const;
+  void UpdateUnheld(Entry& entry, MonotonicTime now) const;
+
+  void TickHeld(const ClaimName& claim, Entry& entry, MonotonicTime now);
+  void TickUnheld(const ClaimName& claim, Entry& entry, MonotonicTime now);
+  void TickReleasing(const ClaimName& claim, Entry& entry, MonotonicTime now);
+  void AskPromise(const ClaimName& claim, Entry& entry, MonotonicTime now);
+  void Maintain(const ClaimName& claim, Entry& entry, MonotonicTime now);
+  bool NeedsSuccessor(const Entry& entry) const;
+  void Confirm(const ClaimName& claim, Entry& entry, ClaimRecord record);
+  bool ShouldMove(const Entry& entry, MonotonicTime now) const;
+  bool Due(const Entry& entry, MonotonicTime now) const;
+
+  bool MayTake(Entry& entry, const ClaimEvidence& evidence, MonotonicTime now);
+  void Acquire(const ClaimName& claim, Entry& entry);
+  void Adopt(Entry& entry,
+             const std::optional<StoredClaim>& stored,
+             MonotonicTime now);
+  void Settle(const ClaimName& claim,
+              Entry& entry,
+              const std::optional<StoredClaim>& stored,
+              MonotonicTime now);
+  void CheckHeld(const ClaimName& claim,
+                 Entry& entry,
+                 const std::optional<StoredClaim>& stored,
+                 MonotonicTime now);
+  void OnWritten(const ClaimName& claim,
+                 Entry& entry,
+                 const PendingWrite& write,
+                 Revision revision,
+                 MonotonicTime now);
+  void OnAcquired(const ClaimName& claim,
+                  Entry& entry,
+                  const PendingWrite& write,
+                  MonotonicTime now);
+  void OnReleased(const ClaimName& claim, Entry& entry, MonotonicTime now);
+  void Lose(const ClaimName& claim, Entry& entry, MonotonicTime now);
+  void SendWrite(const ClaimName& claim, Entry& entry, PendingWrite write);
+  void StartRead(const ClaimName& claim, Entry& entry);
+
+  ClaimSettings m_settings;
+  HostId m_self;
+  Incarnation m_incarnation;
+  RandomEngine m_random;
+  std::vector<ClaimHost> m_hosts;
+  std::map<HostId, MonotonicTime> m_member_since;
+  std::int64_t m_lease = 0;
+  std::int64_t m_long_lease = 0;
+  LeaseClock m_short;
+  LeaseClock m_long;
+  bool m_acquiring = true;
+  std::map<ClaimName, Entry> m_entries;
+  std::vector<ClaimEffect> m_effects;
+};
+
+}  // namespace hickoryloft::claims
+
+#endif  // SOURCE_CLAIMS_CLAIM_TABLE_H_
--- /dev/null
+++ b/Source/documents/freshness_tracker.cc
@@ -0,0 +1,81 @@
+#include "documents/freshness_tracker.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace hickoryloft::documents {
+
+void FreshnessTracker::SetMembers(std::vector<HostId> members,
+                                  std::uint64_t digest,
+                                  const HostId& self) {
+  m_members = std::move(members);
+  m_digest = digest;
+  m_self = self;
+  std::erase_if(m_heard, [&](const auto& item) {
+    return std::find(m_members.begin(), m_members.end(), item.first) ==
+           m_members.end();
+  });
+}
+
+void FreshnessTracker::OnApplied(Revision revision) {
+  m_applied = std::max(m_applied, revision);
+}
+
+void FreshnessTracker::OnProof(const FreshnessProof& proof) {
+  if (!m_proof || proof.m_began > m_proof->m_began) {
+    const Revision newest =
+        std::max(proof.m_revision, m_proof ? m_proof->m_revision : 0);
+    m_proof = FreshnessProof{newest, proof.m_began};
+  }
+}
+
+void FreshnessTracker::OnHeartbeat(const HostId& host,
+                                   Revision revision,
+                                   std::uint64_t digest,
+                                   MonotonicTime asked_at) {
+  const bool member =
+      std::find(m_members.begin(), m_members.end(), host) != m_members.end();
+  if (!member || host == m_self) {
+    return;
+  }
+  Heard& heard = m_heard[host];
+  heard.m_revision = std::max(heard.m_revision, revision);
+  if (asked_at >= heard.m_asked_at) {
+    heard.m_asked_at = asked_at;
+    heard.m_digest = digest;
+  }
+}
+
+std::optional<MonotonicTime> FreshnessTracker::ServeUntil() const {
+  std::optional<MonotonicTime> until;
+  if (m_proof && m_applied >= m_proof->m_revision) {
+    until = m_proof->m_began + m_limit;
+  }
+  if (const auto heard_at = MajorityHeardAt()) {
+    until = std::max(until.value_or(MonotonicTime{}), *heard_at + m_limit);
+  }
+  return until;
+}
+
+std::optional<MonotonicTime> FreshnessTracker::MajorityHeardAt() const {
+  std::vector<MonotonicTime> asked;
+  for (const auto& [host, heard] : m_heard) {
+    if (heard.m_revision > m_applied) {
+      return std::nullopt;
+    }
+    if (heard.m_digest == m_digest) {
+      asked.push_back(heard.m_asked_at);
+    }
+  }
+  // This host is one of the majority. One member alone proves nothing: it
+  // cannot tell an outage from its own cut.
+  const std::size_t needed = m_members.size() / 2;
+  if (needed == 0 || asked.size() < needed) {
+    return std::nullopt;
+  }
+  std::sort(asked.begin(), asked.end(), std::greater<>());
+  return asked[needed - 1];
+}
+
+}  // namespace hickoryloft::documents
