routing: endpoint table, choice, fair queue, admission, retries

Pure decision code with its baselines: round robin, least reported load, first come, accounts in turn, queue limit, three tries. Reports of load lag, so the estimate adds what was sent and seen finished since; two random draws keep many entries from crowding the endpoint that reported least.

--- /dev/null
+++ b/Source/routing/admission_policy.h
@@ -0,0 +1,37 @@
+// The decision whether a request can be answered within the caller's patience.
+
+#ifndef SOURCE_ROUTING_ADMISSION_POLICY_H_
+#define SOURCE_ROUTING_ADMISSION_POLICY_H_
+
+#include <cstddef>
+
+#include "base/time.h"
+
+namespace hickoryloft::routing {
+
+struct AdmissionInput {
+  Duration m_patience{};      // Time left until the caller gives up.
+  Duration m_ready_in{};      // Until a replica is ready; zero if one is.
+  std::size_t m_ahead = 0;    // Requests to be served before this one.
+  Duration m_interval{};      // Expected time between dispatches.
+  Duration m_first_answer{};  // Expected time from dispatch to first byte.
+};
+
+struct AdmissionDecision {
+  bool m_admitted = false;
+  Duration m_estimate{};  // Of the first answer.
+  Duration
+      m_retry_after{};  // When not admitted: when it is worth asking again.
+};
+
+// A rule for admission. Stateless, so thread-safe.
+class AdmissionPolicy {
+ public:
+  virtual ~AdmissionPolicy() = default;
+
+  virtual AdmissionDecision Decide(const AdmissionInput& input) const = 0;
+};
+
+}  // namespace hickoryloft::routing
+
+#endif  // SOURCE_ROUTING_ADMISSION_POLICY_H_
--- /dev/null
+++ b/Source/routing/estimate_admission.h
@@ -0,0 +1,20 @@
+// Admits what is expected to be answered within the caller's patience.
+
+#ifndef SOURCE_ROUTING_ESTIMATE_ADMISSION_H_
+#define SOURCE_ROUTING_ESTIMATE_ADMISSION_H_
+
+#include "routing/admission_policy.h"
+
+namespace hickoryloft::routing {
+
+// Compares the estimate of the first answer with the patience. A refusal names
+// the time after which the same request would be admitted if nothing else
+// arrived.
+class EstimateAdmission : public AdmissionPolicy {
+ public:
+  AdmissionDecision Decide(const AdmissionInput& input) const override;
+};
+
+}  // namespace hickoryloft::routing
+
+#endif  // SOURCE_ROUTING_ESTIMATE_ADMISSION_H_
--- /dev/null
+++ b/Source/routing/prefix_chain.h
@@ -0,0 +1,28 @@
+// Fingerprints of a prompt's leading blocks.
+
+#ifndef SOURCE_ROUTING_PREFIX_CHAIN_H_
+#define SOURCE_ROUTING_PREFIX_CHAIN_H_
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+namespace hickoryloft::routing {
+
+// Hashes of a prompt's leading blocks. Each one covers all blocks before it, so
+// that equal hashes mean equal prefixes.
+struct PrefixChain {
+  static constexpr std::size_t kMaxBlocks = 8;
+  static constexpr std::size_t kBlockBytes = 128;
+
+  std::array<std::uint64_t, kMaxBlocks> m_hashes{};
+  std::size_t m_size = 0;
+};
+
+// Returns the chain of `prompt` as read by the artifact `served_name`. Only
+// whole blocks count. Thread-safe.
+PrefixChain HashPrefix(std::string_view served_name, std::string_view prompt);
+
+}  // namespace hickoryloft::routing
+
+#endif  // SOURCE_ROUTING_PREFIX_CHAIN_H_
--- /dev/null
+++ b/Source/routing/three_tries.h
@@ -0,0 +1,21 @@
+// Baseline: a fixed number of tries.
+
+#ifndef SOURCE_ROUTING_THREE_TRIES_H_
+#define SOURCE_ROUTING_THREE_TRIES_H_
+
+#include "routing/retry_policy.h"
+
+namespace hickoryloft::routing {
+
+// Up to three calls a request, whatever the time left.
+class ThreeTries : public RetryPolicy {
+ public:
+  static constexpr std::uint32_t kMaxCalls = 3;
+
+  void OnRequest() override {}
+  bool TryRetry(const RetryInput& input) override;
+};
+
+}  // namespace hickoryloft::routing
+
+#endif  // SOURCE_ROUTING_THREE_TRIES_H_
--- /dev/null
+++ b/Source/routing/two_choices.h
@@ -0,0 +1,46 @@
+// Prefix affinity bounded by load, else the better of two random endpoints.
+
+#ifndef SOURCE_ROUTING_TWO_CHOICES_H_
+#define SOURCE_ROUTING_TWO_CHOICES_H_
+
+#include "routing/endpoint_chooser.h"
+#include "routing/load_tracker.h"
+#include "routing/prefix_table.h"
+
+namespace hickoryloft::routing {
+
+// Sends a prompt to the endpoint that last read its prefix, as long as that
+// endpoint's load stays within kMaxOverMean of the mean; else draws two
+// endpoints and takes the less loaded. Two draws keep many entries, which see
+// the same reports, from crowding one endpoint. `loads` must outlive it.
+class TwoChoices : public EndpointChooser {
+ public:
+  static constexpr double kMaxOverMean = 1.25;
+
+  explicit TwoChoices(
+      const LoadTracker& loads,
+      std::size_t prefix_capacity = PrefixTable::kDefaultCapacity)
+      : m_loads(loads), m_prefixes(prefix_capacity) {}
+
+  const EndpointRecord* Choose(
+      std::span<const EndpointRecord* const> candidates,
+      const PrefixChain& prefix,
+      MonotonicTime now,
+      RandomEngine& random) override;
+
+ private:
+  const EndpointRecord* FindByPrefix(
+      std::span<const EndpointRecord* const> candidates,
+      const PrefixChain& prefix,
+      MonotonicTime now) const;
+  const EndpointRecord* Draw(std::span<const EndpointRecord* const> candidates,
+                             MonotonicTime now,
+                             RandomEngine& random) const;
+
+  const LoadTracker& m_loads;
+  PrefixTable m_prefixes;
+};
+
+}  // namespace hickoryloft::routing
+
+#endif  // SOURCE_ROUTING_TWO_CHOICES_H_
