--- /dev/null
+++ b/Source/tools/common/blocking_http.cc
@@ -0,0 +1,48 @@
+#include "tools/common/blocking_http.h"
+
+#include <charconv>
+#include <optional>
+#include <utility>
+
+#include "base/event_loop.h"
+
+namespace hickoryloft::tools {
+
+HostPort ParseHostPort(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  HostPort result;
+  if (colon != std::string::npos) {
+    result.m_address = text.substr(0, colon);
+    const char* end = text.data() + text.size();
+    const auto [rest, failure] =
+        std::from_chars(text.data() + colon + 1, end, result.m_port);
+    if (failure == std::errc{} && rest == end && !result.m_address.empty()) {
+      if (result.m_address.front() == '[' && result.m_address.back() == ']') {
+        result.m_address =
+            result.m_address.substr(1, result.m_address.size() - 2);
+      }
+      return result;
+    }
+  }
+  throw Error(ErrorCode::kInvalidArgument,
+              "'" + text + "' is not an address of the form ip:port");
+}
+
+platform::HttpReply CallAndWait(const HostPort& target,
+                                platform::HttpRequest request,
+                                Duration timeout) {
+  EventLoop loop;
+  platform::HttpClient client(loop, {.m_address = target.m_address,
+                                     .m_port = target.m_port,
+                                     .m_user_agent = "loftctl",
+                                     .m_timeout = timeout});
+  std::optional<Result<platform::HttpReply>> result;
+  client.Send(std::move(request), [&](Result<platform::HttpReply> reply) {
+    result.emplace(std::move(reply));
+    loop.Stop();
+  });
+  loop.Run();
+  return std::move(result->value());
+}
+
+}  // namespace hickoryloft::tools
--- /dev/null
+++ b/Source/tools/ctl/admin_client.cc
@@ -0,0 +1,133 @@
+#include "tools/ctl/admin_client.h"
+
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace hickoryloft::tools {
+
+namespace {
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpCreated = 201;
+constexpr int kHttpUnauthorized = 401;
+constexpr int kHttpForbidden = 403;
+constexpr int kHttpNotFound = 404;
+constexpr int kHttpPreconditionFailed = 412;
+
+std::string DocumentPath(const ServiceId& service) {
+  return "/admin/documents/" + service.value();
+}
+
+// Returns what the problem document in `body` says, or the body itself.
+std::string ProblemText(const std::string& body) {
+  const auto json = nlohmann::json::parse(body, nullptr, false);
+  if (json.is_object() && json.contains("detail")) {
+    return json["detail"].is_string() ? json["detail"].get<std::string>()
+                                      : json["detail"].dump();
+  }
+  return body.empty() ? "no reason given" : body;
+}
+
+ErrorCode CodeForStatus(int status) {
+  constexpr int kFirstServerError = 500;
+  switch (status) {
+    case kHttpUnauthorized:
+    case kHttpForbidden:
+      return ErrorCode::kUnauthenticated;
+    case kHttpNotFound:
+      return ErrorCode::kNotFound;
+    case kHttpPreconditionFailed:
+      return ErrorCode::kConflict;
+    case 400:
+    case 413:
+    case 422:
+      return ErrorCode::kInvalidDocument;
+    case 503:
+      return ErrorCode::kUnavailable;
+    default:
+      return status == 202 || status >= kFirstServerError
+                 ? ErrorCode::kOutcomeUnknown
+                 : ErrorCode::kProtocol;
+  }
+}
+
+void RequireSuccess(const platform::HttpReply& reply) {
+  if (reply.m_status != kHttpOk && reply.m_status != kHttpCreated) {
+    throw Error(CodeForStatus(reply.m_status), ProblemText(reply.m_body));
+  }
+}
+
+// Reads the revision from an ETag such as "42" in quotes.
+Revision RevisionOf(const platform::HttpReply& reply) {
+  const std::string tag = reply.Header("ETag");
+  constexpr std::size_t kQuotes = 2;
+  if (tag.size() <= kQuotes || tag.front() != '"') {
+    throw Error(ErrorCode::kProtocol, "the coordinator gave no revision");
+  }
+  return std::strtoll(tag.c_str() + 1, nullptr, 10);
+}
+
+}  // namespace
+
+AdminClient::AdminClient(HostPort coordinator,
+                         std::string operator_key,
+                         Duration timeout)
+    : m_coordinator(std::move(coordinator)),
+      m_operator_key(std::move(operator_key)),
+      m_timeout(timeout) {}
+
+std::optional<StoredDocument> AdminClient::GetDocument(
+    const ServiceId& service) {
+  const auto reply =
+      Call(platform::HttpMethod::kGet, DocumentPath(service), "", std::nullopt);
+  if (reply.m_status == kHttpNotFound) {
+    return std::nullopt;
+  }
+  RequireSuccess(reply);
+  return StoredDocument{.m_text = reply.m_body,
+                        .m_revision = RevisionOf(reply)};
+}
+
+Revision AdminClient::PutDocument(const ServiceId& service,
+                                  const std::string& text,
+                                  Revision expected_revision) {
+  const auto reply = Call(platform::HttpMethod::kPut, DocumentPath(service),
+                          text, expected_revision);
+  RequireSuccess(reply);
+  return RevisionOf(reply);
+}
+
+void AdminClient::DeleteDocument(const ServiceId& service,
+                                 Revision expected_revision) {
+  RequireSuccess(Call(platform::HttpMethod::kDelete, DocumentPath(service), "",
+                      expected_revision));
+}
+
+std::string AdminClient::GetJson(const std::string& page) {
+  const auto reply =
+      Call(platform::HttpMethod::kGet, "/admin/" + page, "", std::nullopt);
+  RequireSuccess(reply);
+  return reply.m_body;
+}
+
+platform::HttpReply AdminClient::Call(
+    platform::HttpMethod method,
+    const std::string& path,
+    const std::string& body,
+    std::optional<Revision> expected_revision) {
+  platform::HttpRequest request{
+      .m_method = method,
+      .m_path = path,
+      .m_body = body,
+      .m_headers = {{"Authorization", "Bearer " + m_operator_key}}};
+  if (expected_revision == Revision{0}) {
+    request.m_headers.emplace_back("If-None-Match", "*");
+  } else if (expected_revision) {
+    request.m_headers.emplace_back(
+        "If-Match", "\"" + std::to_string(*expected_revision) + "\"");
+  }
+  return CallAndWait(m_coordinator, std::move(request), m_timeout);
+}
+
+}  // namespace hickoryloft::tools
