platform: add the etcd client, the in-process service and the host lists

The store under the in-process service is the one the stand-in serves.

Ruled out: evhttp's own time limits, which count from the last byte and cannot tell a call that was sent from one that was not.

--- a/Source/platform/etcd_json.cc
+++ b/Source/platform/etcd_json.cc
@@ -68,6 +68,11 @@
   return *found;
 }
 
+std::string EtcdRangeEnd(const nlohmann::json& request) {
+  const std::string end = EtcdBytes(request, "range_end");
+  return end == std::string(1, '\0') ? "" : end;
+}
+
 Revision EtcdRevision(const nlohmann::json& answer) {
   const nlohmann::json header = EtcdMember(answer, "header");
   const Revision revision =
--- a/Source/platform/etcd_json.h
+++ b/Source/platform/etcd_json.h
@@ -28,6 +28,11 @@
 // Error(kProtocol).
 nlohmann::json EtcdMember(const nlohmann::json& object, const char* name);
 
+// Returns the end of the key range of a request; empty if it has no upper
+// bound, which the gateway writes as one zero byte. Thread-safe. Throws
+// Error(kProtocol).
+std::string EtcdRangeEnd(const nlohmann::json& request);
+
 // Returns the revision in the header of `answer`. Thread-safe. Throws
 // Error(kProtocol) if there is none.
 Revision EtcdRevision(const nlohmann::json& answer);
--- /dev/null
+++ b/Source/platform/etcd_watch.h
@@ -0,0 +1,54 @@
+// Decodes the answer stream of an etcd watch.
+
+#ifndef SOURCE_PLATFORM_ETCD_WATCH_H_
+#define SOURCE_PLATFORM_ETCD_WATCH_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "base/error.h"
+#include "platform/http_client.h"
+#include "platform/key_value_service.h"
+
+namespace hickoryloft::platform {
+
+// Feeds on the bytes of a stream of JSON lines. Use on the loop's thread only.
+class EtcdWatch : public Watch {
+ public:
+  // Events up to `from_revision` are dropped, should the service repeat them.
+  EtcdWatch(Revision from_revision,
+            std::function<void(WatchBatch)> changed,
+            std::function<void(Error)> ended)
+      : m_seen(from_revision),
+        m_changed(std::move(changed)),
+        m_ended(std::move(ended)) {}
+
+  // Keeps `stream` open as long as the watch lives.
+  void Attach(std::unique_ptr<HttpStream> stream) {
+    m_stream = std::move(stream);
+  }
+
+  // Takes the next bytes. A callback may destroy the watch.
+  void Feed(std::string_view bytes);
+  // Ends the watch with `error`, once.
+  void End(const Error& error);
+
+ private:
+  static constexpr std::size_t kMaxLineBytes = 64 << 20;
+
+  void TakeLine(const std::string& line);
+  WatchBatch ParseLine(const std::string& line) const;
+
+  Revision m_seen;
+  std::function<void(WatchBatch)> m_changed;
+  std::function<void(Error)> m_ended;
+  std::string m_partial;  // A line whose end has not arrived.
+  std::unique_ptr<HttpStream> m_stream;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}  // namespace hickoryloft::platform
+
+#endif  // SOURCE_PLATFORM_ETCD_WATCH_H_
--- a/Source/platform/key_value_service.h
+++ b/Source/platform/key_value_service.h
@@ -91,7 +91,8 @@
   virtual void GetPrefix(const std::string& prefix,
                          Callback<ReadReply> callback) = 0;
   // Writes or deletes one key if it stands as expected. A conflict is a reply
-  // with m_swapped == false, not a failure.
+  // with m_swapped == false, not a failure; a lease that has lapsed gives
+  // kNotFound, without effect.
   virtual void Swap(CompareAndSwap operation, Callback<SwapReply> callback) = 0;
 
   virtual void GrantLease(Duration ttl, Callback<LeaseReply> callback) = 0;
--- /dev/null
+++ b/Source/platform/memory_key_value_service.h
@@ -0,0 +1,68 @@
+// Key-value service inside the process, for a host that runs alone and for
+// tests.
+
+#ifndef SOURCE_PLATFORM_MEMORY_KEY_VALUE_SERVICE_H_
+#define SOURCE_PLATFORM_MEMORY_KEY_VALUE_SERVICE_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/event_loop.h"
+#include "platform/key_value_service.h"
+#include "platform/memory_store.h"
+
+namespace hickoryloft::platform {
+
+// Keeps everything in memory; nothing outlives the process. It is never
+// unavailable. Callbacks do not come after the service is destroyed. Use on the
+// loop's thread only.
+class MemoryKeyValueService : public KeyValueService {
+ public:
+  // Precondition: `loop` outlives the service.
+  explicit MemoryKeyValueService(EventLoop& loop) : m_loop(loop) {}
+
+  void Get(const std::string& key, Callback<ReadReply> callback) override;
+  void GetPrefix(const std::string& prefix,
+                 Callback<ReadReply> callback) override;
+  void Swap(CompareAndSwap operation, Callback<SwapReply> callback) override;
+  void GrantLease(Duration ttl, Callback<LeaseReply> callback) override;
+  void KeepAlive(LeaseId lease, Callback<LeaseReply> callback) override;
+  void RevokeLease(LeaseId lease, Callback<Done> callback) override;
+  // The watch may outlive the service; it then reports nothing more.
+  std::unique_ptr<Watch> WatchPrefix(const std::string& prefix,
+                                     Revision from_revision,
+                                     std::function<void(WatchBatch)> changed,
+                                     std::function<void(Error)> ended) override;
+
+ private:
+  class WatchHandle;
+  struct Watcher {
+    std::string m_prefix;
+    Revision m_seen = 0;
+    std::function<void(WatchBatch)> m_changed;
+    std::function<void(Error)> m_ended;
+  };
+  // Shared with the watch handles, which may outlive the service.
+  using Watchers = std::map<std::uint64_t, Watcher>;
+
+  template <typename T>
+  void Answer(std::function<T()> operation, Callback<T> callback);
+  void Later(std::function<void()> callback);
+  void AfterChange();
+  void Notify();
+  void NotifyOne(std::uint64_t id);
+  void ScheduleExpiry();
+
+  EventLoop& m_loop;
+  MemoryStore m_store;
+  std::uint64_t m_last_watch = 0;
+  std::shared_ptr<Watchers> m_watchers = std::make_shared<Watchers>();
+  std::unique_ptr<Timer> m_expiry_timer;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}  // namespace hickoryloft::platform
+
+#endif  // SOURCE_PLATFORM_MEMORY_KEY_VALUE_SERVICE_H_
--- /dev/null
+++ b/Source/platform/static_host_list.h
@@ -0,0 +1,33 @@
+// A host list that is fixed by the settings.
+
+#ifndef SOURCE_PLATFORM_STATIC_HOST_LIST_H_
+#define SOURCE_PLATFORM_STATIC_HOST_LIST_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/event_loop.h"
+#include "platform/host_list.h"
+
+namespace hickoryloft::platform {
+
+// Callbacks do not come after the list is destroyed. Use on the loop's thread
+// only.
+class StaticHostList : public HostList {
+ public:
+  // Precondition: `loop` outlives the list.
+  StaticHostList(EventLoop& loop, std::vector<ListedTarget> targets);
+
+  void Fetch(
+      std::function<void(Result<std::vector<ListedTarget>>)> callback) override;
+
+ private:
+  EventLoop& m_loop;
+  std::shared_ptr<const std::vector<ListedTarget>> m_targets;
+};
+
+}  // namespace hickoryloft::platform
+
+#endif  // SOURCE_PLATFORM_STATIC_HOST_LIST_H_
--- a/StandIns/etcd_gateway.cc
+++ b/StandIns/etcd_gateway.cc
@@ -27,7 +27,7 @@
   const std::string key = EtcdBytes(body, "key");
   std::vector<KeyValue> items;
   if (body.contains("range_end")) {
-    items = store.GetRange(key, EtcdBytes(body, "range_end"));
+    items = store.GetRange(key, platform::EtcdRangeEnd(body));
   } else if (const auto item = store.Get(key)) {
     items.push_back(*item);
   }
--- a/StandIns/platform_stand_in.cc
+++ b/StandIns/platform_stand_in.cc
@@ -168,7 +168,7 @@
   m_watches.push_back({.m_call = call,
                        .m_host = host,
                        .m_first = platform::EtcdBytes(request, "key"),
-                       .m_end = platform::EtcdBytes(request, "range_end"),
+                       .m_end = platform::EtcdRangeEnd(request),
                        .m_sent = start > 0 ? start - 1 : m_store.revision()});
   m_most_watches = std::max(m_most_watches, m_watches.size());
   const auto position = std::prev(m_watches.end());
--- /dev/null
+++ b/Tests/standins/other_stand_ins_test.cc
@@ -0,0 +1,59 @@
+#include <catch2/catch.hpp>
+
+#include "StandIns/relay.h"
+#include "StandIns/service_stand_in.h"
+#include "StandIns/transfer_lane.h"
+#include "Tests/standins/stand_in_client.h"
+
+using namespace hickoryloft;
+using namespace hickoryloft::standins;
+using test::RunUntil;
+
+TEST_CASE("A plain service records an execution whose reply is lost") {
+  EventLoop loop;
+  ServiceStandIn service(loop, {}, "ledger");
+  test::StandInClient client(loop, service.port());
+  const test::StandInClient::Headers key = {{"Idempotency-Key", "k1"}};
+  service.SetFaults({{"drop_replies", 1}});
+  CHECK(client.Post("/payouts", {{"sum", 3}}, key).error().code() ==
+        ErrorCode::kOutcomeUnknown);
+  CHECK(client.Post("/payouts", {{"sum", 3}}, key).value().m_status == 200);
+  service.SetFaults({{"refuse", true}});
+  CHECK(client.Post("/payouts", {{"sum", 3}}, key).value().m_status == 503);
+  const auto record = client.Get("/record");
+  CHECK(record["by_idempotency_key"]["k1"]["count"] == 2);
+  CHECK(record["refused"] == 1);
+}
+
+TEST_CASE("Transfers beyond the limit slow down in proportion") {
+  EventLoop loop;
+  TransferLane lane(loop, /*at_full_speed=*/2);
+  const MonotonicTime start = loop.Now();
+  int done = 0;
+  for (int i = 0; i < 4; ++i) {
+    lane.Start(milliseconds(50), [&] { ++done; });
+  }
+  RunUntil(loop, [&] { return done == 4; });
+  CHECK(loop.Now() - start >= milliseconds(99));
+  CHECK(lane.most_active() == 4);
+}
+
+TEST_CASE("A cut relay is silent and delivers once it is restored") {
+  EventLoop loop;
+  ServiceStandIn service(loop, {}, "s");
+  Relay relay(loop, {}, {.m_port = service.port()});
+  RelayControl control(loop, {}, relay);
+  test::StandInClient client(loop, relay.port(), milliseconds(100));
+  CHECK(client.Post("/a", "x").ok());
+  control.SetFaults({{"cut", true}});
+  CHECK(client.Post("/b", "x").error().code() == ErrorCode::kTimedOut);
+  CHECK(service.Record()["executions"] == 1);
+  control.SetFaults({{"cut", false}});
+  RunUntil(loop, [&] { return service.Record()["executions"] == 2; });
+  control.SetFaults({{"cut", "close"}});
+  CHECK(client.Post("/c", "x").error().code() == ErrorCode::kOutcomeUnknown);
+  control.SetFaults({{"cut", false}, {"delay_ms", 20}});
+  const MonotonicTime start = loop.Now();
+  CHECK(client.Post("/d", std::string(100'000, 'x')).ok());
+  CHECK(loop.Now() - start >= milliseconds(40));
+}
