--- a/Source/actions/action_record.h
+++ b/Source/actions/action_record.h
@@ -4,9 +4,9 @@
 #ifndef SOURCE_ACTIONS_ACTION_RECORD_H_
 #define SOURCE_ACTIONS_ACTION_RECORD_H_
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "base/ids.h"
@@ -26,7 +26,10 @@
   std::string m_key;
 
   friend bool operator==(const ActionId&, const ActionId&) = default;
-  friend auto operator<=>(const ActionId&, const ActionId&) = default;
+  friend bool operator<(const ActionId& left, const ActionId& right) {
+    return std::tie(left.m_account, left.m_key) <
+           std::tie(right.m_account, right.m_key);
+  }
 };
 
 // Returns the shard that keeps `id`, below `shards`. Thread-safe.
--- /dev/null
+++ b/Tests/limits/share_home_test.cc
@@ -0,0 +1,61 @@
+#include "limits/share_home.h"
+
+#include <catch2/catch.hpp>
+
+namespace hickoryloft::limits {
+namespace {
+
+constexpr RateLimit kShare{.m_tokens_per_second = 10, .m_burst_tokens = 100};
+constexpr std::uint64_t kBurst = 200;
+
+MonotonicTime At(double time) {
+  return MonotonicTime(FromSeconds(time));
+}
+
+ShareHome FullHome() {
+  return {kShare, kBurst, 1, At(0), ShareState{.m_level = 100}};
+}
+
+TEST_CASE("a new holder without a hand-over starts empty") {
+  ShareHome home(kShare, kBurst, 1, At(0), std::nullopt);
+  CHECK(home.Level(At(1)) == 0);
+  CHECK(home.Level(At(2)) == Approx(9.5));
+}
+
+TEST_CASE("a repeated draw gets the recorded reply") {
+  ShareHome home = FullHome();
+  const DrawRequest draw{.m_entry = "a", .m_tokens = 60, .m_sequence = 1};
+  CHECK(home.Draw(draw, At(0)).m_granted == 60);
+  CHECK(home.Draw(draw, At(0)).m_granted == 60);
+  CHECK(home.Level(At(0)) == 40);
+}
+
+TEST_CASE("the retry delay is the time at which the share has the tokens") {
+  ShareHome home = FullHome();
+  home.Draw({.m_entry = "a", .m_tokens = 100, .m_sequence = 1}, At(0));
+  home.Draw({.m_entry = "a", .m_spent = 100, .m_sequence = 2, .m_epoch = 1},
+            At(0));
+  const auto reply =
+      home.Draw({.m_entry = "a", .m_tokens = 20, .m_sequence = 3}, At(0));
+  CHECK(reply.m_granted == 0);
+  CHECK(ToSeconds(reply.m_retry_after) == Approx(2.0));
+  CHECK(home.Level(At(0) + reply.m_retry_after) == Approx(20));
+}
+
+TEST_CASE("tokens returned after their lapse earn no credit") {
+  ShareHome home = FullHome();
+  home.Draw({.m_entry = "a", .m_tokens = 100, .m_sequence = 1}, At(0));
+  const double before = home.Level(At(2));
+  home.Draw({.m_entry = "a", .m_returned = 100, .m_sequence = 2, .m_epoch = 1},
+            At(2));
+  CHECK(home.Level(At(2)) == before);
+}
+
+TEST_CASE("a cut of the burst holds at once") {
+  ShareHome home = FullHome();
+  home.SetLimit({.m_tokens_per_second = 1, .m_burst_tokens = 5}, 10, At(0));
+  CHECK(home.Level(At(0)) == 5);
+}
+
+}  // namespace
+}  // namespace hickoryloft::limits
