actions: state test of the ledger; a holder that reads a newer epoch is fenced

Variants seen to fail: no fence check at a conflict, answering before the epoch batch, no closing record for a begin refused in doubt, a lost reply not recognized.

--- a/Source/actions/action_ledger.cc
+++ b/Source/actions/action_ledger.cc
@@ -75,7 +75,12 @@
                   "the chain of an action shard has a gap before batch " +
                       std::to_string(stored.m_sequence));
     }
-    Replay(stored, ParseBatch(stored.m_text), time);
+    const ActionBatch batch = ParseBatch(stored.m_text);
+    if (batch.m_fence > m_owner.m_fence) {
+      Fence(effects);  // The claim was lost while this read was on its way.
+      return effects;
+    }
+    Replay(stored, batch, time);
   }
   m_phase = Phase::kTakingOver;
   TakeOver(time, effects);
