--- /dev/null
+++ b/Source/tools/load/idle_connections.h
@@ -0,0 +1,51 @@
+// Keep-alive connections that stay open after one request each.
+
+#ifndef SOURCE_TOOLS_LOAD_IDLE_CONNECTIONS_H_
+#define SOURCE_TOOLS_LOAD_IDLE_CONNECTIONS_H_
+
+#include <cstddef>
+#include <functional>
+#include <vector>
+
+#include "base/event_loop.h"
+#include "endpoint/orders.h"
+
+struct evhttp_connection;
+struct evhttp_request;
+
+namespace hickoryloft::tools {
+
+// Use on the loop's thread only.
+class IdleConnections {
+ public:
+  explicit IdleConnections(EventLoop& loop) : m_loop(loop) {}
+  ~IdleConnections();
+  IdleConnections(const IdleConnections&) = delete;
+  IdleConnections& operator=(const IdleConnections&) = delete;
+
+  // Opens `count` connections spread over `targets`, a few at a time, each with
+  // one GET /healthz; calls `done` when all have been answered or have failed.
+  void Open(std::size_t count,
+            std::vector<endpoint::EndpointAddress> targets,
+            std::function<void()> done);
+
+  // Returns the number of connections whose request was answered.
+  std::size_t answered() const { return m_answered; }
+
+ private:
+  static void OnReply(evhttp_request* request, void* self);
+  void OpenNext();
+  void TakeReply(bool answered);
+
+  EventLoop& m_loop;
+  std::size_t m_count = 0;
+  std::size_t m_replies = 0;
+  std::size_t m_answered = 0;
+  std::vector<endpoint::EndpointAddress> m_targets;
+  std::vector<evhttp_connection*> m_connections;
+  std::function<void()> m_done;
+};
+
+}  // namespace hickoryloft::tools
+
+#endif  // SOURCE_TOOLS_LOAD_IDLE_CONNECTIONS_H_
--- /dev/null
+++ b/Source/tools/load/load_run.h
@@ -0,0 +1,102 @@
+// Sends a scenario's requests at their planned times, whether earlier ones have
+// been answered or not.
+
+#ifndef SOURCE_TOOLS_LOAD_LOAD_RUN_H_
+#define SOURCE_TOOLS_LOAD_LOAD_RUN_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/event_loop.h"
+#include "base/random.h"
+#include "endpoint/http_client.h"
+#include "endpoint/sse_parser.h"
+#include "tools/load/load_report.h"
+#include "tools/load/scenario.h"
+
+namespace hickoryloft::tools {
+
+struct LoadOptions {
+  Duration m_duration = seconds(10);
+  std::uint64_t m_max_requests = 100'000;
+  std::size_t m_max_open = 4096;  // Requests in progress at once.
+  double m_rate_scale = 1;
+  std::uint64_t m_seed = 1;
+  // Requests go straight to engines, without a key.
+  bool m_direct = false;
+  std::string m_direct_model;  // The served name that every request asks for.
+};
+
+// Use on the loop's thread only. Must outlive the run.
+class LoadRun {
+ public:
+  // All references must outlive this. Precondition: the scenario has targets
+  // and flows.
+  LoadRun(EventLoop& loop,
+          endpoint::HttpClient& client,
+          const Scenario& scenario,
+          LoadOptions options);
+
+  // Sends until a bound is reached; calls `done` when the last answer is in or
+  // kDrainLimit has passed.
+  void Start(std::function<void()> done);
+
+  const LoadReport& report() const { return m_report; }
+  Duration elapsed() const { return m_elapsed; }
+
+ private:
+  struct FlowState {
+    const Flow* m_flow = nullptr;
+    MonotonicTime m_next{};
+    std::vector<double> m_cumulative;  // Popularity of the models.
+  };
+  struct OpenRequest {
+    LoadSample m_sample;
+    MonotonicTime m_planned{};
+    std::string m_request_id;
+    int m_status = 0;
+    bool m_echoed = false;
+    bool m_event_stream = false;
+    bool m_began = false;
+    bool m_whole = false;  // The answer is complete.
+    endpoint::SseParser m_events;
+    std::string m_body;
+    std::unique_ptr<endpoint::Call> m_call;
+  };
+
+  void Tick();
+  void Plan(FlowState& state, MonotonicTime from);
+  void Send(const FlowState& state, MonotonicTime planned);
+  endpoint::CallRequest MakeRequest(const FlowState& state,
+                                    const std::string& request_id);
+  std::string BodyOf(const FlowState& state);
+  std::string DrawModel(const FlowState& state);
+  endpoint::CallEvents EventsFor(std::uint64_t id);
+  void OnHead(std::uint64_t id, const endpoint::AnswerHead& head);
+  void OnBytes(std::uint64_t id, std::string_view bytes);
+  void Finish(std::uint64_t id, const std::string& failure);
+  bool Over() const;
+  void FinishRun();
+
+  EventLoop& m_loop;
+  endpoint::HttpClient& m_client;
+  const Scenario& m_scenario;
+  LoadOptions m_options;
+  RandomEngine m_random;
+  std::vector<FlowState> m_flows;
+  std::map<std::uint64_t, OpenRequest> m_open;
+  std::uint64_t m_last_id = 0;
+  MonotonicTime m_started{};
+  Duration m_elapsed{};
+  LoadReport m_report;
+  std::unique_ptr<Timer> m_timer;
+  std::function<void()> m_done;
+};
+
+}  // namespace hickoryloft::tools
+
+#endif  // SOURCE_TOOLS_LOAD_LOAD_RUN_H_
