entry: the daemon for callers

loft-entry authenticates by the documents, keeps a serving right, reserves tokens, queues, chooses an engine, relays streams, resumes them, runs plain services, and stops as planned. Slow requests are cut by a watch over the whole request, since evhttp's timeout starts again at every byte.

--- a/Source/endpoint/sse_parser.cc
+++ b/Source/endpoint/sse_parser.cc
@@ -7,6 +7,18 @@
 constexpr std::string_view kDataField = "data:";
 constexpr std::string_view kFinalMarker = "[DONE]";
 
+// Quotes inside a JSON string are escaped, so the member's name cannot occur in
+// generated text.
+bool StatesFinishReason(std::string_view data) {
+  constexpr std::string_view kMember = "\"finish_reason\":";
+  const std::size_t at = data.find(kMember);
+  if (at == std::string_view::npos) {
+    return false;
+  }
+  const std::size_t value = data.find_first_not_of(' ', at + kMember.size());
+  return value != std::string_view::npos && data[value] == '"';
+}
+
 std::string_view StripLineEnd(std::string_view line) {
   if (line.ends_with('\r')) {
     line.remove_suffix(1);
@@ -28,6 +40,8 @@
       }
       if (line == kFinalMarker) {
         batch.m_finished = true;
+      } else if (StatesFinishReason(line)) {
+        batch.m_last_event = true;
       } else {
         ++batch.m_tokens;
       }
--- a/Source/endpoint/sse_parser.h
+++ b/Source/endpoint/sse_parser.h
@@ -12,14 +12,15 @@
 // The whole events that one piece of a stream completed.
 struct SseBatch {
   std::string_view m_text;     // The events as received, ends included.
-  std::uint64_t m_tokens = 0;  // Data events other than the final marker.
-  bool m_finished = false;     // The final marker "[DONE]" is among them.
+  std::uint64_t m_tokens = 0;  // Data events that carry a token.
+  bool m_last_event = false;   // One that states why the output ended.
+  bool m_finished = false;     // The final marker "[DONE]".
   bool m_malformed = false;    // An event passed the size limit.
 };
 
 // Cuts a byte stream at event boundaries, so that a stream that breaks midway
-// has delivered whole events only. Engines send one token an event. Not
-// thread-safe.
+// has delivered whole events only. Engines send one token an event, and a last
+// one that states the finish reason. Not thread-safe.
 class SseParser {
  public:
   static constexpr std::size_t kMaxEventBytes = std::size_t{256} * 1024;
--- /dev/null
+++ b/Source/entry/caller_server.h
@@ -0,0 +1,83 @@
+// The HTTP server for callers.
+
+#ifndef SOURCE_ENTRY_CALLER_SERVER_H_
+#define SOURCE_ENTRY_CALLER_SERVER_H_
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "base/event_loop.h"
+#include "entry/caller_exchange.h"
+#include "entry/connection_watch.h"
+#include "entry/entry_settings.h"
+
+struct bufferevent;
+struct evbuffer;
+struct evconnlistener;
+struct evhttp;
+struct evhttp_bound_socket;
+struct evhttp_request;
+
+namespace hickoryloft::entry {
+
+class EventExchange;
+
+// Accepts callers and hands out their requests. Requests that evhttp cannot
+// parse are answered by it with 400, 413 or 501. Use on the loop's thread only.
+class CallerServer {
+ public:
+  using Handler = std::function<void(std::shared_ptr<CallerExchange>)>;
+
+  // Listens at once. Throws Error(kInvalidArgument) for a bad address,
+  // Error(kIo) if it cannot be bound.
+  CallerServer(EventLoop& loop,
+               const SocketSetting& listen,
+               const CallerLimits& limits,
+               Handler handler);
+  ~CallerServer();
+  CallerServer(const CallerServer&) = delete;
+  CallerServer& operator=(const CallerServer&) = delete;
+
+  std::uint16_t port() const { return m_port; }
+  // Returns the requests that are not answered yet.
+  std::size_t open_exchanges() const { return m_exchanges.size(); }
+  std::size_t connections() const { return m_watch.size(); }
+
+  // From now on each answer closes its connection.
+  void CloseAfterAnswers() { m_closing = true; }
+  void StopListening();
+  // Cuts the connections of all requests that are not answered yet.
+  void AbortAll();
+
+ private:
+  friend class EventExchange;
+
+  static void OnRequest(evhttp_request* request, void* self);
+  static bufferevent* OnConnection(event_base* base, void* self);
+
+  void Listen(const SocketSetting& listen);
+  void LimitConnections();
+  bool closing() const { return m_closing; }
+  evbuffer* scratch() const { return m_scratch; }
+  void SetTimeouts(bufferevent* buffer, bool answering) const;
+  void OnAnswered(bufferevent* buffer) { m_watch.OnAnswered(buffer); }
+  std::shared_ptr<EventExchange> Forget(const EventExchange* exchange);
+
+  EventLoop& m_loop;
+  CallerLimits m_limits;
+  Handler m_handler;
+  ConnectionWatch m_watch;
+  evhttp* m_http;
+  evbuffer* m_scratch;
+  evhttp_bound_socket* m_bound = nullptr;
+  evconnlistener* m_listener = nullptr;  // Owned by m_bound.
+  std::uint16_t m_port = 0;
+  bool m_closing = false;
+  std::unordered_map<const EventExchange*, std::shared_ptr<EventExchange>>
+      m_exchanges;
+};
+
+}  // namespace hickoryloft::entry
+
+#endif  // SOURCE_ENTRY_CALLER_SERVER_H_
--- /dev/null
+++ b/Source/entry/completion_flow.h
@@ -0,0 +1,109 @@
+// The way of one completion request: tokens, replica, call, relay.
+
+#ifndef SOURCE_ENTRY_COMPLETION_FLOW_H_
+#define SOURCE_ENTRY_COMPLETION_FLOW_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "entry/caller_exchange.h"
+#include "entry/completion_body.h"
+#include "entry/engine_call.h"
+#include "entry/entry_context.h"
+#include "routing/prefix_chain.h"
+
+namespace hickoryloft::entry {
+
+// Answers one request for a model. Kept alive by RunningRequests until it is
+// over. Use on the loop's thread only.
+class CompletionFlow : public RunningRequest,
+                       public std::enable_shared_from_this<CompletionFlow> {
+ public:
+  // A stream that is cut is continued at most this often.
+  static constexpr int kMaxResumes = 3;
+  // Engines that say at once that they cannot take the request are passed over
+  // at most this often.
+  static constexpr int kMaxReroutes = 8;
+
+  CompletionFlow(EntryContext& context,
+                 std::shared_ptr<CallerExchange> exchange,
+                 std::shared_ptr<const Principal> principal,
+                 CompletionBody body,
+                 endpoint::Artifact artifact,
+                 Duration patience);
+
+  // Starts to answer.
+  void Start();
+
+  const Principal* principal() const override { return m_principal.get(); }
+  void WithdrawKey() override;
+  void Cut() override;
+
+ private:
+  void OnTokens(const Result<TokenDecision>& decision);
+  // Looks for an engine.
+  void Route();
+  EngineJob MakeJob();
+  void WaitForReplica();
+  void OnDemandResult(const DemandResult& result);
+  void Call(const routing::EndpointRecord& endpoint);
+  endpoint::CallRequest MakeCallRequest(const routing::EndpointRecord& endpoint,
+                                        const std::string& request_id);
+  EngineCallEvents MakeEvents();
+
+  void OnLoad(const EngineLoad& load);
+  void OnEvents(const endpoint::SseBatch& batch);
+  void OnDone(const endpoint::AnswerHead& head, const std::string& body);
+  void OnFailed(const EngineFailure& failure);
+  bool MayTryAgain(const EngineFailure& failure);
+  void TryAgain();
+  void EndCall();
+
+  void OnFirstAnswer();
+  void ArmDeadline(Duration patience);
+  void OnDeadline();
+  void OnCallerLeft();
+  void Refuse(const Problem& problem);
+  void FinishStream();
+  // Settles tokens and metrics and lets go of everything.
+  void End();
+  void SettleTokens();
+
+  EntryContext& m_context;
+  std::shared_ptr<CallerExchange> m_exchange;
+  std::shared_ptr<const Principal> m_principal;
+  CompletionBody m_body;
+  endpoint::Artifact m_artifact;
+  std::string m_served_name;
+  std::string m_rendered;  // The body for engines.
+  Duration m_patience;
+  const RequestSeries& m_series;
+  routing::PrefixChain m_prefix;
+  std::uint64_t m_id = 0;
+  MonotonicTime m_deadline{};
+  std::unique_ptr<Timer> m_deadline_timer;
+
+  bool m_over = false;
+  bool m_reserved = false;  // Tokens were admitted.
+  bool m_sent = false;      // A call may have reached an engine.
+  bool m_stream_started = false;
+  bool m_paused = false;  // The caller is slower than the engine.
+  bool m_last_event_relayed = false;
+  bool m_cold = false;           // Waited for a replica.
+  bool m_store_limited = false;  // The wait was for the weight store.
+  Duration m_token_wait{};
+  std::uint64_t m_delivered = 0;  // Output tokens given to the caller.
+  TokenUsage m_usage;
+  int m_attempts = 0;
+  int m_reroutes = 0;
+  int m_resumes = 0;
+  std::vector<EndpointId> m_failed_endpoints;
+  EndpointId m_endpoint;  // Of the running call.
+  MonotonicTime m_call_started{};
+  std::unique_ptr<EngineCall> m_call;
+};
+
+}  // namespace hickoryloft::entry
+
+#endif  // SOURCE_ENTRY_COMPLETION_FLOW_H_
--- /dev/null
+++ b/Source/entry/demand_board.cc
@@ -0,0 +1,184 @@
+#include "entry/demand_board.h"
+
+#include <algorithm>
+
+namespace hickoryloft::entry {
+
+namespace {
+
+bool All(const DemandWait& /*wait*/) {
+  return true;
+}
+
+DemandResult TooLate(Duration retry_after) {
+  return {.m_too_late = true, .m_retry_after = retry_after};
+}
+
+}  // namespace
+
+void DemandBoard::Wait(DemandWait wait) {
+  const std::string served_name = wait.m_served_name;
+  Demand& demand = m_demands[served_name];
+  if (demand.m_ready_at && *demand.m_ready_at > wait.m_deadline) {
+    wait.m_callback(TooLate(*demand.m_ready_at - wait.m_deadline));
+    return;
+  }
+  m_artifact_of.emplace(wait.m_id, served_name);
+  demand.m_waits.push_back(std::move(wait));
+  // A reply that is on its way, or the next question, serves this wait too.
+  if (!demand.m_asking && !demand.m_again) {
+    Ask(served_name);
+  }
+}
+
+void DemandBoard::Cancel(std::uint64_t id) {
+  const auto found = m_artifact_of.find(id);
+  if (found == m_artifact_of.end()) {
+    return;
+  }
+  const auto demand = m_demands.find(found->second);
+  m_artifact_of.erase(found);
+  std::erase_if(demand->second.m_waits,
+                [id](const DemandWait& wait) { return wait.m_id == id; });
+  if (demand->second.m_waits.empty() && !demand->second.m_asking) {
+    m_demands.erase(demand);
+  }
+}
+
+void DemandBoard::Ask(const std::string& served_name) {
+  Demand& demand = m_demands[served_name];
+  demand.m_again.reset();
+  if (demand.m_waits.empty()) {
+    m_demands.erase(served_name);
+    return;
+  }
+  const MonotonicTime now = m_loop.Now();
+  const DemandWait& first = demand.m_waits.front();
+  wire::DemandRequestT request;
+  request.account = first.m_account.value();
+  request.model = first.m_artifact.m_model.value();
+  request.adapter = first.m_artifact.m_adapter.value();
+  request.version = first.m_artifact.m_version;
+  demand.m_asked_deadline = first.m_deadline;
+  for (const DemandWait& wait : demand.m_waits) {
+    demand.m_asked_deadline =
+        std::max(demand.m_asked_deadline, wait.m_deadline);
+    request.weight = std::max(request.weight, wait.m_weight);
+  }
+  const milliseconds patience =
+      std::max(milliseconds(0), ToMillis(demand.m_asked_deadline - now));
+  request.patience_ms = static_cast<std::uint32_t>(patience.count());
+  request.requests = static_cast<std::uint32_t>(demand.m_waits.size());
+  demand.m_asking = true;
+  m_link.Request(wire::MakeEnvelope(request), kReplyLimit,
+                 [this, served_name, alive = std::weak_ptr<int>(m_alive)](
+                     const Result<wire::EnvelopeT>& reply) {
+                   if (!alive.expired()) {
+                     OnReply(served_name, reply);
+                   }
+                 });
+}
+
+void DemandBoard::OnReply(const std::string& served_name,
+                          const Result<wire::EnvelopeT>& reply) {
+  const auto found = m_demands.find(served_name);
+  if (found == m_demands.end()) {
+    return;
+  }
+  found->second.m_asking = false;
+  if (found->second.m_waits.empty()) {
+    m_demands.erase(found);
+    return;
+  }
+  const wire::DemandReplyT* answer =
+      reply ? reply.value().body.AsDemandReply() : nullptr;
+  if (answer == nullptr) {
+    // The coordinator may be restarting; the waits end by their deadlines.
+    AskLater(served_name, kAskAfterFailure);
+    return;
+  }
+  switch (answer->verdict) {
+    case wire::DemandVerdict::Ready:
+      // The EndpointUpdate that shows it is on its way.
+      AskLater(served_name, kAskAgain);
+      return;
+    case wire::DemandVerdict::Loading:
+      OnLoading(served_name, milliseconds(answer->ready_in_ms));
+      return;
+    case wire::DemandVerdict::Refused:
+      OnRefused(served_name, *answer);
+      return;
+  }
+}
+
+void DemandBoard::OnLoading(const std::string& served_name, Duration ready_in) {
+  const MonotonicTime ready_at = m_loop.Now() + ready_in;
+  m_demands.at(served_name).m_ready_at = ready_at;
+  AskLater(served_name, kAskAgain);
+  EndWaits(
+      served_name,
+      [ready_at](const DemandWait& wait) { return wait.m_deadline < ready_at; },
+      TooLate(ready_in));
+}
+
+void DemandBoard::OnRefused(const std::string& served_name,
+                            const wire::DemandReplyT& reply) {
+  Demand& demand = m_demands.at(served_name);
+  const MonotonicTime asked = demand.m_asked_deadline;
+  demand.m_ready_at.reset();
+  const bool more_patient = std::any_of(
+      demand.m_waits.begin(), demand.m_waits.end(),
+      [asked](const DemandWait& wait) { return wait.m_deadline > asked; });
+  EndWaits(served_name,
+           [asked](const DemandWait& wait) { return wait.m_deadline <= asked; },
+           {.m_retry_after = milliseconds(reply.retry_after_ms),
+            .m_reason = reply.reason});
+  if (more_patient) {
+    Ask(served_name);
+  }
+}
+
+void DemandBoard::AskLater(const std::string& served_name, Duration delay) {
+  m_demands.at(served_name).m_again =
+      m_loop.After(delay, [this, served_name] { Ask(served_name); });
+}
+
+void DemandBoard::OnEndpointsChanged(
+    const std::function<bool(const std::string&)>& is_ready) {
+  std::vector<std::string> ready;
+  for (const auto& [served_name, demand] : m_demands) {
+    if (is_ready(served_name)) {
+      ready.push_back(served_name);
+    }
+  }
+  for (const std::string& served_name : ready) {
+    EndWaits(served_name, &All, {.m_ready = true});
+  }
+}
+
+void DemandBoard::EndWaits(
+    const std::string& served_name,
+    const std::function<bool(const DemandWait&)>& matches,
+    const DemandResult& result) {
+  const auto found = m_demands.find(served_name);
+  if (found == m_demands.end()) {
+    return;
+  }
+  std::vector<DemandWait> ended;
+  std::vector<DemandWait> kept;
+  for (DemandWait& wait : found->second.m_waits) {
+    (matches(wait) ? ended : kept).push_back(std::move(wait));
+  }
+  found->second.m_waits = std::move(kept);
+  if (found->second.m_waits.empty() && !found->second.m_asking) {
+    m_demands.erase(found);
+  }
+  for (const DemandWait& wait : ended) {
+    m_artifact_of.erase(wait.m_id);
+  }
+  for (const DemandWait& wait : ended) {
+    wait.m_callback(result);
+  }
+}
+
+}  // namespace hickoryloft::entry
--- /dev/null
+++ b/Source/entry/engine_call.cc
@@ -0,0 +1,145 @@
+#include "entry/engine_call.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace hickoryloft::entry {
+
+namespace {
+
+constexpr int kStatusOk = 200;
+constexpr int kFirstErrorStatus = 400;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusUnavailable = 503;
+constexpr int kFirstServerError = 500;
+
+std::uint32_t ToNumber(const std::string* text) {
+  std::uint32_t number = 0;
+  if (text != nullptr) {
+    std::from_chars(text->data(), text->data() + text->size(), number);
+  }
+  return number;
+}
+
+std::string ErrorCodeIn(const std::string& body) {
+  const auto json = nlohmann::json::parse(body, nullptr, false);
+  if (!json.is_object()) {
+    return "";
+  }
+  const auto error = json.find("error");
+  const bool coded = error != json.end() && error->is_object() &&
+                     error->contains("code") && (*error)["code"].is_string();
+  return coded ? (*error)["code"].get<std::string>() : "";
+}
+
+EngineFailure ToFailure(const Error& error) {
+  return {.m_kind = error.code() == ErrorCode::kUnavailable
+                        ? EngineFailureKind::kNotSent
+                        : EngineFailureKind::kMayHaveRun,
+          .m_detail = error.what()};
+}
+
+}  // namespace
+
+EngineCall::EngineCall(std::string request_id, EngineCallEvents events)
+    : m_request_id(std::move(request_id)), m_events(std::move(events)) {}
+
+void EngineCall::Start(endpoint::HttpClient& client,
+                       endpoint::CallRequest request) {
+  m_call = client.Start(
+      std::move(request),
+      {.m_head = [this](const endpoint::AnswerHead& head) { OnHead(head); },
+       .m_bytes = [this](std::string_view bytes) { OnBytes(bytes); },
+       .m_done = [this] { OnDone(); },
+       .m_failed = [this](const Error& error) { Fail(ToFailure(error)); }});
+}
+
+void EngineCall::OnHead(const endpoint::AnswerHead& head) {
+  m_head = head;
+  const std::string* waiting =
+      endpoint::FindHeader(head.m_headers, "X-Engine-Waiting");
+  const std::string* running =
+      endpoint::FindHeader(head.m_headers, "X-Engine-Running");
+  if (waiting != nullptr && running != nullptr) {
+    m_events.m_load(
+        {.m_waiting = ToNumber(waiting), .m_running = ToNumber(running)});
+  }
+  const std::string* id = endpoint::FindHeader(head.m_headers, "X-Request-Id");
+  const bool may_lack_id = head.m_status >= kFirstErrorStatus;
+  const bool id_fits = id == nullptr ? may_lack_id : *id == m_request_id;
+  if (!id_fits) {
+    Fail({.m_detail = "the answer bears another request's id",
+          .m_wrong_id = true});
+    return;
+  }
+  const std::string* type =
+      endpoint::FindHeader(head.m_headers, "Content-Type");
+  m_streamed = head.m_status == kStatusOk && type != nullptr &&
+               type->starts_with("text/event-stream");
+}
+
+void EngineCall::OnBytes(std::string_view bytes) {
+  if (!m_streamed) {
+    if (m_body.size() + bytes.size() > kMaxBodyBytes) {
+      Fail({.m_detail = "the answer is too long"});
+      return;
+    }
+    m_body.append(bytes);
+    return;
+  }
+  const endpoint::SseBatch batch = m_parser.Feed(bytes);
+  if (batch.m_malformed) {
+    Fail({.m_detail = "the stream holds an endless event"});
+    return;
+  }
+  m_finished = m_finished || batch.m_finished;
+  if (!batch.m_text.empty()) {
+    m_events.m_events(batch);
+  }
+}
+
+void EngineCall::OnDone() {
+  if (m_streamed && !m_finished) {
+    Fail({.m_detail = "the stream ended before its final marker"});
+    return;
+  }
+  if (m_head.m_status >= kFirstErrorStatus) {
+    OnRefused();
+    return;
+  }
+  const auto done = std::move(m_events.m_done);
+  done(m_head, m_body);
+}
+
+void EngineCall::OnRefused() {
+  const std::string code = ErrorCodeIn(m_body);
+  if (m_head.m_status == kStatusNotFound && code == "model_not_loaded") {
+    Fail({.m_kind = EngineFailureKind::kNotLoaded,
+          .m_detail = "the engine does not hold the model"});
+    return;
+  }
+  if (m_head.m_status == kStatusUnavailable && code == "leaving") {
+    Fail({.m_kind = EngineFailureKind::kLeaving,
+          .m_detail = "the engine is leaving"});
+    return;
+  }
+  const bool has_id =
+      endpoint::FindHeader(m_head.m_headers, "X-Request-Id") != nullptr;
+  if (m_head.m_status >= kFirstServerError || !has_id) {
+    Fail({.m_detail = "the engine answered with status " +
+                      std::to_string(m_head.m_status)});
+    return;
+  }
+  const auto done = std::move(m_events.m_done);
+  done(m_head, m_body);
+}
+
+void EngineCall::Fail(EngineFailure failure) {
+  const auto failed = std::move(m_events.m_failed);
+  if (failed) {
+    failed(failure);
+  }
+}
+
+}  // namespace hickoryloft::entry
--- /dev/null
+++ b/Source/entry/engine_dispatcher.h
@@ -0,0 +1,109 @@
+// Brings completion requests to engines: at once, or through the fair queue.
+
+#ifndef SOURCE_ENTRY_ENGINE_DISPATCHER_H_
+#define SOURCE_ENTRY_ENGINE_DISPATCHER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/event_loop.h"
+#include "base/random.h"
+#include "entry/entry_settings.h"
+#include "routing/admission_policy.h"
+#include "routing/answer_estimate.h"
+#include "routing/endpoint_chooser.h"
+#include "routing/endpoint_table.h"
+#include "routing/load_tracker.h"
+#include "routing/request_queue.h"
+
+namespace hickoryloft::entry {
+
+// A request that wants an engine.
+struct EngineJob {
+  routing::QueuedRequest m_request;
+  routing::PrefixChain m_prefix;
+  std::vector<EndpointId> m_avoid;  // Failed this request already.
+  // Called when the job may be sent to the endpoint, which then counts as
+  // loaded with it until Finished().
+  std::function<void(const routing::EndpointRecord&)> m_dispatch;
+  // Called when the last ready replica is gone while the job waits.
+  std::function<void()> m_replica_lost;
+};
+
+enum class SubmitOutcome {
+  kDispatched,
+  kQueued,
+  kNoReplica,  // None is ready; the job was not taken.
+  kRefused,    // No first answer in time; the job was not taken.
+};
+
+struct SubmitResult {
+  SubmitOutcome m_outcome = SubmitOutcome::kRefused;
+  routing::AdmissionDecision m_admission;
+};
+
+// Use on the loop's thread only. All arguments must outlive it.
+class EngineDispatcher {
+ public:
+  // Interval at which waiting jobs are looked at, as reports grow old.
+  static constexpr Duration kPumpInterval = milliseconds(20);
+
+  EngineDispatcher(EventLoop& loop,
+                   const EntrySettings& settings,
+                   routing::EndpointTable& table,
+                   routing::LoadTracker& loads,
+                   RandomEngine& random);
+
+  // Dispatches `job`, queues it, or says why not.
+  SubmitResult Submit(EngineJob job);
+  // Removes a job that waits.
+  void Cancel(std::uint64_t id);
+
+  // A job's call at `endpoint` has ended.
+  void Finished(const EndpointId& endpoint);
+  void OnReport(const EndpointId& endpoint, const routing::LoadReport& report);
+  void OnFirstAnswer(const std::string& served_name, Duration time);
+  // Corrects what was charged to an account for one request.
+  void CorrectCharge(const ClientAccountId& account,
+                     double weight,
+                     double tokens);
+  void OnTableChanged();
+
+  // Returns the expected time from the send of a call to its first byte.
+  Duration ExpectedFirstAnswer(const std::string& served_name) const;
+
+  routing::EndpointTable& table() { return m_table; }
+  std::size_t queued() const { return m_queue->size(); }
+
+ private:
+  using Candidates = routing::EndpointTable::Candidates;
+
+  bool IsOpen(const EndpointId& endpoint, MonotonicTime now) const;
+  Candidates OpenCandidates(const std::string& served_name,
+                            const std::vector<EndpointId>& avoid) const;
+  bool IsDispatchable(const std::string& served_name) const;
+  bool HasIdle(const Candidates& candidates) const;
+  void Dispatch(const EngineJob& job, const Candidates& open);
+  void Pump();
+
+  EventLoop& m_loop;
+  DispatchLimits m_limits;
+  routing::EndpointTable& m_table;
+  routing::LoadTracker& m_loads;
+  RandomEngine& m_random;
+  std::unique_ptr<routing::EndpointChooser> m_chooser;
+  std::unique_ptr<routing::RequestQueue> m_queue;
+  std::unique_ptr<routing::AdmissionPolicy> m_admission;
+  std::unordered_map<std::string, routing::AnswerEstimate> m_estimates;
+  std::unordered_map<std::uint64_t, EngineJob> m_jobs;  // Those that wait.
+  std::unique_ptr<Timer> m_timer;                       // While jobs wait.
+  bool m_pumping = false;
+};
+
+}  // namespace hickoryloft::entry
+
+#endif  // SOURCE_ENTRY_ENGINE_DISPATCHER_H_
--- /dev/null
+++ b/Source/entry/entry_daemon.cc
@@ -0,0 +1,169 @@
+#include "entry/entry_daemon.h"
+
+#include "base/log.h"
+#include "entry/endpoint_view.h"
+#include "routing/budgeted_retries.h"
+#include "routing/three_tries.h"
+
+namespace hickoryloft::entry {
+
+namespace {
+
+constexpr Duration kTickInterval = seconds(1);
+constexpr Duration kDocumentsReplyLimit = seconds(5);
+
+const Logger kLog("entry");
+
+std::unique_ptr<routing::RetryPolicy> MakeRetries(const std::string& name) {
+  if (name == "three-tries") {
+    return std::make_unique<routing::ThreeTries>();
+  }
+  return std::make_unique<routing::BudgetedRetries>();
+}
+
+}  // namespace
+
+EntryDaemon::EntryDaemon(EventLoop& loop,
+                         const EntrySettings& settings,
+                         const GateFactory& make_gates)
+    : m_loop(loop),
+      m_settings(settings),
+      m_random(RandomBits()),
+      m_metrics(m_registry),
+      m_client(loop, settings.m_endpoint_connect_timeout),
+      m_link(loop, m_settings, LinkEvents()),
+      m_serving(loop,
+                m_link,
+                {.m_revision = [this] { return m_documents.revision(); },
+                 .m_behind = [this] { QueryDocuments(); }}),
+      m_gates(make_gates(loop, m_link)),
+      m_dispatcher(loop, m_settings, m_table, m_loads, m_random),
+      m_demand(loop, m_link),
+      m_retries(MakeRetries(settings.m_policy.m_retries)),
+      m_context{.m_loop = loop,
+                .m_settings = m_settings,
+                .m_random = m_random,
+                .m_metrics = m_metrics,
+                .m_documents = m_documents,
+                .m_client = m_client,
+                .m_tokens = *m_gates.m_tokens,
+                .m_actions = *m_gates.m_actions,
+                .m_table = m_table,
+                .m_loads = m_loads,
+                .m_dispatcher = m_dispatcher,
+                .m_demand = m_demand,
+                .m_retries = *m_retries,
+                .m_running = m_running,
+                .m_executed = m_executed},
+      m_router(m_context, State()),
+      m_server(loop,
+               settings.m_listen,
+               settings.m_caller,
+               [this](const std::shared_ptr<CallerExchange>& exchange) {
+                 m_router.Handle(exchange);
+               }),
+      m_drain(loop, settings.m_drain, DrainEvents()),
+      m_tick(loop.Every(kTickInterval, [this] { OnTick(); })) {
+  m_link.Start();
+  m_serving.Start();
+  kLog.Info("Listening.", {{"address", settings.m_listen.m_address},
+                           {"port", m_server.port()}});
+}
+
+CoordinatorClient::Events EntryDaemon::LinkEvents() {
+  return {
+      .m_connected = [this] { OnConnected(); },
+      .m_notice = [this](const wire::EnvelopeT& notice) { OnNotice(notice); }};
+}
+
+EntryState EntryDaemon::State() {
+  return {.m_ready =
+              [this] {
+                return m_drain.phase() == DrainPhase::kServing &&
+                       m_serving.Valid(m_loop.Now());
+              },
+          .m_serving = [this] { return m_serving.Valid(m_loop.Now()); },
+          .m_draining =
+              [this] {
+                return m_drain.phase() != DrainPhase::kServing &&
+                       m_drain.phase() != DrainPhase::kUnready;
+              }};
+}
+
+Drain::Events EntryDaemon::DrainEvents() {
+  return {.m_refuse = [this] { m_server.CloseAfterAnswers(); },
+          .m_idle = [this] { return m_running.size() == 0; },
+          .m_cut = [this] { return m_running.CutAll(); },
+          .m_return_tokens =
+              [this] {
+                m_server.StopListening();
+                m_gates.m_tokens->ReturnAll();
+              },
+          .m_returning = [this] { return m_gates.m_returning(); },
+          .m_stopped = [this] { m_loop.Stop(); }};
+}
+
+void EntryDaemon::OnConnected() {
+  QueryDocuments();
+  m_serving.Renew();
+}
+
+void EntryDaemon::QueryDocuments() {
+  if (m_querying_documents) {
+    return;
+  }
+  m_querying_documents = true;
+  wire::DocumentQueryT query;
+  query.known_revision = m_documents.revision();
+  m_link.Request(wire::MakeEnvelope(query), kDocumentsReplyLimit,
+                 [this](const Result<wire::EnvelopeT>& reply) {
+                   m_querying_documents = false;
+                   const auto* snapshot =
+                       reply ? reply.value().body.AsDocumentSnapshot()
+                             : nullptr;
+                   if (snapshot == nullptr) {
+                     return;  // The next serving reply asks again.
+                   }
+                   if (m_documents.ApplySnapshot(*snapshot)) {
+                     OnDocumentsChanged();
+                   }
+                   m_serving.Renew();
+                 });
+}
+
+void EntryDaemon::OnNotice(const wire::EnvelopeT& notice) {
+  if (const auto* update = notice.body.AsDocumentUpdate()) {
+    if (m_documents.Apply(*update)) {
+      OnDocumentsChanged();
+    }
+  } else if (const auto* endpoints = notice.body.AsEndpointUpdate()) {
+    ApplyEndpointUpdate(*endpoints, m_loop.Now(), m_table, m_loads);
+    OnEndpointsChanged();
+  }
+}
+
+void EntryDaemon::OnDocumentsChanged() {
+  m_table.SetDraining(m_documents.Draining());
+  m_running.WithdrawKeys(m_documents);
+  OnEndpointsChanged();
+}
+
+void EntryDaemon::OnEndpointsChanged() {
+  m_dispatcher.OnTableChanged();
+  m_demand.OnEndpointsChanged([this](const std::string& served_name) {
+    return !m_table.Ready(served_name).empty();
+  });
+}
+
+void EntryDaemon::OnTick() {
+  m_table.ExpireHints(m_loop.Now());
+  m_registry.GetGauge("loft_entry_connections", "Open connections of callers.")
+      .Set(static_cast<double>(m_server.connections()));
+  m_registry.GetGauge("loft_entry_running_requests", "Requests being answered.")
+      .Set(static_cast<double>(m_running.size()));
+  m_registry
+      .GetGauge("loft_entry_queued_requests", "Requests waiting for an engine.")
+      .Set(static_cast<double>(m_dispatcher.queued()));
+}
+
+}  // namespace hickoryloft::entry
--- /dev/null
+++ b/Source/entry/event_exchange.h
@@ -0,0 +1,64 @@
+// CallerExchange on evhttp.
+
+#ifndef SOURCE_ENTRY_EVENT_EXCHANGE_H_
+#define SOURCE_ENTRY_EVENT_EXCHANGE_H_
+
+#include <event2/http.h>
+
+#include <memory>
+
+#include "entry/caller_exchange.h"
+
+struct bufferevent;
+
+namespace hickoryloft::entry {
+
+class CallerServer;
+
+// Owned by the server until its answer is sent or the caller has left; holders
+// of the shared pointer may use it safely after that. Use on the loop's thread
+// only.
+class EventExchange : public CallerExchange {
+ public:
+  EventExchange(CallerServer& server,
+                evhttp_request* request,
+                MonotonicTime received_at);
+
+  const CallerRequest& request() const override { return m_content; }
+  void Send(int status,
+            const endpoint::HeaderFields& headers,
+            std::string_view body) override;
+  void StartStream(int status, const endpoint::HeaderFields& headers) override;
+  void SendPiece(std::string_view piece) override;
+  void EndStream() override;
+  std::size_t PendingBytes() const override;
+  void Watch(std::function<void()> drained,
+             std::function<void()> left) override;
+
+  // Cuts the connection, as if the caller had left.
+  void Abort();
+
+ private:
+  static void OnClosed(evhttp_connection* connection, void* self);
+  static void OnDrained(evhttp_connection* connection, void* self);
+  static void OnSent(evhttp_request* request, void* server);
+
+  bufferevent* Buffer() const;
+  void AddHeaders(const endpoint::HeaderFields& headers);
+  // Gives the request back to evhttp, which frees it once it is sent.
+  evhttp_request* Release();
+
+  CallerServer& m_server;
+  evhttp_request* m_request;  // Null once answered or left.
+  CallerRequest m_content;
+  std::function<void()> m_drained;
+  std::function<void()> m_left;
+};
+
+// Returns the whole of `request` as data. Thread-safe.
+CallerRequest ReadCallerRequest(evhttp_request* request,
+                                MonotonicTime received_at);
+
+}  // namespace hickoryloft::entry
+
+#endif  // SOURCE_ENTRY_EVENT_EXCHANGE_H_
--- /dev/null
+++ b/Source/entry/executed_actions.h
@@ -0,0 +1,40 @@
+// Notices if the ledger ever lets one action run twice here.
+
+#ifndef SOURCE_ENTRY_EXECUTED_ACTIONS_H_
+#define SOURCE_ENTRY_EXECUTED_ACTIONS_H_
+
+#include <cstdint>
+#include <unordered_set>
+
+#include "base/hashing.h"
+#include "entry/action_gate.h"
+
+namespace hickoryloft::entry {
+
+// Remembers the actions that this entry has sent, up to a bound. Not
+// thread-safe.
+class ExecutedActions {
+ public:
+  static constexpr std::size_t kMaxRemembered = 100'000;
+
+  // Notes that `action` is sent. Returns false if it was sent before.
+  bool Insert(const ActionRequest& action) {
+    if (m_sent.size() >= kMaxRemembered) {
+      m_sent.clear();
+    }
+    return m_sent.insert(HashOf(action)).second;
+  }
+  // Notes that no byte of `action` has left after all.
+  void Erase(const ActionRequest& action) { m_sent.erase(HashOf(action)); }
+
+ private:
+  static std::uint64_t HashOf(const ActionRequest& action) {
+    return StableHash(action.m_key, StableHash(action.m_account.value()));
+  }
+
+  std::unordered_set<std::uint64_t> m_sent;
+};
+
+}  // namespace hickoryloft::entry
+
+#endif  // SOURCE_ENTRY_EXECUTED_ACTIONS_H_
--- /dev/null
+++ b/Source/entry/service_flow.h
@@ -0,0 +1,96 @@
+// The way of one request to a plain service.
+
+#ifndef SOURCE_ENTRY_SERVICE_FLOW_H_
+#define SOURCE_ENTRY_SERVICE_FLOW_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "endpoint/buffered_call.h"
+#include "entry/caller_exchange.h"
+#include "entry/entry_context.h"
+
+namespace hickoryloft::entry {
+
+// A request to a plain service, resolved by a document.
+struct ServiceRequest {
+  std::shared_ptr<const documents::Document> m_document;
+  std::shared_ptr<const Principal> m_principal;  // Null on an open route.
+  ServiceId m_service;
+  const documents::RouteSpec* m_route = nullptr;  // Lives in m_document.
+  std::string m_target;  // Path below the service, and query without the key.
+  std::string m_caller_key;
+  Duration m_patience{};
+};
+
+// Relays one request. A route that is not idempotent is called once, on a
+// connection of its own; with an Idempotency-Key only as the action ledger
+// allows. Such a call is not cancelled when its caller leaves, so that its
+// answer can be recorded. Kept alive by RunningRequests. Use on the loop's
+// thread only.
+class ServiceFlow : public RunningRequest,
+                    public std::enable_shared_from_this<ServiceFlow> {
+ public:
+  ServiceFlow(EntryContext& context,
+              std::shared_ptr<CallerExchange> exchange,
+              ServiceRequest request);
+
+  void Start();
+
+  const Principal* principal() const override {
+    return m_request.m_principal.get();
+  }
+  void WithdrawKey() override;
+  void Cut() override;
+
+ private:
+  void ReserveTokens();
+  void OnTokens(const Result<TokenDecision>& decision);
+  void BeginAction(const std::string& key);
+  void OnAction(const Result<ActionDecision>& decision);
+  void OnActionNotRun(const ActionDecision& decision);
+  // Calls an endpoint; `send_before` bounds the moment of the send.
+  void Call(std::optional<MonotonicTime> send_before);
+  const routing::EndpointRecord* ChooseEndpoint() const;
+  endpoint::CallRequest MakeCallRequest(const routing::EndpointRecord& endpoint,
+                                        const std::string& request_id) const;
+  void OnAnswer(const EndpointId& endpoint,
+                const std::string& request_id,
+                const Result<endpoint::Answer>& answer);
+  void OnCallFailed(const EndpointId& endpoint, const Error& error);
+  void Deliver(const endpoint::Answer& answer);
+  void RecordAction(ActionResult result, const RecordedAnswer& answer);
+  void RecordFirstAnswer();
+
+  void OnDeadline();
+  void OnCallerLeft();
+  void Refuse(const Problem& problem);
+  // The caller has its answer or has left.
+  void CloseCaller();
+  // Lets go of everything once neither the caller nor a recorded call needs it.
+  void EndIfDone();
+
+  EntryContext& m_context;
+  std::shared_ptr<CallerExchange> m_exchange;
+  ServiceRequest m_request;
+  std::string m_kind;
+  const RequestSeries& m_series;
+  std::uint64_t m_id = 0;
+  MonotonicTime m_deadline{};
+  std::unique_ptr<Timer> m_deadline_timer;
+
+  bool m_caller_open = true;
+  bool m_calling = false;  // A call runs, or its record is being made.
+  bool m_reserved = false;
+  bool m_sent = false;  // A call may have reached an endpoint.
+  std::uint32_t m_attempts = 0;
+  std::optional<ActionRequest> m_action;
+  std::uint64_t m_action_attempt = 0;
+  std::vector<EndpointId> m_failed_endpoints;
+};
+
+}  // namespace hickoryloft::entry
+
+#endif  // SOURCE_ENTRY_SERVICE_FLOW_H_
--- /dev/null
+++ b/Source/entry/serving_right.cc
@@ -0,0 +1,49 @@
+#include "entry/serving_right.h"
+
+#include <algorithm>
+
+namespace hickoryloft::entry {
+
+ServingRight::ServingRight(EventLoop& loop,
+                           CoordinatorLink& link,
+                           Events events)
+    : m_loop(loop), m_link(link), m_events(std::move(events)) {}
+
+void ServingRight::Start() {
+  m_timer = m_loop.Every(kRenewInterval, [this] { Renew(); });
+}
+
+void ServingRight::Renew() {
+  if (!m_link.connected()) {
+    return;
+  }
+  wire::ServingQueryT query;
+  query.documents_revision = m_events.m_revision();
+  const MonotonicTime sent = m_loop.Now();
+  m_link.Request(wire::MakeEnvelope(query), kReplyLimit,
+                 [this, sent, alive = std::weak_ptr<int>(m_alive)](
+                     const Result<wire::EnvelopeT>& reply) {
+                   if (!alive.expired()) {
+                     OnReply(sent, reply);
+                   }
+                 });
+}
+
+void ServingRight::OnReply(MonotonicTime sent,
+                           const Result<wire::EnvelopeT>& reply) {
+  if (!reply) {
+    return;  // The right runs out by itself.
+  }
+  const wire::ServingReplyT* granted = reply.value().body.AsServingReply();
+  if (granted == nullptr) {
+    return;
+  }
+  if (granted->documents_revision > m_events.m_revision()) {
+    m_events.m_behind();
+    return;
+  }
+  m_valid_until =
+      std::max(m_valid_until, sent + milliseconds(granted->valid_for_ms));
+}
+
+}  // namespace hickoryloft::entry
