--- /dev/null
+++ b/Specs/claims.pml
@@ -0,0 +1,306 @@
+// Claims, fencing and reservations: host 1 takes one placement claim over from
+// host 0, and both fill one endpoint that has room for one artifact. Host 0's
+// calls and every order may be delayed or lost, and host 0 may pause at any
+// point; host 1's calls may be lost. Times are kept as what is left of them, so
+// that a run has no end. See docs/design/specifications.md for what is left out.
+//
+// RUN: -DTTL=2 -DEFFECT_LIMIT=2
+// VARIANT: NO_FENCE
+// VARIANT: NO_WAIT_FOR_FENCE_BLIND
+// VARIANT: RESERVE_AFTER_ORDER
+// VARIANT: LAPSE_FROM_REPLY
+
+#define HOSTS 2
+/* TTL: the short lease. EFFECT_LIMIT: an order has its effect sooner than this
+   or never. */
+#define NO_ARTIFACT 2    /* Host 0 wants artifact 0, host 1 artifact 1. */
+
+#define LOADING 0
+#define UNLOADING 1
+
+/* The claim and host 0's lease, as the key-value service has them. */
+byte claim_holder = 0;
+byte lease_left = TTL;
+
+/* The endpoint's memory ledger in the key-value service: one reservation. */
+byte ledger_artifact = NO_ARTIFACT;
+byte ledger_state = LOADING;
+byte ledger_fence = 0;
+
+/* The endpoint. */
+bool checks_fencing;
+byte lowest_fence = 0;
+bool loaded[2];
+
+/* Each host's order on its way. */
+typedef Order {
+  bool used;
+  bool load;
+  byte artifact;
+  byte left;
+}
+Order orders[HOSTS];
+
+/* Host 0's lease as it sees it, and its renewal on its way. */
+byte valid_left = TTL;
+bool renewal_sent = false;
+bool renewal_done = false;
+byte renewal_left = 0;
+
+/* Host 1's acquisition. */
+bool acquisition_unknown = false;
+byte wait_left = 0;
+
+/* A host's own view. Its fencing number is its number plus one. */
+bool ready[HOSTS];           /* Holds the claim; earlier orders are over. */
+byte known_artifact[HOSTS];  /* The ledger as last read or written. */
+byte known_state[HOSTS];
+byte known_fence[HOSTS];
+bool current[HOSTS];         /* The ledger still stands at that revision. */
+bool order_due[HOSTS];       /* One order per acknowledged write. */
+byte load_left[HOSTS];    /* 0: no load order can still land. */
+
+/* Host 0's compare-and-swap on the ledger on its way. */
+bool write_sent = false;
+bool write_awaited = false;
+bool write_current = false;
+byte write_artifact = NO_ARTIFACT;
+byte write_state = LOADING;
+
+/* Host 1 keeps its lease to the end. */
+#define acts(h) (ready[h] && (h == 1 || valid_left > 0))
+#define may_write(h) (h == 1 || !write_sent)
+#define mine(h) (known_fence[h] == h + 1)
+#ifdef NO_WAIT_FOR_FENCE_BLIND
+#define waited true
+#else
+#define waited (wait_left == 0)
+#endif
+
+inline read_ledger(h) {
+  known_artifact[h] = ledger_artifact;
+  known_state[h] = ledger_state;
+  known_fence[h] = ledger_fence;
+  current[h] = true;
+  order_due[h] = false
+}
+
+/* The ledger is rewritten; every other view of it is out of date. */
+inline set_ledger(h, artifact, state) {
+  /* No reservation ends while its bytes are there. */
+  assert(artifact != NO_ARTIFACT || !(loaded[0] || loaded[1]));
+  ledger_artifact = artifact;
+  ledger_state = state;
+  ledger_fence = h + 1;
+  current[1 - h] = false;
+  write_current = false
+}
+
+inline learn_write(h, artifact, state) {
+  known_artifact[h] = artifact;
+  known_state[h] = state;
+  known_fence[h] = h + 1;
+  order_due[h] = artifact != NO_ARTIFACT
+}
+
+inline forget_write() {
+  write_sent = false;
+  write_awaited = false;
+  write_current = false;
+  write_artifact = NO_ARTIFACT;
+  write_state = LOADING
+}
+
+inline send_write(h, artifact, state) {
+  order_due[h] = false;
+  if
+  :: h == 0 ->
+    write_sent = true;
+    write_awaited = true;
+    write_current = current[0];
+    write_artifact = artifact;
+    write_state = state
+  :: h == 1 && current[1] ->
+    set_ledger(1, artifact, state);
+    if
+    :: learn_write(1, artifact, state)
+    :: current[1] = false
+    fi
+  :: else -> skip
+  fi
+}
+
+/* The service carries out host 0's compare-and-swap; the reply may be lost. */
+inline land_write() {
+  if
+  :: write_current ->
+    set_ledger(0, write_artifact, write_state);
+    if
+    :: write_awaited -> learn_write(0, write_artifact, write_state)
+    :: current[0] = false
+    fi
+  :: else -> current[0] = false
+  fi;
+  forget_write()
+}
+
+inline send_order(h, is_load, which) {
+  orders[h].used = true;
+  orders[h].load = is_load;
+  orders[h].artifact = which;
+  orders[h].left = EFFECT_LIMIT;
+  order_due[h] = false;
+  if
+  :: is_load -> load_left[h] = EFFECT_LIMIT
+  :: else
+  fi
+}
+
+inline forget_order(h) {
+  orders[h].used = false;
+  orders[h].load = false;
+  orders[h].artifact = 0;
+  orders[h].left = 0
+}
+
+/* The endpoint takes an order. */
+inline arrive(h) {
+  if
+  :: checks_fencing && h + 1 < lowest_fence -> skip
+  :: else ->
+    if
+    :: checks_fencing -> lowest_fence = h + 1
+    :: else
+    fi;
+    loaded[orders[h].artifact] = orders[h].load;
+    /* No byte beyond memory, and none without a reservation. */
+    assert(!(loaded[0] && loaded[1]));
+    assert(!orders[h].load || ledger_artifact == orders[h].artifact)
+  fi;
+  forget_order(h)
+}
+
+inline pass(time) {
+  if
+  :: time > 0 -> time--
+  :: else
+  fi
+}
+
+/* An order that has had no effect by its limit never has one. */
+inline age_order(h) {
+  pass(orders[h].left);
+  if
+  :: orders[h].used && orders[h].left == 0 -> forget_order(h)
+  :: else
+  fi
+}
+
+proctype Lease() {
+end:
+  do
+  :: atomic { !renewal_sent && !renewal_done && valid_left > 0 ->
+       renewal_left = TTL; renewal_sent = true }
+  :: atomic { renewal_sent ->
+       renewal_sent = false;
+       if
+       :: lease_left > 0 -> lease_left = TTL; renewal_done = true
+       :: else -> renewal_left = 0
+       fi }
+  :: atomic { renewal_done ->
+       if
+       /* The reply is lost. */
+       :: skip
+#ifdef LAPSE_FROM_REPLY
+       :: valid_left = TTL
+#else
+       :: valid_left < renewal_left -> valid_left = renewal_left
+#endif
+       fi;
+       renewal_done = false; renewal_left = 0 }
+  od
+}
+
+proctype Claim() {
+end:
+  do
+  :: atomic { claim_holder == 0 && lease_left == 0 ->
+       claim_holder = 1;
+       if
+       :: acquisition_unknown = true
+       :: wait_left = EFFECT_LIMIT
+       fi }
+  /* A lost reply is settled by reading the record back. */
+  :: atomic { acquisition_unknown ->
+       acquisition_unknown = false; wait_left = EFFECT_LIMIT }
+  :: atomic { claim_holder == 1 && !acquisition_unknown && !ready[1] &&
+       checks_fencing ->
+#ifndef NO_FENCE
+       lowest_fence = 2;
+#endif
+       ready[1] = true; wait_left = 0 }
+  :: atomic { claim_holder == 1 && !acquisition_unknown && !ready[1] &&
+       !checks_fencing && waited ->
+       ready[1] = true; wait_left = 0 }
+  od
+}
+
+proctype Holder(byte h; byte wanted) {
+end:
+  do
+  :: atomic { acts(h) && !current[h] && (h == 1 || !write_awaited) ->
+       read_ledger(h) }
+  /* Reserve, take over or change the reservation. */
+  :: atomic { acts(h) && may_write(h) && known_artifact[h] == NO_ARTIFACT &&
+       !order_due[h] -> send_write(h, wanted, LOADING) }
+  :: atomic { acts(h) && may_write(h) && known_artifact[h] != NO_ARTIFACT &&
+       (!mine(h) || known_state[h] == LOADING) ->
+       send_write(h, known_artifact[h], UNLOADING) }
+  /* Release on the endpoint's own proof, once no load order can still land. */
+  :: atomic { acts(h) && may_write(h) && known_artifact[h] != NO_ARTIFACT &&
+       mine(h) && known_state[h] == UNLOADING && !loaded[known_artifact[h]] &&
+       load_left[h] == 0 ->
+       send_write(h, NO_ARTIFACT, LOADING) }
+  /* Orders under the own reservation. */
+  :: atomic { acts(h) && order_due[h] && !orders[h].used ->
+       send_order(h, known_state[h] == LOADING, known_artifact[h]) }
+#ifdef RESERVE_AFTER_ORDER
+  :: atomic { acts(h) && known_artifact[h] == NO_ARTIFACT && current[h] &&
+       !orders[h].used -> send_order(h, true, wanted) }
+#endif
+  od
+}
+
+proctype Network() {
+end:
+  do
+  :: atomic {
+       pass(lease_left); pass(valid_left); pass(renewal_left); pass(wait_left);
+       pass(load_left[0]); pass(load_left[1]);
+       age_order(0); age_order(1) }
+  :: atomic { write_sent -> land_write() }
+  :: atomic { write_sent -> current[0] = false; forget_write() }
+  :: atomic { write_awaited -> current[0] = false; write_awaited = false }
+  :: atomic { orders[0].used -> arrive(0) }
+  :: atomic { orders[1].used -> arrive(1) }
+  :: atomic { orders[0].used -> forget_order(0) }
+  :: atomic { orders[1].used -> forget_order(1) }
+  od
+}
+
+init {
+  atomic {
+    if
+    :: checks_fencing = true
+    :: checks_fencing = false
+    fi;
+    ready[0] = true;
+    known_artifact[0] = NO_ARTIFACT;
+    known_artifact[1] = NO_ARTIFACT;
+    run Lease();
+    run Claim();
+    run Holder(0, 0);
+    run Holder(1, 1);
+    run Network()
+  }
+}
--- /dev/null
+++ b/Specs/outage_promise.pml
@@ -0,0 +1,211 @@
+// The successor's promise: host 0 holds a claim whose record names host 1 as its
+// successor. In an outage of the key-value service host 0 goes on only on host
+// 1's promise not to take over; any third host takes over only once both are
+// surely out. An outage is the loss of any number of calls. Times are kept as what
+// is left of them, so that a run has no end. See docs/design/specifications.md
+// for what is left out.
+//
+// RUN: -DTTL=2 -DLONG_TTL=5
+// VARIANT: LAPSE_FROM_REPLY
+// VARIANT: PROMISE_NOT_KEPT
+// VARIANT: PROMISE_WITHOUT_LONG_LEASE
+// VARIANT: PROMISE_WHILE_ACQUIRING
+// VARIANT: THIRD_HOST_AT_ONCE
+
+/* TTL: the short lease; LONG_TTL: the long lease. */
+#define NEVER 255
+
+/* The key-value service: the claim's holder, host 0's short lease as the record
+   names it, and host 1's long lease as the record names it. */
+byte claim_holder = 0;
+byte short_left = TTL;
+byte long_left = LONG_TTL;
+
+/* Host 0. */
+byte short_valid_left = TTL;
+byte promise_left = 0;
+bool renewal_sent = false;
+bool renewal_done = false;
+byte renewal_left = 0;
+bool request_sent = false;    /* For a promise, on its way to host 1. */
+bool request_granted = false; /* The promise is on its way back. */
+byte request_left = 0;
+
+/* Host 1. */
+bool successor = true;        /* Not restarted since the record was written. */
+byte long_valid_left = LONG_TTL;
+byte promised_left = 0;
+bool long_renewal_sent = false;
+bool long_renewal_done = false;
+byte long_renewal_left = 0;
+bool acquiring = false;       /* Its write of the record is on its way. */
+
+/* Host 2: what is left of its wait since it saw the successor gone. */
+byte third_wait_left = NEVER;
+
+#define holds (short_valid_left > 0 || promise_left > 0)
+#define holder_live (short_left > 0)
+#define successor_standing (long_left > 0)
+
+#ifdef PROMISE_WITHOUT_LONG_LEASE
+#define may_promise_by_lease true
+#else
+#define may_promise_by_lease (long_valid_left > 0)
+#endif
+#ifdef PROMISE_WHILE_ACQUIRING
+#define may_promise_by_state true
+#else
+#define may_promise_by_state (!acquiring)
+#endif
+#ifdef PROMISE_NOT_KEPT
+#define promise_over true
+#else
+#define promise_over (promised_left == 0)
+#endif
+#ifdef THIRD_HOST_AT_ONCE
+#define waited true
+#else
+#define waited (third_wait_left == 0)
+#endif
+
+inline pass(time) {
+  if
+  :: time > 0 -> time--
+  :: else
+  fi
+}
+
+inline check() {
+  assert(claim_holder == 0 || !holds)
+}
+
+proctype Holder() {
+end:
+  do
+  :: atomic { claim_holder == 0 && !renewal_sent && !renewal_done ->
+       renewal_sent = true; renewal_left = TTL }
+  :: atomic { renewal_done ->
+       if
+       /* The reply is lost. */
+       :: skip
+#ifdef LAPSE_FROM_REPLY
+       :: short_valid_left = TTL
+#else
+       :: short_valid_left < renewal_left ->
+         short_valid_left = renewal_left
+#endif
+       fi;
+       renewal_done = false; renewal_left = 0;
+       check() }
+  /* After a lapse: a new short lease, written into the record while it still
+     holds the claim. */
+  :: atomic { claim_holder == 0 && holds && !holder_live && !renewal_sent &&
+       !renewal_done ->
+       short_left = TTL;
+       short_valid_left = TTL;
+       acquiring = false;
+       third_wait_left = NEVER }
+  :: atomic { holds && !request_sent && !request_granted ->
+       request_sent = true; request_left = TTL }
+  :: atomic { request_granted ->
+       if
+       :: promise_left < request_left ->
+         promise_left = request_left
+       :: else
+       fi;
+       request_granted = false; request_left = 0;
+       check() }
+  od
+}
+
+proctype Successor() {
+end:
+  do
+  :: atomic { successor && !long_renewal_sent && !long_renewal_done &&
+       long_valid_left > 0 ->
+       long_renewal_sent = true; long_renewal_left = LONG_TTL }
+  :: atomic { long_renewal_done ->
+       if
+       /* The reply is lost. */
+       :: skip
+       :: long_valid_left < long_renewal_left ->
+         long_valid_left = long_renewal_left
+       fi;
+       long_renewal_done = false; long_renewal_left = 0 }
+  :: atomic { request_sent && successor && claim_holder == 0 &&
+       may_promise_by_lease && may_promise_by_state ->
+       request_sent = false;
+       promised_left = TTL;
+       if
+       :: request_granted = true
+       /* The reply is lost. */
+       :: request_left = 0
+       fi }
+  :: atomic { claim_holder == 0 && successor && !acquiring && !holder_live &&
+       promise_over -> acquiring = true }
+  /* A restarted host is another host; it knows no promise. */
+  :: atomic { successor ->
+       successor = false; acquiring = false; promised_left = 0;
+       long_valid_left = 0; long_renewal_sent = false;
+       long_renewal_done = false; long_renewal_left = 0 }
+  od
+}
+
+proctype Third() {
+end:
+  do
+  :: atomic { claim_holder == 0 && !holder_live && !successor_standing ->
+       if
+       :: third_wait_left == NEVER -> third_wait_left = TTL
+       :: else -> skip
+       fi;
+       if
+       :: waited -> claim_holder = 2; acquiring = false; check()
+       :: else
+       fi }
+  od
+}
+
+proctype Network() {
+end:
+  do
+  /* Time passes; after a takeover it can only help. */
+  :: atomic { claim_holder == 0 ->
+       pass(short_left); pass(long_left); pass(short_valid_left);
+       pass(promise_left); pass(renewal_left); pass(request_left);
+       pass(long_valid_left); pass(promised_left); pass(long_renewal_left);
+       if
+       :: third_wait_left != NEVER -> pass(third_wait_left)
+       :: else
+       fi }
+  :: atomic { renewal_sent ->
+       renewal_sent = false;
+       if
+       :: claim_holder == 0 && holder_live ->
+         short_left = TTL; renewal_done = true
+       :: else -> renewal_left = 0
+       fi }
+  :: atomic { renewal_sent -> renewal_sent = false; renewal_left = 0 }
+  :: atomic { long_renewal_sent ->
+       long_renewal_sent = false;
+       if
+       :: successor_standing ->
+         long_left = LONG_TTL; long_renewal_done = true
+       :: else -> long_renewal_left = 0
+       fi }
+  :: atomic { long_renewal_sent ->
+       long_renewal_sent = false; long_renewal_left = 0 }
+  :: atomic { request_sent -> request_sent = false; request_left = 0 }
+  :: atomic { acquiring && claim_holder == 0 ->
+       acquiring = false; claim_holder = 1; check() }
+  od
+}
+
+init {
+  atomic {
+    run Holder();
+    run Successor();
+    run Third();
+    run Network()
+  }
+}
