--- /dev/null
+++ b/Specs/document_acceptance.pml
@@ -0,0 +1,149 @@
+// Acceptance of documents: a revision is accepted once it is swapped into the
+// key-value service and a majority of the member view serves by it; a host
+// serves only while it has heard in time from the service or from a majority.
+// Every host may be cut from the service and from the others at any time, and
+// may restart. Times are kept as what is left of them, so that a run has no
+// end. See docs/design/specifications.md for what is left out.
+//
+// RUN: -DLIMIT=2 -DREVISIONS=1
+// VARIANT: ACCEPT_WITHOUT_MAJORITY
+// VARIANT: SERVE_WITHOUT_FRESHNESS
+// VARIANT: RESTARTED_HOST_COUNTS
+
+/* LIMIT: how long one proof lets a host serve. REVISIONS: documents written. */
+#define HOSTS 3
+#define MAJORITY 2
+#define SLOTS 4  /* REVISIONS + 1, at most. */
+
+byte stored = 0;             /* The newest revision in the service. */
+bool accepted[SLOTS];
+byte grace_left[SLOTS];      /* Until the accepted revision must be in force. */
+
+typedef Host {
+  bool joined;               /* Has read the service since its start. */
+  byte applied;
+  byte proof_revision;       /* The newest that a read has shown. */
+  byte proof_left;
+  byte heard_revision;       /* The newest that a heartbeat has shown. */
+  byte heard_left;           /* Of the last heartbeat from another member. */
+  bool acknowledged[SLOTS];
+}
+Host hosts[HOSTS];
+
+#ifdef SERVE_WITHOUT_FRESHNESS
+#define proved(h) true
+#else
+/* With three members one other makes a majority. */
+#define proved(h) \
+  ((hosts[h].proof_left > 0 && hosts[h].applied >= hosts[h].proof_revision) || \
+   (hosts[h].heard_left > 0 && hosts[h].applied >= hosts[h].heard_revision))
+#endif
+#define serves(h) (hosts[h].joined && proved(h))
+#define in_force(h, r) (!serves(h) || hosts[h].applied >= r)
+
+inline pass(time) {
+  if
+  :: time > 0 -> time--
+  :: else
+  fi
+}
+
+inline raise(value, other) {
+  if
+  :: value < other -> value = other
+  :: else
+  fi
+}
+
+inline check() {
+  for (r : 1 .. REVISIONS) {
+    assert(!accepted[r] || grace_left[r] > 0 ||
+      (in_force(0, r) && in_force(1, r) && in_force(2, r)))
+  }
+}
+
+inline read_service(h) {
+  raise(hosts[h].proof_revision, stored);
+  hosts[h].proof_left = LIMIT;
+  /* The first read of a run is applied before the host takes part. */
+  if
+  :: !hosts[h].joined ->
+    hosts[h].joined = true;
+    hosts[h].applied = stored
+  :: else
+  fi
+}
+
+inline restart(h) {
+#ifndef RESTARTED_HOST_COUNTS
+  hosts[h].joined = false;
+#endif
+  hosts[h].applied = 0;
+  hosts[h].proof_revision = 0;
+  hosts[h].proof_left = 0;
+  hosts[h].heard_revision = 0;
+  hosts[h].heard_left = 0
+}
+
+proctype Member(byte h; byte left; byte right) {
+  byte r = 0;
+end:
+  do
+  :: atomic { hosts[h].proof_left < LIMIT || hosts[h].proof_revision < stored ->
+       read_service(h); check(); r = 0 }
+  /* A heartbeat to one other member and its answer. */
+  :: atomic { hosts[h].joined && hosts[left].joined ->
+       raise(hosts[h].heard_revision, hosts[left].applied);
+       hosts[h].heard_left = LIMIT; check(); r = 0 }
+  :: atomic { hosts[h].joined && hosts[right].joined ->
+       raise(hosts[h].heard_revision, hosts[right].applied);
+       hosts[h].heard_left = LIMIT; check(); r = 0 }
+  :: atomic { hosts[h].applied < hosts[h].proof_revision ->
+       hosts[h].applied = hosts[h].proof_revision; check(); r = 0 }
+  :: atomic { hosts[h].applied < hosts[h].heard_revision ->
+       hosts[h].applied = hosts[h].heard_revision; check(); r = 0 }
+  /* An acknowledgement reaches whoever publishes the revision. */
+  :: atomic { hosts[h].joined && hosts[h].applied > 0 &&
+       !hosts[h].acknowledged[hosts[h].applied] ->
+       hosts[h].acknowledged[hosts[h].applied] = true }
+  :: atomic { hosts[h].applied > 0 -> restart(h) }
+  od
+}
+
+#ifdef ACCEPT_WITHOUT_MAJORITY
+#define enough(r) true
+#else
+#define enough(r) (hosts[0].acknowledged[r] + hosts[1].acknowledged[r] + \
+  hosts[2].acknowledged[r] >= MAJORITY)
+#endif
+
+proctype Publisher() {
+  byte r = 0;
+end:
+  do
+  :: atomic { stored < REVISIONS -> stored++ }
+  :: atomic { stored > 0 && !accepted[stored] && enough(stored) ->
+       accepted[stored] = true; grace_left[stored] = LIMIT }
+  :: atomic { true ->
+       for (r : 0 .. HOSTS - 1) {
+         pass(hosts[r].proof_left);
+         pass(hosts[r].heard_left)
+       }
+       for (r : 1 .. REVISIONS) {
+         pass(grace_left[r])
+       }
+       check(); r = 0 }
+  od
+}
+
+init {
+  atomic {
+    hosts[0].joined = true;
+    hosts[1].joined = true;
+    hosts[2].joined = true;
+    run Member(0, 1, 2);
+    run Member(1, 2, 0);
+    run Member(2, 0, 1);
+    run Publisher()
+  }
+}
