--- a/Source/tools/load/scenario.cc
+++ b/Source/tools/load/scenario.cc
@@ -6,11 +6,11 @@
 #include <filesystem>
 #include <set>
 #include <sstream>
-#include <toml.hpp>
 
 #include "base/error.h"
 #include "documents/table_reader.h"
 #include "settings/settings_file.h"
+#include "settings/toml_text.h"
 
 namespace hickoryloft::tools {
 namespace {
@@ -46,15 +46,6 @@
   return flow;
 }
 
-toml::value ParseToml(const std::string& path) {
-  std::istringstream text(settings::ReadFile(path));
-  try {
-    return toml::parse(text, path);
-  } catch (const toml::exception& failure) {
-    throw Error(ErrorCode::kInvalidDocument, failure.what());
-  }
-}
-
 }  // namespace
 
 endpoint::EndpointAddress ParseLoopback(const std::string& text) {
@@ -81,7 +72,8 @@
 }
 
 Scenario LoadScenario(const std::string& path) {
-  const toml::value root = ParseToml(path);
+  const toml::table root = settings::ParseTomlText(
+      settings::ReadFile(path), path, ErrorCode::kInvalidDocument);
   TableReader reader(root, "", path);
   Scenario scenario;
   for (const std::string& target : reader.StringList("targets")) {
