--- a/Source/tools/ctl/commands.h
+++ b/Source/tools/ctl/commands.h
@@ -11,7 +11,7 @@
 
 // What the command line gives; each command uses its part.
 struct CtlOptions {
-  std::string m_coordinator = "127.0.0.1:7402";
+  std::string m_coordinator = "127.0.0.1:7401";
   std::string m_operator_key_file;
   milliseconds m_timeout{10000};
   bool m_json = false;
