--- /dev/null
+++ b/Source/coordinator/claim_keeper.h
@@ -0,0 +1,98 @@
+// Carries out what the claim table decides.
+
+#ifndef SOURCE_COORDINATOR_CLAIM_KEEPER_H_
+#define SOURCE_COORDINATOR_CLAIM_KEEPER_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/event_loop.h"
+#include "base/log.h"
+#include "claims/claim_table.h"
+#include "coordinator/member_view.h"
+#include "coordinator/peer_mesh.h"
+#include "platform/key_value_service.h"
+
+namespace hickoryloft::coordinator {
+
+// Use on the loop's thread only.
+class ClaimKeeper {
+ public:
+  struct Callbacks {
+    std::function<void(const claims::ClaimHeld&)> m_held;
+    std::function<void(const claims::ClaimLost&)> m_lost;
+    // Another host is preferred; call Move() if the claim may go now.
+    std::function<void(const claims::MoveClaim&)> m_move;
+  };
+
+  // Everything passed by reference must outlive the keeper.
+  ClaimKeeper(EventLoop& loop,
+              platform::KeyValueService& key_values,
+              PeerMesh& peers,
+              const Member& self,
+              claims::ClaimSettings settings,
+              Callbacks callbacks);
+
+  // Reads who holds what, then decides at short intervals.
+  void Start();
+
+  const claims::ClaimTable& table() const { return m_table; }
+
+  void OnMembersChanged(const MemberView& view);
+  void SetWanted(const std::vector<claims::ClaimName>& claims);
+  void OnShortLease(platform::LeaseId lease, MonotonicTime sent_at);
+  void OnShortLeaseLost();
+  void OnLongLease(platform::LeaseId lease, MonotonicTime sent_at);
+  void OnLongLeaseLost();
+  // Tells a newly connected coordinator what this host holds.
+  void OnPeerConnected(const HostId& host);
+
+  void OnPromiseRequest(const wire::PromiseRequestT& request,
+                        const Responder& respond);
+  void OnNotice(const wire::ClaimNoticeT& notice);
+  void OnHandOver(const wire::HandOverT& hand_over);
+
+  void StopAcquiring() { m_table.StopAcquiring(); }
+  void Release(const claims::ClaimName& claim,
+               const HostId& next,
+               std::string payload);
+
+ private:
+  void LoadHolders();
+  void Tick();
+  void RunEffects();
+
+  void Run(const claims::ReadEvidence& effect);
+  void Run(const claims::WriteClaim& effect);
+  void Run(const claims::RequestPromise& effect);
+  void Run(const claims::ClaimHeld& effect);
+  void Run(const claims::ClaimLost& effect);
+  void Run(const claims::AnnounceClaim& effect);
+  void Run(const claims::SendHandOver& effect);
+  void Run(const claims::MoveClaim& effect);
+
+  void OnClaimRead(const claims::ClaimName& claim,
+                   const Result<platform::ReadReply>& result);
+  void ReadSuccessor(const claims::ClaimName& claim,
+                     const claims::ClaimEvidence& evidence);
+  void Answer(const claims::ClaimName& claim,
+              const std::optional<claims::ClaimEvidence>& evidence);
+
+  EventLoop& m_loop;
+  platform::KeyValueService& m_key_values;
+  PeerMesh& m_peers;
+  Member m_self;
+  Callbacks m_callbacks;
+  Logger m_log{"claims"};
+  claims::ClaimTable m_table;
+  bool m_running_effects = false;
+  std::unique_ptr<Timer> m_timer;
+  std::unique_ptr<Timer> m_load_retry;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}  // namespace hickoryloft::coordinator
+
+#endif  // SOURCE_COORDINATOR_CLAIM_KEEPER_H_
--- /dev/null
+++ b/Source/coordinator/daemon.h
@@ -0,0 +1,16 @@
+// Runs a coordinator process from its settings.
+
+#ifndef SOURCE_COORDINATOR_DAEMON_H_
+#define SOURCE_COORDINATOR_DAEMON_H_
+
+#include "settings/setting_table.h"
+
+namespace hickoryloft::coordinator {
+
+// Runs until a planned stop (SIGTERM or SIGINT) is done; a second signal ends
+// it at once. Throws Error if it cannot start.
+void RunDaemon(const settings::Settings& settings);
+
+}  // namespace hickoryloft::coordinator
+
+#endif  // SOURCE_COORDINATOR_DAEMON_H_
--- /dev/null
+++ b/Source/coordinator/document_keeper.cc
@@ -0,0 +1,281 @@
+// Freshness and acceptance; document_texts.cc moves the texts.
+
+#include "coordinator/document_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "coordinator/keys.h"
+#include "wire/frame.h"
+
+namespace hickoryloft::coordinator {
+
+namespace {
+
+constexpr Duration kStepInterval = milliseconds(100);
+// How often the first watcher of a failure domain reads the manifest.
+constexpr Duration kReadInterval = milliseconds(1600);
+// How often every other host asks a watcher.
+constexpr Duration kAskInterval = milliseconds(1000);
+constexpr Duration kAskTimeout = milliseconds(400);
+// After a failure another watcher is asked for this long.
+constexpr Duration kBackToFirst = seconds(10);
+// A proof that is this close to its limit is helped by heartbeats.
+constexpr Duration kHeartbeatLead = milliseconds(350);
+constexpr Duration kHeartbeatInterval = seconds(2);
+constexpr Duration kHeartbeatTimeout = seconds(1);
+constexpr Duration kAckPatience = seconds(2);
+
+}  // namespace
+
+DocumentKeeper::DocumentKeeper(EventLoop& loop,
+                               platform::KeyValueService& key_values,
+                               PeerMesh& peers,
+                               const MemberView& view,
+                               const Member& self,
+                               DocumentSettings settings)
+    : m_loop(loop),
+      m_key_values(key_values),
+      m_peers(peers),
+      m_view(view),
+      m_self(self),
+      m_settings(settings),
+      m_tracker(settings.m_freshness_limit) {}
+
+void DocumentKeeper::Start() {
+  m_timer = m_loop.Every(kStepInterval, [this] { Step(); });
+  Step();
+}
+
+void DocumentKeeper::OnMembersChanged() {
+  m_tracker.SetMembers(m_view.Hosts(), m_view.digest(), m_self.m_host);
+}
+
+Duration DocumentKeeper::ServeFor(MonotonicTime now) const {
+  const auto until = m_tracker.ServeUntil();
+  return until && *until > now ? *until - now : Duration::zero();
+}
+
+void DocumentKeeper::Step() {
+  const MonotonicTime now = m_loop.Now();
+  if (IsWatcher()) {
+    if (!m_watch && !m_loading && now >= m_watch_at) {
+      StartWatch();
+    }
+    ListUnlisted(now);
+  } else {
+    m_watch.reset();
+  }
+  Poll(now);
+  ExchangeHeartbeats(now);
+  FetchMissing();
+  AnswerAcks();
+}
+
+bool DocumentKeeper::IsReader() const {
+  if (m_view.Find(m_self.m_host) == nullptr) {
+    return true;
+  }
+  const auto order = m_view.WatchOrder(m_self.m_failure_domain);
+  // A leaving host is in no order; the others may be leaving too.
+  return order.empty() || order.front() == m_self.m_host;
+}
+
+bool DocumentKeeper::IsWatcher() const {
+  return m_view.Find(m_self.m_host) == nullptr ||
+         m_view.IsWatcher(m_self.m_host) || IsReader();
+}
+
+void DocumentKeeper::Poll(MonotonicTime now) {
+  const bool reader = IsReader();
+  const bool alone = Sources().empty();
+  const bool read = reader || alone || (IsWatcher() && m_ask_failures > 0);
+  if (read && !m_reading && now >= m_read_at) {
+    m_read_at = now + kReadInterval;
+    ReadManifestKey();
+  }
+  // A reader that the service does not answer soon asks other watchers too.
+  const bool slow = m_reading && now >= m_read_at - kReadInterval + kAskTimeout;
+  const bool ask = !reader || m_read_failed || slow;
+  if (ask && !alone && !m_asking && now >= m_ask_at) {
+    m_ask_at = now + kAskInterval;
+    AskPeer();
+  }
+}
+
+void DocumentKeeper::ReadManifestKey() {
+  m_reading = true;
+  const MonotonicTime sent_at = m_loop.Now();
+  const std::weak_ptr<bool> alive = m_alive;
+  m_key_values.Get(kManifestKey, [this, alive, sent_at](
+                                     const Result<platform::ReadReply>& r) {
+    if (alive.expired()) {
+      return;
+    }
+    m_reading = false;
+    m_read_failed = !r.ok();
+    if (!r) {
+      return;
+    }
+    try {
+      const StoredManifest stored = ReadManifest(r.value());
+      m_tracker.OnProof({stored.m_revision, sent_at});
+      m_table.SetManifest(stored.m_manifest, stored.m_revision);
+      Advance();
+    } catch (const Error& error) {
+      m_log.Error("The manifest cannot be used.", {{"reason", error.what()}});
+    }
+  });
+}
+
+// The watchers of the own failure domain first, then those of the others.
+std::vector<HostId> DocumentKeeper::Sources() const {
+  std::vector<HostId> sources;
+  const auto add = [&](const FailureDomainId& domain) {
+    const auto order = m_view.WatchOrder(domain);
+    const std::size_t count =
+        std::min(order.size(), MemberView::kWatchersPerDomain);
+    for (std::size_t i = 0; i < count; ++i) {
+      if (order[i] != m_self.m_host) {
+        sources.push_back(order[i]);
+      }
+    }
+  };
+  add(m_self.m_failure_domain);
+  for (const FailureDomainId& domain : m_view.Domains()) {
+    if (domain != m_self.m_failure_domain) {
+      add(domain);
+    }
+  }
+  return sources;
+}
+
+void DocumentKeeper::AskPeer() {
+  const std::vector<HostId> sources = Sources();
+  const HostId source = sources[m_ask_failures % sources.size()];
+  m_asking = true;
+  const MonotonicTime sent_at = m_loop.Now();
+  const std::weak_ptr<bool> alive = m_alive;
+  m_peers.Request(
+      source, wire::MakeEnvelope(wire::FreshnessQueryT{}), kAskTimeout,
+      [this, alive, source, sent_at](const Result<wire::EnvelopeT>& result) {
+        if (alive.expired()) {
+          return;
+        }
+        m_asking = false;
+        const wire::FreshnessReplyT* reply =
+            result ? result.value().body.AsFreshnessReply() : nullptr;
+        if (reply != nullptr) {
+          OnFreshnessReply(source, *reply, sent_at);
+        }
+        if (reply == nullptr || !reply->vouched) {
+          ++m_ask_failures;
+          m_ask_at = MonotonicTime{};
+          m_back_to_first_at = m_loop.Now() + kBackToFirst;
+        }
+      });
+}
+
+void DocumentKeeper::OnFreshnessReply(const HostId& from,
+                                      const wire::FreshnessReplyT& reply,
+                                      MonotonicTime sent_at) {
+  if (reply.members_digest != m_view.digest()) {
+    m_members_differ(from);
+  }
+  if (!reply.vouched) {
+    return;
+  }
+  m_tracker.OnProof(
+      {reply.documents_revision, sent_at - milliseconds(reply.age_ms)});
+  m_wanted_revision = std::max(m_wanted_revision, reply.documents_revision);
+  if (m_loop.Now() >= m_back_to_first_at) {
+    m_ask_failures = 0;
+  }
+}
+
+void DocumentKeeper::OnFreshnessQuery(const Responder& respond) {
+  wire::FreshnessReplyT reply;
+  reply.members_digest = m_view.digest();
+  if (const auto& proof = m_tracker.proof()) {
+    const Duration age = m_loop.Now() - proof->m_began;
+    // Rounded up, so that the asker never counts from too late.
+    reply.age_ms = static_cast<std::uint32_t>(ToMillis(age).count() + 1);
+    reply.documents_revision = proof->m_revision;
+    reply.vouched = age < m_settings.m_freshness_limit;
+  }
+  respond(wire::MakeEnvelope(std::move(reply)));
+}
+
+void DocumentKeeper::ExchangeHeartbeats(MonotonicTime now) {
+  const auto& proof = m_tracker.proof();
+  const bool aging =
+      !proof ||
+      now >= proof->m_began + m_settings.m_freshness_limit - kHeartbeatLead;
+  if (!aging || now < m_heartbeat_at) {
+    return;
+  }
+  m_heartbeat_at = now + kHeartbeatInterval;
+  const std::weak_ptr<bool> alive = m_alive;
+  for (const HostId& host : m_view.Hosts()) {
+    if (host == m_self.m_host) {
+      continue;
+    }
+    m_peers.Request(
+        host, wire::MakeEnvelope(MakeHeartbeat()), kHeartbeatTimeout,
+        [this, alive, host, now](const Result<wire::EnvelopeT>& result) {
+          if (alive.expired() || !result) {
+            return;
+          }
+          if (const auto* heartbeat = result.value().body.AsHeartbeat()) {
+            m_tracker.OnHeartbeat(host, heartbeat->documents_revision,
+                                  heartbeat->members_digest, now);
+            m_wanted_revision =
+                std::max(m_wanted_revision, heartbeat->documents_revision);
+          }
+        });
+  }
+}
+
+void DocumentKeeper::OnHeartbeat(const HostId& /*from*/,
+                                 const wire::HeartbeatT& heartbeat,
+                                 const Responder& respond) {
+  m_wanted_revision = std::max(m_wanted_revision, heartbeat.documents_revision);
+  respond(wire::MakeEnvelope(MakeHeartbeat()));
+}
+
+wire::HeartbeatT DocumentKeeper::MakeHeartbeat() const {
+  wire::HeartbeatT heartbeat;
+  heartbeat.host = m_self.m_host.value();
+  heartbeat.incarnation = m_self.m_incarnation;
+  heartbeat.documents_revision = m_table.applied_revision();
+  heartbeat.members_digest = m_view.digest();
+  return heartbeat;
+}
+
+void DocumentKeeper::OnAckQuery(const HostId& /*from*/,
+                                const wire::DocumentAckQueryT& query,
+                                Responder respond) {
+  m_wanted_revision = std::max(m_wanted_revision, query.revision);
+  m_pending_acks.push_back({.m_revision = query.revision,
+                            .m_respond = std::move(respond),
+                            .m_expires_at = m_loop.Now() + kAckPatience});
+  FetchMissing();
+  AnswerAcks();
+}
+
+void DocumentKeeper::AnswerAcks() {
+  const MonotonicTime now = m_loop.Now();
+  const Revision applied = m_table.applied_revision();
+  std::erase_if(m_pending_acks, [&](const PendingAck& ack) {
+    if (applied < ack.m_revision) {
+      return now >= ack.m_expires_at;
+    }
+    wire::DocumentAckT reply;
+    reply.revision = applied;
+    reply.members_digest = m_view.digest();
+    ack.m_respond(wire::MakeEnvelope(std::move(reply)));
+    return true;
+  });
+}
+
+}  // namespace hickoryloft::coordinator
--- /dev/null
+++ b/Source/coordinator/document_texts.cc
@@ -0,0 +1,333 @@
+// The part of the document keeper that moves texts: watch, fetch, put in force.
+
+#include <algorithm>
+#include <utility>
+
+#include "coordinator/document_keeper.h"
+#include "coordinator/keys.h"
+#include "documents/parse_document.h"
+#include "wire/frame.h"
+
+namespace hickoryloft::coordinator {
+
+namespace {
+
+constexpr Duration kWatchRetry = milliseconds(1000);
+constexpr Duration kFetchRetry = milliseconds(150);
+constexpr Duration kFetchTimeout = milliseconds(1500);
+// A stored document that its writer did not list is listed by a watcher.
+constexpr Duration kListAfter = seconds(2);
+constexpr Duration kInvalidTextRetry = seconds(60);
+// Hosts fetch texts along a tree over the watch order of their failure domain,
+// so that no host sends a text to all of it.
+constexpr std::size_t kFanOut = 4;
+// Tries at the parent in the tree before other hosts are asked.
+constexpr std::size_t kParentTries = 4;
+
+}  // namespace
+
+void DocumentKeeper::StartWatch() {
+  m_loading = true;
+  const std::weak_ptr<bool> alive = m_alive;
+  m_key_values.GetPrefix(
+      kDocumentsWatchPrefix,
+      [this, alive](const Result<platform::ReadReply>& result) {
+        if (alive.expired()) {
+          return;
+        }
+        m_loading = false;
+        m_watch_at = m_loop.Now() + kWatchRetry;
+        if (!result) {
+          return;
+        }
+        platform::WatchBatch batch{.m_revision = result.value().m_revision};
+        for (const platform::KeyValue& item : result.value().m_items) {
+          batch.m_events.push_back({.m_deleted = false, .m_item = item});
+        }
+        m_watch = m_key_values.WatchPrefix(
+            kDocumentsWatchPrefix, batch.m_revision,
+            [this](const platform::WatchBatch& changes) { OnBatch(changes); },
+            [this](const Error& error) {
+              m_log.Warn("The watch on the documents ended.",
+                         {{"reason", error.what()}});
+              m_watch.reset();
+              m_watch_at = m_loop.Now() + kWatchRetry;
+            });
+        OnBatch(batch);
+      });
+}
+
+void DocumentKeeper::OnBatch(const platform::WatchBatch& batch) {
+  for (const platform::WatchEvent& event : batch.m_events) {
+    const platform::KeyValue& item = event.m_item;
+    if (item.m_key == kManifestKey) {
+      if (!event.m_deleted) {
+        try {
+          m_table.SetManifest(documents::ParseManifest(item.m_value),
+                              item.m_mod_revision);
+        } catch (const Error& error) {
+          m_log.Error("The manifest cannot be used.",
+                      {{"reason", error.what()}});
+        }
+      }
+      continue;
+    }
+    if (!item.m_key.starts_with(kDocumentsPrefix)) {
+      continue;
+    }
+    const ServiceId service(item.m_key.substr(kDocumentsPrefix.size()));
+    if (event.m_deleted) {
+      NoteRemoval(service, std::max(item.m_mod_revision, batch.m_revision));
+    } else {
+      m_unlisted_removals.erase(service);
+      m_table.AddText(service, {item.m_mod_revision, item.m_value});
+    }
+  }
+  Advance();
+}
+
+void DocumentKeeper::NoteRemoval(const ServiceId& service, Revision revision) {
+  const auto& manifest = m_table.manifest();
+  const auto listed = manifest.find(service);
+  if (listed != manifest.end() && !listed->second.m_removed) {
+    m_unlisted_removals[service] = revision;
+  }
+}
+
+void DocumentKeeper::ListUnlisted(MonotonicTime now) {
+  std::map<ServiceId, documents::ManifestEntry> unlisted;
+  for (const auto& [service, revision] : m_table.Unlisted()) {
+    unlisted[service] = {revision, false};
+  }
+  for (const auto& [service, revision] : m_unlisted_removals) {
+    unlisted[service] = {revision, true};
+  }
+  std::erase_if(m_unlisted_since, [&](const auto& item) {
+    return !unlisted.contains(item.first);
+  });
+  for (const auto& [service, entry] : unlisted) {
+    MonotonicTime& since =
+        m_unlisted_since.try_emplace(service, now).first->second;
+    if (now < since + kListAfter) {
+      continue;
+    }
+    since = now;
+    if (entry.m_removed || MayList(service)) {
+      List(service, entry);
+    } else {
+      since = now + kInvalidTextRetry;
+    }
+  }
+}
+
+// A text that was written past the checks is never listed.
+bool DocumentKeeper::MayList(const ServiceId& service) const {
+  try {
+    const documents::DocumentText* text = m_table.StagedText(service);
+    if (text != nullptr) {
+      documents::ParseDocument(service, text->m_text, service.value());
+    }
+    return text != nullptr;
+  } catch (const Error& error) {
+    m_log.Warn("A stored document is not valid and is ignored.",
+               {{"reason", error.what()}});
+    return false;
+  }
+}
+
+void DocumentKeeper::List(const ServiceId& service,
+                          const documents::ManifestEntry& entry) {
+  m_log.Info("A stored document was not listed; it is listed now.",
+             {{"service", service.value()}, {"revision", entry.m_revision}});
+  const std::weak_ptr<bool> alive = m_alive;
+  EnterInManifest(m_key_values, service, entry,
+                  [this, alive, service](const Result<StoredManifest>& result) {
+                    if (alive.expired() || !result) {
+                      return;
+                    }
+                    m_unlisted_removals.erase(service);
+                    m_table.SetManifest(result.value().m_manifest,
+                                        result.value().m_revision);
+                    Advance();
+                  });
+}
+
+void DocumentKeeper::OnStored(const ServiceId& service,
+                              const documents::DocumentText& text,
+                              const StoredManifest& manifest) {
+  if (!text.m_text.empty()) {
+    m_table.AddText(service, text);
+  }
+  m_unlisted_removals.erase(service);
+  m_table.SetManifest(manifest.m_manifest, manifest.m_revision);
+  Advance();
+}
+
+void DocumentKeeper::Advance() {
+  const auto changes = m_table.Advance();
+  m_tracker.OnApplied(m_table.applied_revision());
+  if (m_table.Missing().empty() &&
+      m_table.applied_revision() >= m_wanted_revision) {
+    m_fetch_failures = 0;
+  }
+  for (const documents::AppliedDocument& change : changes) {
+    m_log.Info("A document is in force.",
+               {{"service", change.m_service.value()},
+                {"revision", change.m_revision},
+                {"removed", change.m_text.empty() ? "true" : "false"}});
+  }
+  if (!changes.empty()) {
+    m_applied(changes);
+  }
+  AnswerAcks();
+}
+
+void DocumentKeeper::FetchMissing() {
+  const bool behind = !m_table.Missing().empty() ||
+                      m_table.applied_revision() < m_wanted_revision;
+  const MonotonicTime now = m_loop.Now();
+  if (!behind || m_fetching || now < m_fetch_at) {
+    return;
+  }
+  m_fetch_at = now + kFetchRetry;
+  const HostId source = FetchSource();
+  const bool from_service =
+      source.empty() || (IsWatcher() && m_fetch_failures % 2 == 0);
+  if (from_service) {
+    FetchFromService();
+  } else {
+    Fetch(source);
+  }
+}
+
+HostId DocumentKeeper::FetchSource() const {
+  const auto order = m_view.WatchOrder(m_self.m_failure_domain);
+  const auto self = std::find(order.begin(), order.end(), m_self.m_host);
+  const auto index = static_cast<std::size_t>(self - order.begin());
+  const bool has_parent =
+      self != order.end() && index >= MemberView::kWatchersPerDomain;
+  if (has_parent && m_fetch_failures < kParentTries) {
+    return order[(index - 1) / kFanOut];
+  }
+  const std::vector<HostId> sources = Sources();
+  return sources.empty() ? HostId()
+                         : sources[m_fetch_failures % sources.size()];
+}
+
+void DocumentKeeper::FetchFromService() {
+  m_fetching = true;
+  ++m_fetch_failures;  // Until Advance() finds nothing missing.
+  const std::weak_ptr<bool> alive = m_alive;
+  const std::vector<ServiceId> missing = m_table.Missing();
+  if (missing.empty()) {
+    m_key_values.Get(
+        kManifestKey, [this, alive](const Result<platform::ReadReply>& r) {
+          if (alive.expired()) {
+            return;
+          }
+          m_fetching = false;
+          if (r) {
+            try {
+              const StoredManifest stored = ReadManifest(r.value());
+              m_table.SetManifest(stored.m_manifest, stored.m_revision);
+            } catch (const Error&) {
+              return;  // Logged by the regular read.
+            }
+            Advance();
+          }
+        });
+    return;
+  }
+  const ServiceId service = missing.front();
+  m_key_values.Get(
+      DocumentKey(service),
+      [this, alive, service](const Result<platform::ReadReply>& result) {
+        if (alive.expired()) {
+          return;
+        }
+        m_fetching = false;
+        if (!result) {
+          return;
+        }
+        if (result.value().m_items.empty()) {
+          NoteRemoval(service, result.value().m_revision);
+          return;
+        }
+        const platform::KeyValue& item = result.value().m_items.front();
+        m_table.AddText(service, {item.m_mod_revision, item.m_value});
+        Advance();
+      });
+}
+
+void DocumentKeeper::Fetch(const HostId& host) {
+  m_fetching = true;
+  ++m_fetch_failures;
+  wire::DocumentQueryT query;
+  query.known_revision = m_table.applied_revision();
+  for (const auto& [service, text] : m_table.texts()) {
+    auto known = std::make_unique<wire::DocumentAckT>();
+    known->service = service.value();
+    known->revision = text.m_revision;
+    query.known.push_back(std::move(known));
+  }
+  const std::weak_ptr<bool> alive = m_alive;
+  m_peers.Request(
+      host, wire::MakeEnvelope(std::move(query)), kFetchTimeout,
+      [this, alive](const Result<wire::EnvelopeT>& result) {
+        if (alive.expired()) {
+          return;
+        }
+        m_fetching = false;
+        if (!result) {
+          return;
+        }
+        if (const auto* snapshot = result.value().body.AsDocumentSnapshot()) {
+          OnSnapshot(*snapshot);
+        }
+      });
+}
+
+void DocumentKeeper::OnSnapshot(const wire::DocumentSnapshotT& snapshot) {
+  documents::Manifest manifest;
+  for (const auto& document : snapshot.documents) {
+    const ServiceId service(document->service);
+    const bool removed = document->text.empty() && !document->unchanged;
+    manifest[service] = {document->revision, removed};
+    if (!removed && !document->unchanged) {
+      m_table.AddText(service, {document->revision, document->text});
+    }
+  }
+  m_table.SetManifest(manifest, snapshot.revision);
+  Advance();
+}
+
+void DocumentKeeper::OnDocumentQuery(const wire::DocumentQueryT& query,
+                                     const Responder& respond) {
+  std::map<ServiceId, Revision> known;
+  for (const auto& item : query.known) {
+    known[ServiceId(item->service)] = item->revision;
+  }
+  wire::DocumentSnapshotT snapshot;
+  snapshot.revision = m_table.applied_revision();
+  for (const auto& [service, text] : m_table.texts()) {
+    auto update = std::make_unique<wire::DocumentUpdateT>();
+    update->service = service.value();
+    update->revision = text.m_revision;
+    const auto found = known.find(service);
+    update->unchanged =
+        found != known.end() && found->second == text.m_revision;
+    update->text = update->unchanged ? "" : text.m_text;
+    snapshot.documents.push_back(std::move(update));
+  }
+  for (const auto& [service, entry] : m_table.manifest()) {
+    if (entry.m_removed && !m_table.texts().contains(service)) {
+      auto update = std::make_unique<wire::DocumentUpdateT>();
+      update->service = service.value();
+      update->revision = entry.m_revision;
+      snapshot.documents.push_back(std::move(update));
+    }
+  }
+  respond(wire::MakeEnvelope(std::move(snapshot)));
+}
+
+}  // namespace hickoryloft::coordinator
--- /dev/null
+++ b/Source/coordinator/lease_keeper.cc
@@ -0,0 +1,217 @@
+#include "coordinator/lease_keeper.h"
+
+#include <utility>
+
+#include "coordinator/keys.h"
+
+namespace hickoryloft::coordinator {
+
+namespace {
+
+constexpr Duration kStepInterval = milliseconds(250);
+constexpr Duration kRetryInterval = milliseconds(1000);
+// A lease is renewed this many times per time to live.
+constexpr int kShortRenewals = 3;
+constexpr int kLongRenewals = 10;
+
+}  // namespace
+
+LeaseKeeper::LeaseKeeper(EventLoop& loop,
+                         platform::KeyValueService& key_values,
+                         Member self,
+                         LeaseSettings settings,
+                         Callbacks callbacks)
+    : m_loop(loop),
+      m_key_values(key_values),
+      m_self(std::move(self)),
+      m_settings(settings),
+      m_callbacks(std::move(callbacks)) {
+  m_short.m_key = MemberKey(m_self.m_host, m_self.m_incarnation);
+}
+
+void LeaseKeeper::Start() {
+  m_timer = m_loop.Every(kStepInterval, [this] { Step(); });
+  Step();
+}
+
+void LeaseKeeper::SetLeaving() {
+  m_self.m_leaving = true;
+  Step();
+}
+
+void LeaseKeeper::Revoke(std::function<void()> done) {
+  m_stopped = true;
+  m_timer.reset();
+  auto open = std::make_shared<int>(0);
+  const auto finish = [open, done = std::move(done)](const Result<Done>&) {
+    if (--*open == 0) {
+      done();
+    }
+  };
+  *open = 2;
+  for (const Holding* holding : {&m_short, &m_long}) {
+    if (holding->m_lease == 0) {
+      finish(Done{});
+    } else {
+      m_key_values.RevokeLease(holding->m_lease, finish);
+    }
+  }
+}
+
+void LeaseKeeper::Step() {
+  if (m_stopped) {
+    return;
+  }
+  const MonotonicTime now = m_loop.Now();
+  StepLong(now);
+  StepShort(now);
+}
+
+void LeaseKeeper::StepLong(MonotonicTime now) {
+  if (m_long.m_busy || now < m_long.m_renew_at) {
+    return;
+  }
+  if (m_long.m_lease == 0) {
+    Grant(m_long, m_settings.m_long_ttl);
+  } else if (!m_long.m_registered) {
+    m_long.m_key = StandingKey(m_self.m_host, m_long.m_lease);
+    Register(m_long, std::to_string(m_self.m_incarnation), m_callbacks.m_long);
+  } else {
+    Renew(m_long, m_settings.m_long_ttl / kLongRenewals, m_callbacks.m_long,
+          m_callbacks.m_long_lost);
+  }
+}
+
+void LeaseKeeper::StepShort(MonotonicTime now) {
+  if (m_short.m_busy || !m_long.m_registered) {
+    return;
+  }
+  const bool outdated =
+      m_short.m_lease != 0 && m_short.m_value != MemberValue();
+  if (now < m_short.m_renew_at && !(m_short.m_registered && outdated)) {
+    return;
+  }
+  if (m_short.m_lease == 0) {
+    Grant(m_short, m_settings.m_short_ttl);
+  } else if (!m_short.m_registered || outdated) {
+    Register(m_short, MemberValue(), m_callbacks.m_short);
+  } else {
+    Renew(m_short, m_settings.m_short_ttl / kShortRenewals, m_callbacks.m_short,
+          m_callbacks.m_short_lost);
+  }
+}
+
+void LeaseKeeper::Grant(Holding& holding, Duration ttl) {
+  holding.m_busy = true;
+  const MonotonicTime sent_at = m_loop.Now();
+  const std::weak_ptr<bool> alive = m_alive;
+  m_key_values.GrantLease(ttl, [this, alive, &holding, sent_at](
+                                   const Result<platform::LeaseReply>& result) {
+    if (alive.expired()) {
+      return;
+    }
+    holding.m_busy = false;
+    if (!result) {
+      holding.m_renew_at = m_loop.Now() + kRetryInterval;
+      m_log.Warn("A lease cannot be granted.",
+                 {{"reason", result.error().what()}});
+      return;
+    }
+    holding.m_lease = result.value().m_lease;
+    holding.m_granted_at = sent_at;
+    holding.m_registered = false;
+    holding.m_renew_at = MonotonicTime{};
+    Step();
+  });
+}
+
+void LeaseKeeper::Register(
+    Holding& holding,
+    const std::string& value,
+    const std::function<void(platform::LeaseId, MonotonicTime)>& registered) {
+  holding.m_busy = true;
+  const std::weak_ptr<bool> alive = m_alive;
+  m_key_values.Swap({holding.m_key, holding.m_revision, value, holding.m_lease},
+                    [this, alive, &holding, value,
+                     &registered](const Result<platform::SwapReply>& result) {
+                      if (alive.expired()) {
+                        return;
+                      }
+                      holding.m_busy = false;
+                      OnRegistered(holding, value, result, registered);
+                    });
+}
+
+void LeaseKeeper::OnRegistered(
+    Holding& holding,
+    const std::string& value,
+    const Result<platform::SwapReply>& result,
+    const std::function<void(platform::LeaseId, MonotonicTime)>& registered) {
+  if (!result) {
+    m_log.Warn("A key cannot be bound to its lease.",
+               {{"key", holding.m_key}, {"reason", result.error().what()}});
+    holding.m_renew_at = m_loop.Now() + kRetryInterval;
+    if (result.error().code() == ErrorCode::kNotFound) {
+      holding.m_lease = 0;
+    }
+    return;
+  }
+  const platform::SwapReply& reply = result.value();
+  if (reply.m_swapped) {
+    holding.m_revision = reply.m_revision;
+    holding.m_value = value;
+    if (!std::exchange(holding.m_registered, true)) {
+      registered(holding.m_lease, holding.m_granted_at);
+    }
+    Step();
+    return;
+  }
+  // An earlier write landed, or the key lapsed with its lease: the key is named
+  // by this run of the host alone.
+  holding.m_revision = reply.m_current ? reply.m_current->m_mod_revision : 0;
+  holding.m_renew_at = MonotonicTime{};
+}
+
+void LeaseKeeper::Renew(
+    Holding& holding,
+    Duration interval,
+    const std::function<void(platform::LeaseId, MonotonicTime)>& renewed,
+    const std::function<void()>& lost) {
+  holding.m_busy = true;
+  const MonotonicTime sent_at = m_loop.Now();
+  const std::weak_ptr<bool> alive = m_alive;
+  m_key_values.KeepAlive(
+      holding.m_lease, [this, alive, &holding, interval, sent_at, &renewed,
+                        &lost](const Result<platform::LeaseReply>& result) {
+        if (alive.expired()) {
+          return;
+        }
+        holding.m_busy = false;
+        if (result) {
+          holding.m_renew_at = sent_at + interval;
+          renewed(holding.m_lease, sent_at);
+        } else if (result.error().code() == ErrorCode::kNotFound) {
+          Drop(holding, lost);
+        } else {
+          holding.m_renew_at = m_loop.Now() + kRetryInterval;
+        }
+      });
+}
+
+void LeaseKeeper::Drop(Holding& holding, const std::function<void()>& lost) {
+  m_log.Warn("A lease lapsed.", {{"key", holding.m_key}});
+  holding.m_lease = 0;
+  holding.m_registered = false;
+  holding.m_revision = 0;
+  holding.m_value.clear();
+  holding.m_renew_at = MonotonicTime{};
+  lost();
+}
+
+std::string LeaseKeeper::MemberValue() const {
+  return FormatMemberRecord({.m_member = m_self,
+                             .m_lease = m_short.m_lease,
+                             .m_long_lease = m_long.m_lease});
+}
+
+}  // namespace hickoryloft::coordinator
--- /dev/null
+++ b/Source/coordinator/lease_keeper.h
@@ -0,0 +1,100 @@
+// Keeps this host's two leases and the keys bound to them.
+
+#ifndef SOURCE_COORDINATOR_LEASE_KEEPER_H_
+#define SOURCE_COORDINATOR_LEASE_KEEPER_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/event_loop.h"
+#include "base/log.h"
+#include "coordinator/member_record.h"
+#include "platform/key_value_service.h"
+
+namespace hickoryloft::coordinator {
+
+struct LeaseSettings {
+  Duration m_short_ttl{};
+  Duration m_long_ttl{};
+};
+
+// The standing key lies on the long lease and the member key on the short one.
+// The standing key is written first, so a member's standing key exists. Use on
+// the loop's thread only.
+class LeaseKeeper {
+ public:
+  struct Callbacks {
+    // A lease runs, its key is bound to it, and the call was sent then.
+    std::function<void(platform::LeaseId, MonotonicTime sent_at)> m_short;
+    std::function<void(platform::LeaseId, MonotonicTime sent_at)> m_long;
+    std::function<void()> m_short_lost;
+    std::function<void()> m_long_lost;
+  };
+
+  LeaseKeeper(EventLoop& loop,
+              platform::KeyValueService& key_values,
+              Member self,
+              LeaseSettings settings,
+              Callbacks callbacks);
+
+  void Start();
+  // Rewrites the member key with the leaving flag.
+  void SetLeaving();
+  // Ends both leases; calls `done` once, also when the service is out.
+  void Revoke(std::function<void()> done);
+
+  platform::LeaseId short_lease() const { return m_short.m_lease; }
+
+ private:
+  // A lease and the key bound to it.
+  struct Holding {
+    platform::LeaseId m_lease = 0;
+    MonotonicTime m_granted_at{};
+    bool m_registered = false;
+    bool m_busy = false;
+    MonotonicTime m_renew_at{};
+    std::string m_key;
+    std::string m_value;      // As written.
+    Revision m_revision = 0;  // Of the key; 0: absent.
+  };
+
+  void Step();
+  void StepLong(MonotonicTime now);
+  void StepShort(MonotonicTime now);
+  void Grant(Holding& holding, Duration ttl);
+  void Register(
+      Holding& holding,
+      const std::string& value,
+      const std::function<void(platform::LeaseId, MonotonicTime)>& registered);
+  void Renew(
+      Holding& holding,
+      Duration ttl,
+      const std::function<void(platform::LeaseId, MonotonicTime)>& renewed,
+      const std::function<void()>& lost);
+  void Drop(Holding& holding, const std::function<void()>& lost);
+  void OnRegistered(
+      Holding& holding,
+      const std::string& value,
+      const Result<platform::SwapReply>& result,
+      const std::function<void(platform::LeaseId, MonotonicTime)>& registered);
+  std::string MemberValue() const;
+
+  EventLoop& m_loop;
+  platform::KeyValueService& m_key_values;
+  Member m_self;
+  LeaseSettings m_settings;
+  Callbacks m_callbacks;
+  Logger m_log{"leases"};
+  Holding m_short;
+  Holding m_long;
+  bool m_stopped = false;
+  std::unique_ptr<Timer> m_timer;
+  // Replies that come after destruction find it expired.
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}  // namespace hickoryloft::coordinator
+
+#endif  // SOURCE_COORDINATOR_LEASE_KEEPER_H_
--- /dev/null
+++ b/Source/coordinator/manifest_writer.cc
@@ -0,0 +1,100 @@
+#include "coordinator/manifest_writer.h"
+
+#include <utility>
+
+#include "coordinator/keys.h"
+
+namespace hickoryloft::coordinator {
+
+namespace {
+
+constexpr int kMaxTries = 16;
+
+// One running entry; keeps itself alive through the callbacks.
+struct Entering : std::enable_shared_from_this<Entering> {
+  platform::KeyValueService& m_key_values;
+  ServiceId m_service;
+  documents::ManifestEntry m_entry;
+  std::function<void(Result<StoredManifest>)> m_done;
+  int m_tries = 0;
+
+  Entering(platform::KeyValueService& key_values,
+           ServiceId service,
+           documents::ManifestEntry entry,
+           std::function<void(Result<StoredManifest>)> done)
+      : m_key_values(key_values),
+        m_service(std::move(service)),
+        m_entry(entry),
+        m_done(std::move(done)) {}
+
+  void Read() {
+    if (++m_tries > kMaxTries) {
+      m_done(Error(ErrorCode::kConflict,
+                   "the manifest is changed by others all the time"));
+      return;
+    }
+    m_key_values.Get(kManifestKey, [self = shared_from_this()](
+                                       const Result<platform::ReadReply>& r) {
+      if (!r) {
+        self->m_done(r.error());
+        return;
+      }
+      self->Write(r.value());
+    });
+  }
+
+  void Write(const platform::ReadReply& reply) {
+    StoredManifest stored;
+    try {
+      stored = ReadManifest(reply);
+    } catch (const Error& error) {
+      m_done(error);
+      return;
+    }
+    if (!documents::AddToManifest(stored.m_manifest, m_service, m_entry)) {
+      m_done(std::move(stored));
+      return;
+    }
+    m_key_values.Swap({kManifestKey, stored.m_revision,
+                       documents::FormatManifest(stored.m_manifest), 0},
+                      [self = shared_from_this(),
+                       stored](const Result<platform::SwapReply>& result) {
+                        self->OnWritten(stored, result);
+                      });
+  }
+
+  void OnWritten(StoredManifest stored,
+                 const Result<platform::SwapReply>& result) {
+    if (!result && result.error().code() == ErrorCode::kUnavailable) {
+      m_done(result.error());
+      return;
+    }
+    // A lost reply is settled by reading back, as a conflict is.
+    if (!result || !result.value().m_swapped) {
+      Read();
+      return;
+    }
+    stored.m_revision = result.value().m_revision;
+    m_done(std::move(stored));
+  }
+};
+
+}  // namespace
+
+StoredManifest ReadManifest(const platform::ReadReply& reply) {
+  if (reply.m_items.empty()) {
+    return {};
+  }
+  const platform::KeyValue& item = reply.m_items.front();
+  return {documents::ParseManifest(item.m_value), item.m_mod_revision};
+}
+
+void EnterInManifest(platform::KeyValueService& key_values,
+                     const ServiceId& service,
+                     const documents::ManifestEntry& entry,
+                     std::function<void(Result<StoredManifest>)> done) {
+  std::make_shared<Entering>(key_values, service, entry, std::move(done))
+      ->Read();
+}
+
+}  // namespace hickoryloft::coordinator
--- /dev/null
+++ b/Source/coordinator/membership.cc
@@ -0,0 +1,131 @@
+#include "coordinator/membership.h"
+
+#include <utility>
+
+#include "coordinator/keys.h"
+
+namespace hickoryloft::coordinator {
+
+namespace {
+
+constexpr Duration kRetryInterval = milliseconds(1000);
+
+}  // namespace
+
+Membership::Membership(EventLoop& loop,
+                       platform::KeyValueService& key_values,
+                       HostId self,
+                       std::function<void(const MemberChange&)> changed)
+    : m_loop(loop),
+      m_key_values(key_values),
+      m_self(std::move(self)),
+      m_changed(std::move(changed)) {}
+
+void Membership::Start() {
+  Load();
+}
+
+void Membership::OnPeerChange(const MemberChange& change) {
+  // The own watch tells every change in order; a peer's may be ahead of it.
+  if (!m_watch) {
+    Apply(change);
+  }
+}
+
+void Membership::Apply(const MemberChange& change) {
+  if (m_view.Apply(change)) {
+    m_changed(change);
+  }
+  ChooseRole();
+}
+
+void Membership::ChooseRole() {
+  // A host that is not yet a member cannot know its watchers.
+  const bool should_watch =
+      m_view.Find(m_self) == nullptr || m_view.IsWatcher(m_self);
+  if (!should_watch) {
+    m_watch.reset();
+  } else if (!m_watch && !m_loading && !m_retry) {
+    Load();
+  }
+}
+
+void Membership::Load() {
+  m_loading = true;
+  m_retry.reset();
+  const std::weak_ptr<bool> alive = m_alive;
+  m_key_values.GetPrefix(
+      kMembersPrefix, [this, alive](const Result<platform::ReadReply>& result) {
+        if (!alive.expired()) {
+          m_loading = false;
+          OnLoaded(result);
+        }
+      });
+}
+
+void Membership::OnLoaded(const Result<platform::ReadReply>& result) {
+  if (!result) {
+    m_log.Warn("The members cannot be read.",
+               {{"reason", result.error().what()}});
+    RetryLater();
+    return;
+  }
+  MemberChange change{.m_revision = result.value().m_revision, .m_full = true};
+  m_by_key.clear();
+  for (const platform::KeyValue& item : result.value().m_items) {
+    try {
+      const MemberRecord record = ParseMemberRecord(item);
+      m_by_key[item.m_key] = record;
+      change.m_present.push_back(record);
+    } catch (const Error& error) {
+      m_log.Warn("A member key is ignored.", {{"reason", error.what()}});
+    }
+  }
+  m_watch = m_key_values.WatchPrefix(
+      kMembersPrefix, change.m_revision,
+      [this](const platform::WatchBatch& batch) { OnBatch(batch); },
+      [this](const Error& error) {
+        m_log.Warn("The watch on the members ended.",
+                   {{"reason", error.what()}});
+        m_watch.reset();
+        RetryLater();
+      });
+  Apply(change);
+}
+
+void Membership::OnBatch(const platform::WatchBatch& batch) {
+  MemberChange change{.m_revision = batch.m_revision};
+  for (const platform::WatchEvent& event : batch.m_events) {
+    const std::string& key = event.m_item.m_key;
+    try {
+      if (!event.m_deleted) {
+        const MemberRecord record = ParseMemberRecord(event.m_item);
+        m_by_key[key] = record;
+        std::erase_if(change.m_removed, [&](const MemberRecord& removed) {
+          return removed.m_member.m_host == record.m_member.m_host &&
+                 removed.m_member.m_incarnation ==
+                     record.m_member.m_incarnation;
+        });
+        change.m_present.push_back(record);
+        continue;
+      }
+      const auto known = m_by_key.find(key);
+      if (known != m_by_key.end()) {
+        change.m_removed.push_back(known->second);
+        m_by_key.erase(known);
+      }
+    } catch (const Error& error) {
+      m_log.Warn("A member key is ignored.", {{"reason", error.what()}});
+    }
+  }
+  Apply(change);
+}
+
+void Membership::RetryLater() {
+  m_retry = m_loop.After(kRetryInterval, [this] {
+    m_retry.reset();
+    ChooseRole();
+  });
+}
+
+}  // namespace hickoryloft::coordinator
--- /dev/null
+++ b/Source/coordinator/membership.h
@@ -0,0 +1,58 @@
+// Keeps the member view up to date: a watcher of its failure domain watches the
+// member keys, the other hosts hear from their watchers.
+
+#ifndef SOURCE_COORDINATOR_MEMBERSHIP_H_
+#define SOURCE_COORDINATOR_MEMBERSHIP_H_
+
+#include <functional>
+#include <memory>
+
+#include "base/event_loop.h"
+#include "base/log.h"
+#include "coordinator/member_view.h"
+#include "platform/key_value_service.h"
+
+namespace hickoryloft::coordinator {
+
+// Use on the loop's thread only.
+class Membership {
+ public:
+  // `changed` is called after each change of the view, with the change.
+  Membership(EventLoop& loop,
+             platform::KeyValueService& key_values,
+             HostId self,
+             std::function<void(const MemberChange&)> changed);
+
+  void Start();
+
+  const MemberView& view() const { return m_view; }
+  // Whether this host reads the member keys itself.
+  bool watching() const { return m_watch != nullptr; }
+
+  // A peer sent what it knows.
+  void OnPeerChange(const MemberChange& change);
+
+ private:
+  void Apply(const MemberChange& change);
+  void ChooseRole();
+  void Load();
+  void OnLoaded(const Result<platform::ReadReply>& result);
+  void OnBatch(const platform::WatchBatch& batch);
+  void RetryLater();
+
+  EventLoop& m_loop;
+  platform::KeyValueService& m_key_values;
+  HostId m_self;
+  std::function<void(const MemberChange&)> m_changed;
+  Logger m_log{"members"};
+  MemberView m_view;
+  std::map<std::string, MemberRecord> m_by_key;  // Of the watch.
+  bool m_loading = false;
+  std::unique_ptr<platform::Watch> m_watch;
+  std::unique_ptr<Timer> m_retry;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}  // namespace hickoryloft::coordinator
+
+#endif  // SOURCE_COORDINATOR_MEMBERSHIP_H_
--- a/Source/coordinator/module.h
+++ b/Source/coordinator/module.h
@@ -32,6 +32,8 @@
   std::string m_address;  // Of the coordinator's peer port; an IP number.
   std::uint16_t m_port = 0;
   bool m_leaving = false;
+
+  friend bool operator==(const Member&, const Member&) = default;
 };
 
 // What the core offers to modules. Use on the loop's thread only.
--- /dev/null
+++ b/Source/coordinator/modules.h
@@ -0,0 +1,28 @@
+// The coordinator's modules, registered in one place.
+
+#ifndef SOURCE_COORDINATOR_MODULES_H_
+#define SOURCE_COORDINATOR_MODULES_H_
+
+#include <memory>
+#include <vector>
+
+#include "coordinator/module.h"
+#include "platform/host_list.h"
+#include "settings/setting_table.h"
+
+namespace hickoryloft::coordinator {
+
+// What modules are made from. Everything must outlive the modules.
+struct ModuleContext {
+  Core& m_core;
+  const settings::Settings& m_settings;
+  platform::HostList& m_host_list;
+};
+
+// Returns all modules, in the order in which requests and notices are offered
+// to them.
+std::vector<std::unique_ptr<Module>> MakeModules(const ModuleContext& context);
+
+}  // namespace hickoryloft::coordinator
+
+#endif  // SOURCE_COORDINATOR_MODULES_H_
--- /dev/null
+++ b/Source/coordinator/platform_clients.cc
@@ -0,0 +1,75 @@
+#include "coordinator/platform_clients.h"
+
+#include <map>
+#include <string>
+#include <utility>
+
+#include "platform/etcd_client.h"
+#include "platform/host_list_json.h"
+#include "platform/http_host_list.h"
+#include "platform/memory_key_value_service.h"
+#include "platform/static_host_list.h"
+#include "settings/settings_file.h"
+
+namespace hickoryloft::coordinator {
+
+namespace {
+
+using KeyValueFactory =
+    std::unique_ptr<platform::KeyValueService> (*)(EventLoop&,
+                                                   const settings::Settings&);
+
+std::unique_ptr<platform::KeyValueService> MakeEtcd(
+    EventLoop& loop,
+    const settings::Settings& settings) {
+  return std::make_unique<platform::EtcdClient>(
+      loop, platform::EtcdClientSettings{
+                .m_address = settings.String("platform.address"),
+                .m_port = static_cast<std::uint16_t>(
+                    settings.Integer("platform.port")),
+                .m_host = HostId(settings.String("host.name")),
+                .m_timeout = settings.Millis("platform.timeout_ms"),
+            });
+}
+
+std::unique_ptr<platform::KeyValueService> MakeMemory(
+    EventLoop& loop,
+    const settings::Settings& /*settings*/) {
+  return std::make_unique<platform::MemoryKeyValueService>(loop);
+}
+
+}  // namespace
+
+std::unique_ptr<platform::KeyValueService> MakeKeyValueService(
+    EventLoop& loop,
+    const settings::Settings& settings) {
+  static const std::map<std::string, KeyValueFactory> kFactories = {
+      {"etcd", &MakeEtcd},
+      {"memory", &MakeMemory},
+  };
+  return kFactories.at(settings.String("platform.kind"))(loop, settings);
+}
+
+std::unique_ptr<platform::HostList> MakeHostList(
+    EventLoop& loop,
+    const settings::Settings& settings) {
+  if (!settings.String("host_list.address").empty()) {
+    return std::make_unique<platform::HttpHostList>(
+        loop, platform::HttpHostListSettings{
+                  .m_address = settings.String("host_list.address"),
+                  .m_port = static_cast<std::uint16_t>(
+                      settings.Integer("host_list.port")),
+                  .m_path = settings.String("host_list.path"),
+                  .m_host = HostId(settings.String("host.name")),
+                  .m_timeout = settings.Millis("platform.timeout_ms"),
+              });
+  }
+  std::vector<platform::ListedTarget> targets;
+  const std::string& file = settings.String("host_list.file");
+  if (!file.empty()) {
+    targets = platform::ParseHostList(settings::ReadFile(file));
+  }
+  return std::make_unique<platform::StaticHostList>(loop, std::move(targets));
+}
+
+}  // namespace hickoryloft::coordinator
--- a/Source/documents/document_table.cc
+++ b/Source/documents/document_table.cc
@@ -68,6 +68,11 @@
   return unlisted;
 }
 
+const DocumentText* DocumentTable::StagedText(const ServiceId& service) const {
+  const auto found = m_staged.find(service);
+  return found == m_staged.end() ? nullptr : &found->second;
+}
+
 bool DocumentTable::Apply(const ServiceId& service,
                           const ManifestEntry& entry) {
   Revision& applied = m_applied[service];
--- a/Source/documents/document_table.h
+++ b/Source/documents/document_table.h
@@ -45,6 +45,9 @@
   // Returns texts newer than the manifest lists: stored, but not yet accepted.
   std::map<ServiceId, Revision> Unlisted() const;
 
+  // Returns the text that waits to be listed or applied, or nullptr.
+  const DocumentText* StagedText(const ServiceId& service) const;
+
   // Returns the newest revision of the manifest that is fully in force.
   Revision applied_revision() const { return m_applied_revision; }
   // Returns the newest revision of the manifest that this host knows.
--- /dev/null
+++ b/Tests/claims/claim_world.cc
@@ -0,0 +1,492 @@
+#include "Tests/claims/claim_world.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hickoryloft::claims {
+
+namespace {
+
+// 0.2 % fast or slow; the drift margin covers it over both leases.
+constexpr double kRates[] = {1.0, 1.002, 0.998, 1.001};
+
+std::string MemberKey(const HostId& host, Incarnation incarnation) {
+  return "members/" + host.value() + "/" + std::to_string(incarnation);
+}
+
+std::string StandingKey(const HostId& host, platform::LeaseId lease) {
+  return "standing/" + host.value() + "/" + std::to_string(lease);
+}
+
+const std::string kClaimKey = "claims/placement/0";
+
+}  // namespace
+
+ClaimWorld::ClaimWorld(std::size_t hosts) {
+  m_settings.m_short_ttl = seconds(6);
+  m_settings.m_long_ttl = seconds(40);
+  m_settings.m_settle_time = seconds(5);
+  m_hosts.resize(hosts);
+  for (std::size_t i = 0; i < hosts; ++i) {
+    m_hosts[i].m_id = HostId(std::string(1, static_cast<char>('a' + i)));
+    m_hosts[i].m_rate = kRates[i % std::size(kRates)];
+    Start(i);
+  }
+}
+
+void ClaimWorld::Start(std::size_t index) {
+  Host& host = m_hosts[index];
+  host.m_incarnation = ++m_last_incarnation;
+  host.m_table = std::make_unique<ClaimTable>(
+      m_settings, host.m_id, host.m_incarnation, m_last_incarnation);
+  host.m_table->SetWanted({kClaim}, LocalTime(host));
+  host.m_running = true;
+  host.m_short = 0;
+  host.m_long = 0;
+  host.m_member_revision = 0;
+  host.m_calling = false;
+  host.m_renew_at = MonotonicTime{};
+  host.m_view_at = MonotonicTime{};
+}
+
+MonotonicTime ClaimWorld::LocalTime(const Host& host) const {
+  return MonotonicTime(Duration(static_cast<Duration::rep>(
+      static_cast<double>(m_now.time_since_epoch().count()) * host.m_rate)));
+}
+
+void ClaimWorld::Advance(Duration duration) {
+  const MonotonicTime end = m_now + duration;
+  while (m_now < end) {
+    m_now = std::min(end, m_now + kStep);
+    m_store.Expire(m_now);
+    for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+      Step(i);
+    }
+  }
+}
+
+void ClaimWorld::Step(std::size_t index) {
+  Host& host = m_hosts[index];
+  if (!host.m_running) {
+    return;
+  }
+  const MonotonicTime local = LocalTime(host);
+  if (!host.m_calling && local >= host.m_renew_at) {
+    host.m_renew_at = local + m_settings.m_short_ttl / 3;
+    RenewLeases(index);
+  }
+  if (local >= host.m_view_at) {
+    host.m_view_at = local + seconds(1);
+    ReadView(index);
+  }
+  host.m_table->Tick(local);
+  RunEffects(index);
+}
+
+// One call renews or grants both leases and writes their keys, each counted
+// from the send.
+void ClaimWorld::RenewLeases(std::size_t index) {
+  Host& host = m_hosts[index];
+  host.m_calling = true;
+  const MonotonicTime sent_at = LocalTime(host);
+  struct Outcome {
+    platform::LeaseId m_short = 0;
+    platform::LeaseId m_long = 0;
+    bool m_short_lost = false;
+    bool m_long_lost = false;
+  };
+  const auto outcome = std::make_shared<Outcome>();
+  const auto renew = [this](platform::LeaseId lease, Duration ttl,
+                            bool& lost) -> platform::LeaseId {
+    try {
+      if (lease != 0) {
+        return m_store.KeepAlive(lease, m_now).m_lease;
+      }
+    } catch (const Error&) {
+      lost = true;
+    }
+    return m_store.Grant(ttl, m_now).m_lease;
+  };
+  const HostId id = host.m_id;
+  const Incarnation incarnation = host.m_incarnation;
+  const platform::LeaseId old_short = host.m_short;
+  const platform::LeaseId old_long = host.m_long;
+  m_calls.push_back(
+      {.m_host = index,
+       .m_incarnation = incarnation,
+       .m_arrive =
+           [=, this] {
+             outcome->m_long =
+                 renew(old_long, m_settings.m_long_ttl, outcome->m_long_lost);
+             m_store.Put(StandingKey(id, outcome->m_long), "", outcome->m_long);
+             outcome->m_short = renew(old_short, m_settings.m_short_ttl,
+                                      outcome->m_short_lost);
+             m_store.Put(MemberKey(id, incarnation),
+                         std::to_string(outcome->m_long), outcome->m_short);
+           },
+       .m_reply =
+           [=, this] {
+             Host& caller = m_hosts[index];
+             caller.m_calling = false;
+             if (outcome->m_long_lost) {
+               caller.m_table->OnLongLeaseLost();
+             }
+             if (outcome->m_short_lost) {
+               caller.m_table->OnShortLeaseLost();
+             }
+             caller.m_long = outcome->m_long;
+             caller.m_short = outcome->m_short;
+             caller.m_table->OnLongLease(outcome->m_long, sent_at);
+             caller.m_table->OnShortLease(outcome->m_short, sent_at);
+           },
+       .m_fail = [=, this] { m_hosts[index].m_calling = false; }});
+}
+
+void ClaimWorld::ReadView(std::size_t index) {
+  const auto hosts = std::make_shared<std::vector<ClaimHost>>();
+  m_calls.push_back(
+      {.m_host = index,
+       .m_incarnation = m_hosts[index].m_incarnation,
+       .m_arrive =
+           [=, this] {
+             for (const auto& item : m_store.GetPrefix("members/")) {
+               const std::size_t slash = item.m_key.rfind('/');
+               const ClaimHost host{
+                   .m_host = HostId(item.m_key.substr(8, slash - 8)),
+                   .m_incarnation = std::stoull(item.m_key.substr(slash + 1)),
+                   .m_failure_domain = FailureDomainId("d"),
+                   .m_lease = item.m_lease,
+                   .m_long_lease = std::stoll(item.m_value)};
+               if (!hosts->empty() && hosts->back().m_host == host.m_host) {
+                 hosts->pop_back();
+               }
+               hosts->push_back(host);
+             }
+           },
+       .m_reply =
+           [=, this] {
+             Host& host = m_hosts[index];
+             host.m_table->SetHosts(*hosts, LocalTime(host));
+           },
+       .m_fail = [] {}});
+}
+
+bool ClaimWorld::Reachable(const Call& call) const {
+  if (!call.m_peer) {
+    return m_service_up && !m_hosts[call.m_host].m_cut_from_service;
+  }
+  return !m_hosts[call.m_host].m_cut_from_peers &&
+         !m_hosts[*call.m_peer].m_cut_from_peers &&
+         m_hosts[*call.m_peer].m_running;
+}
+
+bool ClaimWorld::CallerAlive(const Call& call) const {
+  const Host& host = m_hosts[call.m_host];
+  return host.m_incarnation == call.m_incarnation;
+}
+
+void ClaimWorld::Deliver(std::size_t choice, Fault fault) {
+  if (m_calls.empty()) {
+    return;
+  }
+  const auto item =
+      m_calls.begin() + static_cast<std::ptrdiff_t>(choice % m_calls.size());
+  const std::size_t index = item->m_host;
+  // A paused caller reads its answer when it wakes.
+  if (!m_hosts[index].m_running && CallerAlive(*item)) {
+    return;
+  }
+  const bool alive = CallerAlive(*item);
+  if (fault == Fault::kTimeOut) {
+    if (!item->m_answered && alive) {
+      item->m_answered = true;
+      const auto fail = item->m_fail;
+      fail();
+      RunEffects(index);
+    }
+    return;
+  }
+  const Call call = std::move(*item);
+  m_calls.erase(item);
+  const bool arrives = fault != Fault::kLoseRequest && Reachable(call);
+  if (arrives) {
+    call.m_arrive();
+    if (call.m_peer) {
+      RunEffects(*call.m_peer);
+    }
+  }
+  if (!alive || call.m_answered) {
+    return;
+  }
+  (arrives && fault != Fault::kLoseReply ? call.m_reply : call.m_fail)();
+  RunEffects(index);
+}
+
+void ClaimWorld::DeliverAll() {
+  constexpr int kRounds = 64;
+  for (int i = 0; i < kRounds && !m_calls.empty(); ++i) {
+    const std::size_t count = m_calls.size();
+    std::size_t skipped = 0;
+    for (std::size_t j = 0; j < count; ++j) {
+      const std::size_t before = m_calls.size();
+      Deliver(skipped, Fault::kNone);
+      skipped += m_calls.size() >= before && skipped < m_calls.size() ? 1 : 0;
+      if (skipped >= m_calls.size()) {
+        break;
+      }
+    }
+  }
+}
+
+void ClaimWorld::Pause(std::size_t host) {
+  m_hosts[host].m_running = false;
+}
+
+void ClaimWorld::Resume(std::size_t host) {
+  m_hosts[host].m_running = true;
+}
+
+void ClaimWorld::Restart(std::size_t host) {
+  Start(host);
+}
+
+void ClaimWorld::CutFromService(std::size_t host, bool cut) {
+  m_hosts[host].m_cut_from_service = cut;
+}
+
+void ClaimWorld::CutPeers(std::size_t host, bool cut) {
+  m_hosts[host].m_cut_from_peers = cut;
+}
+
+void ClaimWorld::Release(std::size_t host) {
+  Host& item = m_hosts[host];
+  const MonotonicTime local = LocalTime(item);
+  if (!item.m_running || !item.m_table->HeldFence(kClaim, local)) {
+    return;
+  }
+  m_last_payload = "state of " + std::to_string(m_last_fence);
+  item.m_table->Release(kClaim,
+                        item.m_table->NextHost(kClaim).value_or(HostId()),
+                        m_last_payload, local);
+  RunEffects(host);
+}
+
+void ClaimWorld::Heal() {
+  m_service_up = true;
+  for (Host& host : m_hosts) {
+    host.m_running = true;
+    host.m_cut_from_service = false;
+    host.m_cut_from_peers = false;
+  }
+  // Long enough for a successor's long lease, its promise and the ranks.
+  const Duration enough = m_settings.m_long_ttl + 10 * m_settings.m_short_ttl;
+  for (Duration passed{}; passed < enough; passed += milliseconds(500)) {
+    DeliverAll();
+    Advance(milliseconds(500));
+  }
+  DeliverAll();
+}
+
+std::size_t ClaimWorld::Holders() const {
+  return static_cast<std::size_t>(
+      std::count_if(m_hosts.begin(), m_hosts.end(), [&](const Host& host) {
+        return host.m_table->HeldFence(kClaim, LocalTime(host)).has_value();
+      }));
+}
+
+std::optional<std::size_t> ClaimWorld::IndexOf(const HostId& id) const {
+  for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+    if (m_hosts[i].m_id == id) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+void ClaimWorld::RunEffects(std::size_t index) {
+  for (const ClaimEffect& effect : m_hosts[index].m_table->TakeEffects()) {
+    std::visit([&](const auto& item) { Run(index, item); }, effect);
+  }
+}
+
+void ClaimWorld::Run(std::size_t index, const ReadEvidence& effect) {
+  const auto evidence = std::make_shared<ClaimEvidence>();
+  const auto answer = [=, this](bool read) {
+    Host& host = m_hosts[index];
+    host.m_table->OnEvidence(effect.m_claim,
+                             read ? std::optional(*evidence) : std::nullopt,
+                             LocalTime(host));
+  };
+  // Three reads, one after the other.
+  const auto call = [=, this](std::function<void()> arrive,
+                              std::function<void()> reply) {
+    m_calls.push_back({.m_host = index,
+                       .m_incarnation = m_hosts[index].m_incarnation,
+                       .m_arrive = std::move(arrive),
+                       .m_reply = std::move(reply),
+                       .m_fail = [=] { answer(false); }});
+  };
+  const auto read_standing = [=, this] {
+    const ClaimRecord record = evidence->m_stored->m_record;
+    call(
+        [=, this] {
+          evidence->m_successor_standing =
+              m_store
+                  .Get(
+                      StandingKey(record.m_successor, record.m_successor_lease))
+                  .has_value();
+        },
+        [=] { answer(true); });
+  };
+  const auto read_member = [=, this] {
+    const ClaimRecord record = evidence->m_stored->m_record;
+    call(
+        [=, this] {
+          const auto member =
+              m_store.Get(MemberKey(record.m_holder, record.m_incarnation));
+          evidence->m_holder_live = member && member->m_lease == record.m_lease;
+        },
+        [=] {
+          if (evidence->m_holder_live || record.m_successor.empty()) {
+            answer(true);
+          } else {
+            read_standing();
+          }
+        });
+  };
+  call(
+      [=, this] {
+        if (const auto item = m_store.Get(kClaimKey)) {
+          evidence->m_stored = StoredClaim{ParseClaimRecord(item->m_value),
+                                           item->m_mod_revision};
+        }
+      },
+      [=] {
+        if (!evidence->m_stored ||
+            evidence->m_stored->m_record.m_holder.empty()) {
+          answer(true);
+        } else {
+          read_member();
+        }
+      });
+}
+
+void ClaimWorld::Run(std::size_t index, const WriteClaim& effect) {
+  const auto reply = std::make_shared<platform::SwapReply>();
+  const auto answer = [=, this](WriteOutcome outcome) {
+    Host& host = m_hosts[index];
+    host.m_table->OnWrite(effect.m_claim, effect.m_nonce, outcome,
+                          reply->m_revision, LocalTime(host));
+  };
+  m_calls.push_back(
+      {.m_host = index,
+       .m_incarnation = m_hosts[index].m_incarnation,
+       .m_arrive =
+           [=, this] {
+             *reply = m_store.Swap(
+                 {.m_key = kClaimKey,
+                  .m_expected_revision = effect.m_expected,
+                  .m_value = effect.m_record ? std::optional(FormatClaimRecord(
+                                                   *effect.m_record))
+                                             : std::nullopt});
+           },
+       .m_reply =
+           [=] {
+             answer(reply->m_swapped ? WriteOutcome::kWritten
+                                     : WriteOutcome::kConflict);
+           },
+       .m_fail = [=] { answer(WriteOutcome::kUnknown); }});
+}
+
+void ClaimWorld::Run(std::size_t index, const RequestPromise& effect) {
+  const auto peer = IndexOf(effect.m_successor);
+  const auto reply = std::make_shared<PromiseAnswer>();
+  const MonotonicTime sent_at = LocalTime(m_hosts[index]);
+  m_calls.push_back({.m_host = index,
+                     .m_peer = peer,
+                     .m_incarnation = m_hosts[index].m_incarnation,
+                     .m_arrive =
+                         [=, this] {
+                           Host& successor = m_hosts[*peer];
+                           *reply = successor.m_table->OnPromiseRequest(
+                               effect.m_claim, effect.m_fence,
+                               effect.m_successor_lease, LocalTime(successor));
+                         },
+                     .m_reply =
+                         [=, this] {
+                           m_hosts[index].m_table->OnPromise(effect, sent_at,
+                                                             *reply);
+                         },
+                     .m_fail = [] {}});
+}
+
+void ClaimWorld::Run(std::size_t /*index*/, const ClaimHeld& effect) {
+  ++m_changes;
+  m_in_order = m_in_order && effect.m_fence > m_last_fence;
+  if (effect.m_hand_over) {
+    ++m_hand_overs;
+    m_in_order = m_in_order && *effect.m_hand_over ==
+                                   "state of " + std::to_string(m_last_fence);
+  }
+  m_last_fence = effect.m_fence;
+}
+
+void ClaimWorld::Run(std::size_t /*index*/, const ClaimLost& /*effect*/) {}
+
+void ClaimWorld::Run(std::size_t index, const AnnounceClaim& effect) {
+  for (std::size_t peer = 0; peer < m_hosts.size(); ++peer) {
+    if (peer == index) {
+      continue;
+    }
+    m_calls.push_back({.m_host = index,
+                       .m_peer = peer,
+                       .m_incarnation = m_hosts[index].m_incarnation,
+                       .m_arrive =
+                           [=, this] {
+                             Host& host = m_hosts[peer];
+                             host.m_table->OnAnnounced(effect, LocalTime(host));
+                           },
+                       .m_reply = [] {},
+                       .m_fail = [] {}});
+  }
+}
+
+void ClaimWorld::Run(std::size_t index, const SendHandOver& effect) {
+  const auto peer = IndexOf(effect.m_next);
+  if (!peer) {
+    return;
+  }
+  m_calls.push_back({.m_host = index,
+                     .m_peer = peer,
+                     .m_incarnation = m_hosts[index].m_incarnation,
+                     .m_arrive =
+                         [=, this] {
+                           Host& host = m_hosts[*peer];
+                           host.m_table->OnHandOver(
+                               effect.m_claim, effect.m_fence, effect.m_payload,
+                               LocalTime(host));
+                         },
+                     .m_reply = [] {},
+                     .m_fail = [] {}});
+}
+
+void ClaimWorld::Run(std::size_t index, const MoveClaim& effect) {
+  Host& host = m_hosts[index];
+  m_last_payload = "state of " + std::to_string(m_last_fence);
+  host.m_table->Release(effect.m_claim, effect.m_next, m_last_payload,
+                        LocalTime(host));
+  RunEffects(index);
+}
+
+std::string ClaimWorld::Describe() const {
+  std::string text;
+  for (const Host& host : m_hosts) {
+    const auto fence = host.m_table->HeldFence(kClaim, LocalTime(host));
+    text += host.m_id.value() + (host.m_running ? "" : "(paused)") + "=" +
+            (fence ? std::to_string(*fence) : "-") + " ";
+  }
+  const auto item = m_store.Get(kClaimKey);
+  return text + (item ? item->m_value : "no record");
+}
+
+}  // namespace hickoryloft::claims
