--- a/Source/placement/shard_orders.cc
+++ b/Source/placement/shard_orders.cc
@@ -61,15 +61,14 @@
   replica.m_seen = false;
   replica.m_absent_after =
       now + m_settings.m_order_effect_limit + m_settings.m_report_lag;
-  m_effects.emplace_back(SendOrder{
-      key.m_endpoint,
-      {.m_kind = endpoint::OrderKind::kLoad,
-       .m_number = replica.m_order_number,
-       .m_scope = m_settings.m_scope,
-       .m_fencing_number = m_fence,
-       .m_artifact = key.m_artifact,
-       .m_bytes = replica.m_bytes,
-       .m_peak_bytes = replica.m_peak_bytes}});
+  m_effects.emplace_back(SendOrder{key.m_endpoint,
+                                   {.m_kind = endpoint::OrderKind::kLoad,
+                                    .m_number = replica.m_order_number,
+                                    .m_scope = m_settings.m_scope,
+                                    .m_fencing_number = m_fence,
+                                    .m_artifact = key.m_artifact,
+                                    .m_bytes = replica.m_bytes,
+                                    .m_peak_bytes = replica.m_peak_bytes}});
 }
 
 void Shard::SendUnload(const ReplicaKey& key,
@@ -78,15 +77,14 @@
   m_replicas.Move(key, replica, ReplicaStep::kUnloading);
   replica.m_ordered_at = now;
   replica.m_order_open = true;
-  m_effects.emplace_back(
-      SendOrder{key.m_endpoint,
-                {.m_kind = endpoint::OrderKind::kUnload,
-                 .m_number = replica.m_order_number,
-                 .m_scope = m_settings.m_scope,
-                 .m_fencing_number = m_fence,
-                 .m_artifact = key.m_artifact,
-                 .m_bytes = replica.m_bytes,
-                 .m_peak_bytes = replica.m_peak_bytes}});
+  m_effects.emplace_back(SendOrder{key.m_endpoint,
+                                   {.m_kind = endpoint::OrderKind::kUnload,
+                                    .m_number = replica.m_order_number,
+                                    .m_scope = m_settings.m_scope,
+                                    .m_fencing_number = m_fence,
+                                    .m_artifact = key.m_artifact,
+                                    .m_bytes = replica.m_bytes,
+                                    .m_peak_bytes = replica.m_peak_bytes}});
 }
 
 Effects Shard::OnOrderReply(const EndpointId& endpoint,
@@ -116,7 +114,9 @@
       RefuseWaiting(replica, RefusalReason::kNoCapacity);
       BecomeAbsent(key, replica);
     } else if (reply.ok()) {
-      replica.m_absent_after = now + m_settings.m_report_lag;
+      const Duration lag =
+          replica.m_seen ? Duration{} : m_settings.m_report_lag;
+      replica.m_absent_after = now + lag;
     }
     return;
   }
@@ -162,12 +162,15 @@
     items[item.m_artifact] = &item;
   }
   for (const ReplicaKey& key : m_replicas.On(endpoint)) {
-    Replica& replica = *m_replicas.Find(key);
+    Replica* replica = m_replicas.Find(key);
+    if (replica == nullptr) {
+      continue;  // It ended with its base model.
+    }
     const auto item = items.find(key.m_artifact);
     if (item != items.end()) {
-      ObserveItem(key, replica, *item->second, now);
+      ObserveItem(key, *replica, *item->second, now);
     } else {
-      ObserveAbsence(key, replica, requested_at);
+      ObserveAbsence(key, *replica, requested_at);
     }
   }
   return TakeEffects(now);
@@ -178,37 +181,31 @@
                         const endpoint::InventoryItem& item,
                         MonotonicTime now) {
   const bool ready = item.m_phase == ArtifactPhase::kReady;
-  switch (replica.m_step) {
-    case ReplicaStep::kLoading:
-      // An item of another order is what an earlier report still shows.
-      if (item.m_order_number != replica.m_order_number) {
-        return;
-      }
-      replica.m_seen = true;
-      if (ready) {
-        BecomeReady(key, replica, now);
-      }
-      return;
-    case ReplicaStep::kUnsure:
-      replica.m_seen = true;
-      if (ready && !replica.m_fence_pending) {
-        BecomeReady(key, replica, now);
-      }
-      return;
-    case ReplicaStep::kReady:
-      replica.m_seen = true;
-      return;
-    case ReplicaStep::kUnloading:
-      if (ready && now - replica.m_ordered_at >
-                       m_settings.m_order_effect_limit +
-                           m_settings.m_report_lag) {
-        // The order was lost; a new one needs a new number.
-        m_replicas.Move(key, replica, ReplicaStep::kReady);
-        BeginRelease(key);
-      }
-      return;
-    default:
-      return;
+  const bool loading = replica.m_step == ReplicaStep::kLoading;
+  if (replica.m_fence_pending ||
+      (loading && item.m_order_number != replica.m_order_number)) {
+    return;
+  }
+  replica.m_seen = true;
+  // While a copy of the load order may still land, absence proves nothing; from
+  // then on every report that is asked for later does.
+  const bool settled =
+      !replica.m_order_open ||
+      now >= replica.m_ordered_at + m_settings.m_order_effect_limit;
+  if (settled || replica.m_step == ReplicaStep::kUnloading) {
+    replica.m_absent_after = now;
+  }
+  if (ready && (loading || replica.m_step == ReplicaStep::kUnsure)) {
+    BecomeReady(key, replica, now);
+    return;
+  }
+  const Duration limit =
+      m_settings.m_order_effect_limit + m_settings.m_report_lag;
+  if (ready && replica.m_step == ReplicaStep::kUnloading &&
+      now - replica.m_ordered_at > limit) {
+    // The order was lost; a new one needs a new number.
+    m_replicas.Move(key, replica, ReplicaStep::kReady);
+    BeginRelease(key);
   }
 }
 
@@ -220,15 +217,8 @@
                               replica.m_step == ReplicaStep::kDraining ||
                               replica.m_step == ReplicaStep::kUnloading ||
                               replica.m_step == ReplicaStep::kUnsure;
-  if (!may_be_present || replica.m_fence_pending) {
-    return;
-  }
-  // A load order without a reply may still land after a restart.
-  const bool settled = !replica.m_order_open ||
-                       replica.m_step != ReplicaStep::kLoading;
-  const bool proved = (replica.m_seen && settled) ||
-                      requested_at >= replica.m_absent_after;
-  if (proved) {
+  if (may_be_present && !replica.m_fence_pending &&
+      requested_at >= replica.m_absent_after) {
     BecomeAbsent(key, replica);
   }
 }
@@ -242,7 +232,6 @@
   }
   m_replicas.Move(key, replica, ReplicaStep::kReady);
   replica.m_ready_at = now;
-  replica.m_order_open = false;
   EndSlot(key);
   TouchFor(key);
   if (!IsBase(key)) {
@@ -265,15 +254,8 @@
   RefuseWaiting(replica, RefusalReason::kNoCapacity);
   m_replicas.Move(key, replica, ReplicaStep::kReleasing);
   TouchFor(key);
-  if (!IsBase(key)) {
-    return;
-  }
-  for (const ReplicaKey& other : m_replicas.On(key.m_endpoint)) {
-    Replica* adapter = m_replicas.Find(other);
-    if (other.m_artifact.m_model == key.m_artifact.m_model &&
-        adapter->m_step == ReplicaStep::kAwaitingBase) {
-      GiveUp(other, *adapter);
-    }
+  if (IsBase(key)) {
+    GiveUpAdapters(key);
   }
 }
 
@@ -288,8 +270,8 @@
 
 void Shard::PollUnsettled(MonotonicTime now) {
   std::set<EndpointId> endpoints;
-  for (const ReplicaStep step : {ReplicaStep::kLoading, ReplicaStep::kUnloading,
-                                 ReplicaStep::kUnsure}) {
+  for (const ReplicaStep step :
+       {ReplicaStep::kLoading, ReplicaStep::kUnloading, ReplicaStep::kUnsure}) {
     for (const ReplicaKey& key : m_replicas.In(step)) {
       if (NeedsInventory(*m_replicas.Find(key))) {
         endpoints.insert(key.m_endpoint);
@@ -312,14 +294,7 @@
   EndFenceWaits(now);
   RetryLost(now);
   PollUnsettled(now);
-  for (const ReplicaKey& key : m_replicas.In(ReplicaStep::kReserving)) {
-    TouchFor(key);
-  }
-  for (auto& [service, slots] : m_slots) {
-    if (slots.HasWork()) {
-      Touch(RecordKind::kStore, service.value());
-    }
-  }
+  RefreshAwaited(now);
   if (now >= m_next_review) {
     m_next_review = now + m_settings.m_review_interval;
     ReviewReplicas(now);
