--- a/Source/coordinator/placement_module.cc
+++ b/Source/coordinator/placement_module.cc
@@ -13,8 +13,6 @@
 constexpr std::string_view kClaimPrefix = "placement/";
 // An endpoint outside the host list that does not answer for this long is gone.
 constexpr Duration kVanishedLimit = seconds(10);
-constexpr double kLeastWorth = 0.0005;
-constexpr Duration kMinKeep = seconds(20);
 
 ClaimName ClaimOf(const ModelId& model) {
   return std::string(kClaimPrefix) +
--- a/Source/placement/keep_policy.cc
+++ b/Source/placement/keep_policy.cc
@@ -50,9 +50,6 @@
   return false;
 }
 
-HistogramKeepPolicy::HistogramKeepPolicy(double least_worth, Duration min_keep)
-    : m_least_worth(least_worth), m_min_keep(min_keep) {}
-
 void HistogramKeepPolicy::OnUse(const Artifact& artifact, MonotonicTime now) {
   const auto [found, added] = m_histories.try_emplace(artifact);
   History& history = found->second;
@@ -87,8 +84,8 @@
     return false;
   }
   const Duration idle = now - found->second.m_last_use;
-  return idle >= m_min_keep &&
-         Worth(artifact, bytes, load_time, now) < m_least_worth;
+  return idle >= m_settings.m_min_keep &&
+         Worth(artifact, bytes, load_time, now) < m_settings.m_least_worth;
 }
 
 bool HistogramKeepPolicy::ShouldPreWarm(const Artifact& artifact,
@@ -100,8 +97,9 @@
     return false;
   }
   const Duration idle = now - found->second.m_last_use;
-  return idle >= m_min_keep && found->second.m_idle_times.ReturnRate(
-                                   idle, 2 * load_time) > kPreWarmRate;
+  return idle >= m_settings.m_min_keep &&
+         found->second.m_idle_times.ReturnRate(idle, 2 * load_time) >
+             kPreWarmRate;
 }
 
 }  // namespace hickoryloft::placement
--- a/Source/placement/keep_policy.h
+++ b/Source/placement/keep_policy.h
@@ -65,13 +65,20 @@
   std::map<Artifact, MonotonicTime> m_last_use;
 };
 
+struct KeepSettings {
+  // A replica is released when its worth falls below this.
+  double m_least_worth = 0.0005;
+  // But not within this time of its last use, so that replicas do not thrash.
+  Duration m_min_keep = seconds(20);
+};
+inline const KeepSettings kKeepDefaults;
+
 // Weighs the expected saving against the bytes held, by each artifact's
 // histogram of idle times.
 class HistogramKeepPolicy : public KeepPolicy {
  public:
-  // A replica is released when its worth falls below `least_worth`, but not
-  // within `min_keep` of its last use, so that replicas do not thrash.
-  HistogramKeepPolicy(double least_worth, Duration min_keep);
+  explicit HistogramKeepPolicy(const KeepSettings& settings)
+      : m_settings(settings) {}
 
   void OnUse(const Artifact& artifact, MonotonicTime now) override;
   double Worth(const Artifact& artifact,
@@ -92,8 +99,7 @@
     IdleHistogram m_idle_times;
   };
 
-  double m_least_worth;
-  Duration m_min_keep;
+  KeepSettings m_settings;
   std::map<Artifact, History> m_histories;
 };
 
--- /dev/null
+++ b/Source/tools/policy_bench/bench_result.cc
@@ -0,0 +1,100 @@
+#include "tools/policy_bench/bench_result.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hickoryloft::tools {
+namespace {
+
+constexpr double kSecondsPerHour = 3600;
+constexpr Duration kAtOnce = milliseconds(10);
+constexpr double kRetryTolerance = 0.25;
+constexpr double kTail = 0.99;
+
+double Quantile(std::vector<double> values, double probability) {
+  if (values.empty()) {
+    return 0;
+  }
+  std::sort(values.begin(), values.end());
+  const auto rank = static_cast<std::size_t>(
+      std::ceil(probability * static_cast<double>(values.size())));
+  return values[std::max<std::size_t>(rank, 1) - 1];
+}
+
+double Share(double part, double whole) {
+  return whole > 0 ? part / whole : 0;
+}
+
+}  // namespace
+
+void BenchResult::AddRetry(Duration stated, Duration actual) {
+  const double real = std::max(ToSeconds(actual), 1e-3);
+  m_retry_errors.push_back(std::abs(ToSeconds(stated) - real) / real);
+}
+
+void BenchResult::SetIdle(double byte_seconds, double engine_bytes) {
+  m_idle_hours = byte_seconds / engine_bytes / kSecondsPerHour;
+}
+
+double BenchResult::WorstAccountShare() const {
+  std::map<std::uint32_t, std::pair<double, double>> accounts;
+  for (const RequestRecord& record : m_records) {
+    auto& [served, all] = accounts[record.m_account];
+    served += record.m_outcome == Outcome::kServed ? 1 : 0;
+    all += 1;
+  }
+  double worst = 1;
+  for (const auto& [account, counts] : accounts) {
+    worst = std::min(worst, Share(counts.first, counts.second));
+  }
+  return worst;
+}
+
+std::map<std::string, double> BenchResult::Measures() const {
+  std::vector<double> waits;
+  std::vector<double> cold_waits;
+  std::vector<double> bounds;
+  double refused = 0;
+  double at_once = 0;
+  double late = 0;
+  double cold = 0;
+  for (const RequestRecord& record : m_records) {
+    cold += record.m_cold ? 1 : 0;
+    if (record.m_outcome == Outcome::kRefused) {
+      refused += 1;
+      at_once += record.m_wait <= kAtOnce ? 1 : 0;
+      continue;
+    }
+    late += record.m_outcome == Outcome::kLate ? 1 : 0;
+    waits.push_back(ToSeconds(record.m_wait));
+    if (record.m_cold) {
+      cold_waits.push_back(ToSeconds(record.m_wait));
+      bounds.push_back(ToSeconds(record.m_bound));
+    }
+  }
+  const double all = static_cast<double>(m_records.size());
+  const auto good_retries = static_cast<double>(
+      std::count_if(m_retry_errors.begin(), m_retry_errors.end(),
+                    [](double error) { return error <= kRetryTolerance; }));
+  return {{"requests", all},
+          {"cold_share", Share(cold, all)},
+          {"cold_p50_s", Quantile(cold_waits, 0.5)},
+          {"cold_p99_s", Quantile(cold_waits, kTail)},
+          {"bound_p99_s", Quantile(bounds, kTail)},
+          {"cold_p99_over_bound",
+           Share(Quantile(cold_waits, kTail), Quantile(bounds, kTail))},
+          {"wait_p99_s", Quantile(waits, kTail)},
+          {"idle_hours", m_idle_hours},
+          {"refused_share", Share(refused, all)},
+          {"refused_at_once_share", refused > 0 ? at_once / refused : 1},
+          {"late_share", Share(late, all)},
+          {"retry_within_25_share",
+           Share(good_retries, static_cast<double>(m_retry_errors.size()))},
+          {"retry_error_p50", Quantile(m_retry_errors, 0.5)},
+          {"worst_account_served_share", WorstAccountShare()},
+          {"loads", static_cast<double>(m_loads)},
+          {"writes", static_cast<double>(m_writes)},
+          {"overcommits", static_cast<double>(m_overcommits)}};
+}
+
+}  // namespace hickoryloft::tools
--- /dev/null
+++ b/Source/tools/policy_bench/bench_result.h
@@ -0,0 +1,55 @@
+// What one replay measured.
+
+#ifndef SOURCE_TOOLS_POLICY_BENCH_BENCH_RESULT_H_
+#define SOURCE_TOOLS_POLICY_BENCH_BENCH_RESULT_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+
+namespace hickoryloft::tools {
+
+enum class Outcome { kServed, kRefused, kLate };
+
+// How one request of the trace fared.
+struct RequestRecord {
+  std::uint32_t m_account = 0;
+  Outcome m_outcome = Outcome::kLate;
+  bool m_cold = false;  // No ready replica at its arrival.
+  Duration m_wait{};    // From arrival to a ready replica, or to the refusal.
+  Duration m_bound{};   // The fastest possible load at its arrival, if cold.
+  Duration m_retry_after{};
+};
+
+// Not thread-safe.
+class BenchResult {
+ public:
+  void Add(const RequestRecord& record) { m_records.push_back(record); }
+  // A refused caller could have been served `actual` after its refusal, which
+  // said `stated`.
+  void AddRetry(Duration stated, Duration actual);
+  void SetIdle(double byte_seconds, double engine_bytes);
+  void CountLoad() { ++m_loads; }
+  void CountWrite() { ++m_writes; }
+  void CountOvercommit() { ++m_overcommits; }
+
+  // Returns the measures by name, in the units that the names end in.
+  std::map<std::string, double> Measures() const;
+
+ private:
+  double WorstAccountShare() const;
+
+  std::vector<RequestRecord> m_records;
+  std::vector<double> m_retry_errors;
+  double m_idle_hours = 0;
+  std::uint64_t m_loads = 0;
+  std::uint64_t m_writes = 0;
+  std::uint64_t m_overcommits = 0;
+};
+
+}  // namespace hickoryloft::tools
+
+#endif  // SOURCE_TOOLS_POLICY_BENCH_BENCH_RESULT_H_
--- /dev/null
+++ b/Source/tools/policy_bench/bench_run.h
@@ -0,0 +1,75 @@
+// Replays a trace: the callers and entries around a BenchFleet.
+
+#ifndef SOURCE_TOOLS_POLICY_BENCH_BENCH_RUN_H_
+#define SOURCE_TOOLS_POLICY_BENCH_BENCH_RUN_H_
+
+#include <cstdint>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "tools/policy_bench/bench_fleet.h"
+#include "tools/policy_bench/bench_result.h"
+#include "tools/policy_bench/policy_set.h"
+#include "tools/policy_bench/trace.h"
+#include "tools/policy_bench/virtual_clock.h"
+
+namespace hickoryloft::tools {
+
+// One replay; gives the same result for the same arguments. Not thread-safe.
+class BenchRun : private FleetListener {
+ public:
+  // The references must outlive this.
+  BenchRun(const TraceSpec& spec,
+           const PolicySet& policies,
+           std::uint64_t seed);
+
+  // Replays the whole trace. Call once.
+  BenchResult Run();
+
+ private:
+  // A request that waits for a replica.
+  struct Waiting {
+    Arrival m_arrival;
+    placement::Artifact m_artifact;
+    MonotonicTime m_arrived{};
+    Duration m_bound{};
+    bool m_cold = false;
+  };
+  struct Refusal {
+    MonotonicTime m_at{};
+    Duration m_retry_after{};
+  };
+
+  void OnAnswer(const placement::DemandAnswer& answer) override;
+  void OnReady(const placement::Artifact& artifact) override;
+
+  void ScheduleNext();
+  void Arrive(const Arrival& arrival);
+  void Ask(std::uint64_t id);
+  void Touch(const Waiting& request);
+  void Serve(std::uint64_t id, FakeEngine& engine);
+  void GiveUp(std::uint64_t id);
+  void Refuse(std::uint64_t id, const placement::DemandAnswer& answer);
+  RequestRecord RecordOf(const Waiting& request, Outcome outcome) const;
+
+  const TraceSpec& m_spec;
+  VirtualClock m_clock;
+  Trace m_trace;
+  BenchResult m_result;
+  BenchFleet m_fleet;
+  RandomEngine m_random;
+  MonotonicTime m_begin{};
+  std::size_t m_next = 0;
+  std::uint64_t m_last_id = 0;
+  std::map<std::uint64_t, Waiting> m_waiting;
+  std::map<placement::Artifact, std::vector<std::uint64_t>> m_by_artifact;
+  std::map<placement::Artifact, std::vector<Refusal>> m_refusals;
+  // When an entry last told the shard that it uses a warm replica.
+  std::map<std::pair<std::uint32_t, placement::Artifact>, MonotonicTime>
+      m_touched;
+};
+
+}  // namespace hickoryloft::tools
+
+#endif  // SOURCE_TOOLS_POLICY_BENCH_BENCH_RUN_H_
--- /dev/null
+++ b/Source/tools/policy_bench/fake_store.h
@@ -0,0 +1,52 @@
+// A weight store whose loads share its bandwidth once more than a few are in
+// progress, and which starts only so many a second.
+
+#ifndef SOURCE_TOOLS_POLICY_BENCH_FAKE_STORE_H_
+#define SOURCE_TOOLS_POLICY_BENCH_FAKE_STORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+
+#include "tools/policy_bench/trace_spec.h"
+#include "tools/policy_bench/virtual_clock.h"
+
+namespace hickoryloft::tools {
+
+// Not thread-safe.
+class FakeStore {
+ public:
+  // Both must outlive this.
+  FakeStore(VirtualClock& clock, const FleetSpec& fleet);
+
+  // Reads `bytes` and calls `done` when they are there.
+  void Read(std::uint64_t bytes, std::function<void()> done);
+  // Changes the speed of all loads.
+  void SetSlowdown(double factor);
+  // Returns the time of a load that has the store to itself.
+  Duration AloneTime(std::uint64_t bytes) const;
+
+ private:
+  struct Load {
+    double m_bytes_left = 0;
+    std::function<void()> m_done;
+  };
+
+  void Begin(std::uint64_t bytes, std::function<void()> done);
+  double BytesPerSecond() const;
+  void Progress();
+  void ScheduleNext();
+
+  VirtualClock& m_clock;
+  const FleetSpec& m_fleet;
+  double m_slowdown = 1;
+  std::map<std::uint64_t, Load> m_loads;
+  std::uint64_t m_last_id = 0;
+  std::uint64_t m_schedule = 0;  // Outdates earlier wake-ups.
+  MonotonicTime m_progressed_at{};
+  MonotonicTime m_next_start{};
+};
+
+}  // namespace hickoryloft::tools
+
+#endif  // SOURCE_TOOLS_POLICY_BENCH_FAKE_STORE_H_
--- /dev/null
+++ b/Source/tools/policy_bench/trace.cc
@@ -0,0 +1,163 @@
+#include "tools/policy_bench/trace.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numbers>
+#include <string>
+
+namespace hickoryloft::tools {
+namespace {
+
+constexpr double kBytesPerGb = 1e9;
+constexpr double kPeakFactor = 1.1;
+constexpr std::uint64_t kAdapterBytes = 60'000'000;
+constexpr std::uint32_t kMaxReplicas = 3;
+constexpr double kPeriodJitter = 0.03;
+constexpr double kSecondsPerHour = 3600;
+// All first requests of a session come within this time.
+constexpr double kBurstSpreadSeconds = 0.2;
+
+// Draws the sessions and requests of one trace.
+class TraceMaker {
+ public:
+  TraceMaker(const TraceSpec& spec, std::uint64_t seed)
+      : m_spec(spec), m_demand(spec.m_demand), m_random(seed) {}
+
+  Trace Make() {
+    MakeCatalog();
+    double weights = 0;
+    for (std::uint32_t rank = 1; rank <= m_demand.m_models; ++rank) {
+      weights += Weight(rank);
+    }
+    for (std::uint32_t rank = 1; rank <= m_demand.m_models; ++rank) {
+      const double rate = m_demand.m_sessions_per_hour * Weight(rank) /
+                          weights / kSecondsPerHour;
+      const bool periodic = Uniform(0, 1) < m_demand.m_periodic_share;
+      if (periodic) {
+        AddPeriodicSessions(rank);
+      } else {
+        AddRandomSessions(rank, rate);
+      }
+    }
+    std::stable_sort(m_trace.m_arrivals.begin(), m_trace.m_arrivals.end(),
+                     [](const Arrival& left, const Arrival& right) {
+                       return left.m_at < right.m_at;
+                     });
+    return std::move(m_trace);
+  }
+
+ private:
+  double Uniform(double low, double high) {
+    return std::uniform_real_distribution<double>(low, high)(m_random);
+  }
+  double Exponential(double mean) {
+    return std::exponential_distribution<double>(1 / mean)(m_random);
+  }
+  double Weight(std::uint32_t rank) const {
+    return 1 / std::pow(rank, m_demand.m_skew);
+  }
+  double End() const { return ToSeconds(m_spec.m_duration); }
+  static ModelId ModelAt(std::uint32_t rank) {
+    return ModelId("trace/m" + std::to_string(rank));
+  }
+
+  void MakeCatalog() {
+    for (std::uint32_t rank = 1; rank <= m_demand.m_models; ++rank) {
+      const double gb =
+          Uniform(m_demand.m_least_model_gb, m_demand.m_most_model_gb);
+      const auto bytes = static_cast<std::uint64_t>(gb * kBytesPerGb);
+      const ModelId id = ModelAt(rank);
+      m_trace.m_catalog[id] = {
+          .m_id = id,
+          .m_version = "1",
+          .m_bytes = bytes,
+          .m_peak_bytes = static_cast<std::uint64_t>(bytes * kPeakFactor),
+          .m_max_replicas = kMaxReplicas};
+    }
+    for (std::uint32_t index = 0; index < m_demand.m_adapters; ++index) {
+      const auto rank =
+          static_cast<std::uint32_t>(Uniform(1, m_demand.m_models / 4.0 + 1));
+      m_trace.m_catalog[ModelAt(rank)]
+          .m_adapters[AdapterId("a" + std::to_string(index))] = {
+          .m_version = "1", .m_bytes = kAdapterBytes};
+    }
+  }
+
+  // Draws a time by a rate that swings over the trace.
+  void AddRandomSessions(std::uint32_t rank, double rate) {
+    double at = 0;
+    const double highest = rate * (1 + m_demand.m_diurnal);
+    while ((at += Exponential(1 / highest)) < End()) {
+      const double phase = 2 * std::numbers::pi * at / End();
+      const double now = rate * (1 - m_demand.m_diurnal * std::cos(phase));
+      if (Uniform(0, highest) < now) {
+        AddSession(rank, at);
+      }
+    }
+  }
+
+  void AddPeriodicSessions(std::uint32_t rank) {
+    const double period = m_demand.m_period_s * Uniform(0.5, 1.5);
+    for (double at = Uniform(0, period); at < End(); at += period) {
+      AddSession(rank, at + period * Uniform(-kPeriodJitter, kPeriodJitter));
+    }
+  }
+
+  void AddSession(std::uint32_t rank, double start) {
+    const placement::CatalogModel& model = m_trace.m_catalog[ModelAt(rank)];
+    AdapterId adapter;
+    if (!model.m_adapters.empty() && Uniform(0, 1) < m_demand.m_adapter_share) {
+      const auto index = static_cast<std::ptrdiff_t>(
+          Uniform(0, static_cast<double>(model.m_adapters.size())));
+      adapter = std::next(model.m_adapters.begin(), index)->first;
+    }
+    const auto account =
+        static_cast<std::uint32_t>(Uniform(0, m_demand.m_accounts));
+    double copies = 1;
+    if (account == 0) {
+      copies = m_spec.m_faults.m_busy_account_factor;
+    }
+    const double firsts = copies * (1 + Exponential(m_demand.m_burst));
+    for (int index = 0; index < static_cast<int>(firsts); ++index) {
+      AddArrival(start + Uniform(0, kBurstSpreadSeconds), account, model.m_id,
+                 adapter);
+    }
+    const double later = copies * Exponential(m_demand.m_session_requests);
+    double at = start;
+    for (int index = 0; index < static_cast<int>(later); ++index) {
+      at += Exponential(m_demand.m_gap_s / copies);
+      AddArrival(at, account, model.m_id, adapter);
+    }
+  }
+
+  void AddArrival(double at,
+                  std::uint32_t account,
+                  const ModelId& model,
+                  const AdapterId& adapter) {
+    if (at < 0 || at >= End()) {
+      return;
+    }
+    m_trace.m_arrivals.push_back(
+        {.m_at = FromSeconds(at),
+         .m_entry =
+             static_cast<std::uint32_t>(Uniform(0, m_spec.m_fleet.m_entries)),
+         .m_account = account,
+         .m_model = model,
+         .m_adapter = adapter,
+         .m_patience = FromSeconds(Uniform(m_demand.m_least_patience_s,
+                                           m_demand.m_most_patience_s))});
+  }
+
+  const TraceSpec& m_spec;
+  const DemandSpec& m_demand;
+  RandomEngine m_random;
+  Trace m_trace;
+};
+
+}  // namespace
+
+Trace MakeTrace(const TraceSpec& spec, std::uint64_t seed) {
+  return TraceMaker(spec, seed).Make();
+}
+
+}  // namespace hickoryloft::tools
