--- a/Source/coordinator/placement_module.cc
+++ b/Source/coordinator/placement_module.cc
@@ -39,8 +39,8 @@
 placement::Policies DefaultPolicies() {
   return {
       .m_endpoint = std::make_unique<placement::TierAwarePolicy>(),
-      .m_keep = std::make_unique<placement::HistogramKeepPolicy>(kLeastWorth,
-                                                                 kMinKeep),
+      .m_keep = std::make_unique<placement::HistogramKeepPolicy>(
+          placement::kKeepDefaults),
       .m_load_order = std::make_unique<placement::EarliestDeadlinePolicy>()};
 }
 
--- a/Source/tools/policy_bench/trace_spec.cc
+++ b/Source/tools/policy_bench/trace_spec.cc
@@ -3,11 +3,11 @@
 #include <filesystem>
 #include <limits>
 #include <sstream>
-#include <toml.hpp>
 
 #include "base/error.h"
 #include "documents/table_reader.h"
 #include "settings/settings_file.h"
+#include "settings/toml_text.h"
 
 namespace hickoryloft::tools {
 namespace {
@@ -72,19 +72,11 @@
   reader.RejectUnknownKeys();
 }
 
-toml::value ParseToml(const std::string& path) {
-  std::istringstream text(settings::ReadFile(path));
-  try {
-    return toml::parse(text, path);
-  } catch (const toml::exception& failure) {
-    throw Error(ErrorCode::kInvalidDocument, failure.what());
-  }
-}
-
 }  // namespace
 
 std::vector<TraceSpec> LoadTraces(const std::string& path) {
-  const toml::value root = ParseToml(path);
+  const toml::table root = settings::ParseTomlText(
+      settings::ReadFile(path), path, ErrorCode::kInvalidDocument);
   TableReader reader(root, "", path);
   TraceSpec trace{.m_name = std::filesystem::path(path).stem().string()};
   trace.m_duration = seconds(
