--- a/Source/coordinator/daemon.cc
+++ b/Source/coordinator/daemon.cc
@@ -14,6 +14,8 @@
 #include "coordinator/platform_clients.h"
 #include "coordinator/settings_table.h"
 #include "documents/parse_document.h"
+#include "endpoint/event_http_client.h"
+#include "endpoint/http_order_service.h"
 #include "settings/settings_file.h"
 
 namespace hickoryloft::coordinator {
@@ -100,8 +102,11 @@
   EventLoop loop;
   const auto key_values = MakeKeyValueService(loop, settings);
   const auto host_list = MakeHostList(loop, settings);
+  endpoint::EventHttpClient endpoint_client(loop);
+  endpoint::HttpOrderService orders(loop, endpoint_client);
   Coordinator coordinator(loop, *key_values, core_settings);
-  coordinator.SetModules(MakeModules({coordinator, settings, *host_list}));
+  coordinator.SetModules(
+      MakeModules({coordinator, settings, *host_list, orders}));
   const AdminServer admin(coordinator, admin_settings);
 
   const auto stop = [&] { coordinator.Stop([&loop] { loop.Stop(); }); };
--- a/Source/coordinator/modules.h
+++ b/Source/coordinator/modules.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "coordinator/module.h"
+#include "endpoint/orders.h"
 #include "platform/host_list.h"
 #include "settings/setting_table.h"
 
@@ -17,6 +18,7 @@
   Core& m_core;
   const settings::Settings& m_settings;
   platform::HostList& m_host_list;
+  endpoint::OrderService& m_orders;
 };
 
 // Returns all modules, in the order in which requests and notices are offered
