demo: stop the hosts before the key-value service

Cause: the demo took 23 s, of which 15 s were coordinators waiting to revoke their leases at a stand-in that had been stopped first. Change: the newest program is stopped first.

--- a/Utilities/demo.sh
+++ b/Utilities/demo.sh
@@ -9,12 +9,11 @@
 work=$(mktemp -d)
 pids=()
 
+# Stops the newest program first, so that the hosts can hand over and leave while the key-value service answers.
 stop_all() {
-  for pid in "${pids[@]}"; do
-    kill "$pid" 2>/dev/null || true
-  done
-  for pid in "${pids[@]}"; do
-    wait "$pid" 2>/dev/null || true
+  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
+    kill "${pids[$i]}" 2>/dev/null || true
+    wait "${pids[$i]}" 2>/dev/null || true
   done
   rm -r "$work"
 }
