--- a/Source/coordinator/admin_server.cc
+++ b/Source/coordinator/admin_server.cc
@@ -237,6 +237,9 @@
     m_coordinator.UpdateMetrics();
     Reply(request, kOk, "text/plain; version=0.0.4",
           m_coordinator.Metrics().ToPrometheusText());
+  } else if (read && path == "/metrics.json") {
+    m_coordinator.UpdateMetrics();
+    Reply(request, kOk, "application/json", m_coordinator.Metrics().ToJson());
   } else if (path.starts_with("/admin/")) {
     HandleAdmin(request, path);
   } else {
