--- a/Source/coordinator/rate_module.cc
+++ b/Source/coordinator/rate_module.cc
@@ -72,6 +72,7 @@
   grant.epoch = reply.m_epoch;
   grant.refill_per_second = reply.m_refill_per_second;
   grant.burst_tokens = reply.m_burst_tokens;
+  grant.level = static_cast<std::uint64_t>(reply.m_level);
   return grant;
 }
 
--- a/Source/entry/rate_token_gate.cc
+++ b/Source/entry/rate_token_gate.cc
@@ -34,6 +34,7 @@
           .m_retry_after = milliseconds(grant.retry_after_ms),
           .m_epoch = grant.epoch,
           .m_refill_per_second = grant.refill_per_second,
+          .m_level = static_cast<double>(grant.level),
           .m_burst_tokens = grant.burst_tokens};
 }
 
--- a/Source/limits/draw.h
+++ b/Source/limits/draw.h
@@ -30,6 +30,7 @@
   Duration m_retry_after{};  // Until this home alone could fill the draw.
   FencingNumber m_epoch = 0;
   double m_refill_per_second = 0;    // Of this share.
+  double m_level = 0;                // Of this share, after the grant.
   std::uint64_t m_burst_tokens = 0;  // Of the whole account.
 };
 
--- a/Source/limits/entry_bucket.cc
+++ b/Source/limits/entry_bucket.cc
@@ -1,6 +1,7 @@
 #include "limits/entry_bucket.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace hickoryloft::limits {
@@ -9,8 +10,10 @@
 
 // A request waits this long for refill before it is refused.
 constexpr Duration kMaxRefillWait = milliseconds(300);
-// How long a home that could not fill a draw is not asked again.
+// A home that could not fill a draw is not asked again until it says that it
+// can, within these bounds.
 constexpr Duration kDryTime = milliseconds(20);
+constexpr Duration kMaxDryTime = milliseconds(100);
 constexpr Duration kFailureBackoff = milliseconds(200);
 // A reservation waits at most this long while no home answers.
 constexpr Duration kMaxUnavailableWait = seconds(1);
@@ -51,14 +54,20 @@
 
 EntryEffects EntryBucket::Refund(std::uint64_t tokens, MonotonicTime now) {
   EntryEffects effects;
-  // Only a home that knows this entry takes a report.
-  for (std::size_t i = 0; i < m_slots.size(); ++i) {
-    Slot& slot = m_slots[(m_next_slot + i) % m_slots.size()];
-    if (slot.m_epoch != 0 && slot.m_failed_until <= now) {
-      slot.m_refunded += tokens;
-      break;
+  // To the emptiest share, since a full one takes no refund; and only to a home
+  // that knows this entry.
+  Slot* emptiest = nullptr;
+  for (Slot& slot : m_slots) {
+    const bool usable = slot.m_epoch != 0 && slot.m_failed_until <= now;
+    if (usable && (emptiest == nullptr || EstimatedLevel(slot, now) <
+                                              EstimatedLevel(*emptiest, now))) {
+      emptiest = &slot;
     }
   }
+  if (emptiest != nullptr) {
+    emptiest->m_refunded += tokens;
+    emptiest->m_level += static_cast<double>(tokens);
+  }
   Pump(now, effects);
   return effects;
 }
@@ -73,6 +82,8 @@
   slot.m_in_flight = false;
   slot.m_failed_until = {};
   slot.m_refill_per_second = reply.m_refill_per_second;
+  slot.m_level = reply.m_level;
+  slot.m_level_at = now;
   m_account_burst = reply.m_burst_tokens;
   if (reply.m_epoch != slot.m_epoch) {
     // The grants of the previous home stay valid, but the new home knows
@@ -88,7 +99,8 @@
          .m_epoch = reply.m_epoch});
   }
   if (reply.m_granted < asked) {
-    slot.m_dry_until = now + kDryTime;
+    slot.m_dry_until =
+        now + std::clamp(reply.m_retry_after, kDryTime, kMaxDryTime);
   }
   Pump(now, effects);
   return effects;
@@ -228,16 +240,18 @@
     return;
   }
   const std::uint64_t need = Wanted() + target - at_hand;
-  for (std::size_t i = 0; i < m_slots.size(); ++i) {
-    const std::size_t index = (m_next_slot + i) % m_slots.size();
-    Slot& slot = m_slots[index];
-    if (slot.m_in_flight || slot.m_failed_until > now ||
-        slot.m_dry_until > now) {
-      continue;
+  // From the fullest share, so that none stays full and loses its refill.
+  Slot* fullest = nullptr;
+  for (Slot& slot : m_slots) {
+    const bool usable = !slot.m_in_flight && slot.m_failed_until <= now &&
+                        slot.m_dry_until <= now;
+    if (usable && (fullest == nullptr ||
+                   EstimatedLevel(slot, now) > EstimatedLevel(*fullest, now))) {
+      fullest = &slot;
     }
-    m_next_slot = (index + 1) % m_slots.size();
-    Send(slot, need, now, effects);
-    return;
+  }
+  if (fullest != nullptr) {
+    Send(*fullest, need, now, effects);
   }
 }
 
@@ -371,6 +385,15 @@
   return tokens;
 }
 
+double EntryBucket::EstimatedLevel(const Slot& slot, MonotonicTime now) {
+  // A share that was never asked is likely to be full.
+  if (slot.m_epoch == 0) {
+    return std::numeric_limits<double>::max();
+  }
+  return slot.m_level +
+         slot.m_refill_per_second * ToSeconds(now - slot.m_level_at);
+}
+
 EntryBucket::Slot& EntryBucket::Find(std::uint32_t number) {
   return *std::find_if(
       m_slots.begin(), m_slots.end(),
--- a/Source/limits/entry_bucket.h
+++ b/Source/limits/entry_bucket.h
@@ -98,6 +98,8 @@
     MonotonicTime m_dry_until{};
     MonotonicTime m_failed_until{};
     double m_refill_per_second = 0;
+    double m_level = 0;  // Of the share, at m_level_at.
+    MonotonicTime m_level_at{};
   };
   struct Waiter {
     std::uint64_t m_id = 0;
@@ -129,10 +131,11 @@
   std::uint64_t Expected(MonotonicTime now) const;
   std::uint64_t Wanted() const;
   Slot& Find(std::uint32_t number);
+  // The share's level as far as this entry can tell.
+  static double EstimatedLevel(const Slot& slot, MonotonicTime now);
 
   std::string m_entry;
   std::vector<Slot> m_slots;
-  std::size_t m_next_slot = 0;  // Draws take turns.
   std::deque<Waiter> m_waiters;
   DemandMeter m_demand;
   bool m_prefetch = true;
--- a/Source/limits/share_home.cc
+++ b/Source/limits/share_home.cc
@@ -195,6 +195,7 @@
     session.m_grants.push_back({.m_tokens = granted, .m_lapses_at = lapses_at});
     m_lapses.push_back({.m_at = lapses_at, .m_entry = request.m_entry});
   }
+  reply.m_level = m_level;
   const double missing = wanted - granted - m_level;
   if (granted < wanted && missing > 0) {
     const double wait = missing / std::max(m_limit.m_tokens_per_second, 1e-9);
--- a/Source/limits/share_plan.h
+++ b/Source/limits/share_plan.h
@@ -17,7 +17,7 @@
 };
 
 // Number of shares of an account in the fleet's daemons.
-constexpr std::uint32_t kDefaultSlots = 2;
+constexpr std::uint32_t kDefaultSlots = 4;
 
 // Divides an account among shares and names the shares that an entry draws
 // from. Immutable, so thread-safe.
--- /dev/null
+++ b/Source/tools/limits_bench/event_queue.h
@@ -0,0 +1,47 @@
+// Callbacks in virtual time.
+
+#ifndef SOURCE_TOOLS_LIMITS_BENCH_EVENT_QUEUE_H_
+#define SOURCE_TOOLS_LIMITS_BENCH_EVENT_QUEUE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
+
+#include "base/time.h"
+
+namespace hickoryloft::tools {
+
+// Runs callbacks in the order of their times, then of their entry. Not
+// thread-safe.
+class EventQueue {
+ public:
+  void At(MonotonicTime time, std::function<void()> callback) {
+    m_events.emplace(std::pair(time, m_next++), std::move(callback));
+  }
+  void After(Duration delay, std::function<void()> callback) {
+    At(m_now + delay, std::move(callback));
+  }
+
+  // Runs all callbacks until `end`.
+  void RunUntil(MonotonicTime end) {
+    while (!m_events.empty() && m_events.begin()->first.first <= end) {
+      auto event = m_events.extract(m_events.begin());
+      m_now = event.key().first;
+      event.mapped()();
+    }
+    m_now = end;
+  }
+
+  MonotonicTime now() const { return m_now; }
+
+ private:
+  MonotonicTime m_now{};
+  std::uint64_t m_next = 0;
+  std::map<std::pair<MonotonicTime, std::uint64_t>, std::function<void()>>
+      m_events;
+};
+
+}  // namespace hickoryloft::tools
+
+#endif  // SOURCE_TOOLS_LIMITS_BENCH_EVENT_QUEUE_H_
