--- a/Source/settings/setting_table.cc
+++ b/Source/settings/setting_table.cc
@@ -1,5 +1,6 @@
 #include "settings/setting_table.h"
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 #include "base/error.h"
@@ -9,6 +10,9 @@
 namespace {
 
 std::string FormatNumber(double value) {
+  if (std::trunc(value) == value) {
+    return nlohmann::json(static_cast<std::int64_t>(value)).dump();
+  }
   return nlohmann::json(value).dump();
 }
 
