--- a/Source/endpoint/orders.h
+++ b/Source/endpoint/orders.h
@@ -30,6 +30,8 @@
   std::string m_version;
 
   friend bool operator==(const Artifact&, const Artifact&) = default;
+  // The linter takes the generated comparison with 0 for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const Artifact&, const Artifact&) = default;
 };
 
