--- a/Source/coordinator/placement_effects.cc
+++ b/Source/coordinator/placement_effects.cc
@@ -82,7 +82,7 @@
 void PlacementModule::ReadNext(const ClaimName& claim,
                                FencingNumber fence,
                                std::size_t kind,
-                               std::shared_ptr<RecordReplies> found) {
+                               const std::shared_ptr<RecordReplies>& found) {
   if (kind == kRecordKinds.size()) {
     if (Held* held = FindHeld(claim, fence)) {
       CarryOut(claim, fence, held->m_shard->OnRecovered(*found, m_core.Now()));
@@ -195,8 +195,8 @@
   open.m_respond(wire::MakeReply(open.m_request, std::move(reply)));
 }
 
-void PlacementModule::Do(const ClaimName& /*claim*/,
-                         FencingNumber /*fence*/,
+void PlacementModule::Do(const ClaimName& claim,
+                         FencingNumber fence,
                          placement::AskRelease& effect) {
   wire::ReleaseRequestT request;
   request.model = effect.m_replica.m_artifact.m_model.value();
@@ -206,9 +206,22 @@
   request.worth = effect.m_value;
   wire::EnvelopeT envelope = wire::MakeEnvelope(std::move(request));
   const std::optional<ClaimName> holder_claim = ClaimFor(envelope);
-  // Whether room was made shows in the ledger.
-  m_core.RequestFromHolder(*holder_claim, std::move(envelope), kReleaseTimeout,
-                           [](const Result<wire::EnvelopeT>& /*reply*/) {});
+  std::weak_ptr<bool> alive = m_alive;
+  m_core.RequestFromHolder(
+      *holder_claim, std::move(envelope), kReleaseTimeout,
+      [this, alive, claim, fence,
+       replica = effect.m_replica](const Result<wire::EnvelopeT>& reply) {
+        Held* held = alive.expired() ? nullptr : FindHeld(claim, fence);
+        if (held == nullptr) {
+          return;
+        }
+        const auto* answer =
+            reply.ok() ? reply.value().body.AsReleaseReply() : nullptr;
+        CarryOut(
+            claim, fence,
+            held->m_shard->OnReleaseAnswered(
+                replica, answer != nullptr && answer->released, m_core.Now()));
+      });
 }
 
 }  // namespace hickoryloft::coordinator
--- a/Source/coordinator/placement_module.cc
+++ b/Source/coordinator/placement_module.cc
@@ -39,8 +39,8 @@
 placement::Policies DefaultPolicies() {
   return {
       .m_endpoint = std::make_unique<placement::TierAwarePolicy>(),
-      .m_keep = std::make_unique<placement::HistogramKeepPolicy>(kLeastWorth,
-                                                                 kMinKeep),
+      .m_keep = std::make_unique<placement::HistogramKeepPolicy>(
+          placement::kKeepDefaults),
       .m_load_order = std::make_unique<placement::EarliestDeadlinePolicy>()};
 }
 
@@ -122,16 +122,17 @@
   const auto held = m_held.find(claim);
   const auto* body = request.body.AsReleaseRequest();
   wire::ReleaseReplyT reply;
-  reply.considered = held != m_held.end() && !held->second.m_handed_over;
-  if (reply.considered) {
+  if (held != m_held.end() && !held->second.m_handed_over) {
     const placement::ReplicaKey replica{
         .m_artifact = {.m_model = ModelId(body->model),
                        .m_adapter = AdapterId(body->adapter),
                        .m_version = body->version},
         .m_endpoint = EndpointId(body->endpoint)};
+    const MonotonicTime now = m_core.Now();
+    placement::Shard& shard = *held->second.m_shard;
+    reply.released = shard.Releases(replica, body->worth, now);
     CarryOut(claim, held->second.m_fence,
-             held->second.m_shard->OnReleaseAsked(replica, body->worth,
-                                                  m_core.Now()));
+             shard.OnReleaseAsked(replica, body->worth, now));
   }
   respond(wire::MakeReply(request, std::move(reply)));
 }
--- a/Source/coordinator/placement_module.h
+++ b/Source/coordinator/placement_module.h
@@ -121,7 +121,7 @@
   void ReadNext(const ClaimName& claim,
                 FencingNumber fence,
                 std::size_t kind,
-                std::shared_ptr<RecordReplies> found);
+                const std::shared_ptr<RecordReplies>& found);
   void RefuseOpen(const ClaimName& claim);
 
   Core& m_core;
--- a/Source/endpoint/orders.h
+++ b/Source/endpoint/orders.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "base/error.h"
@@ -30,7 +31,10 @@
   std::string m_version;
 
   friend bool operator==(const Artifact&, const Artifact&) = default;
-  friend auto operator<=>(const Artifact&, const Artifact&) = default;
+  friend bool operator<(const Artifact& left, const Artifact& right) {
+    return std::tie(left.m_model, left.m_adapter, left.m_version) <
+           std::tie(right.m_model, right.m_adapter, right.m_version);
+  }
 };
 
 enum class OrderKind { kLoad, kUnload };
--- a/Source/placement/effects.h
+++ b/Source/placement/effects.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -21,7 +22,10 @@
   std::string m_name;
 
   friend bool operator==(const RecordName&, const RecordName&) = default;
-  friend auto operator<=>(const RecordName&, const RecordName&) = default;
+  friend bool operator<(const RecordName& left, const RecordName& right) {
+    return std::tie(left.m_kind, left.m_name) <
+           std::tie(right.m_kind, right.m_name);
+  }
 };
 
 // Write the record if its revision is the expected one (0: absent). An empty
@@ -64,7 +68,8 @@
   DemandAnswer m_answer;
 };
 
-// Ask the holder of another shard to release an idle replica.
+// Ask the holder of another shard to release an idle replica. Answer with
+// Shard::OnReleaseAnswered().
 struct AskRelease {
   ReplicaKey m_replica;
   double m_value = 0;  // Of the load that needs the room.
--- a/Source/placement/model_record.h
+++ b/Source/placement/model_record.h
@@ -5,6 +5,7 @@
 
 #include <set>
 #include <string>
+#include <tuple>
 
 #include "base/ids.h"
 
@@ -17,8 +18,11 @@
 
   friend bool operator==(const DecidedReplica&,
                          const DecidedReplica&) = default;
-  friend auto operator<=>(const DecidedReplica&,
-                          const DecidedReplica&) = default;
+  friend bool operator<(const DecidedReplica& left,
+                        const DecidedReplica& right) {
+    return std::tie(left.m_endpoint, left.m_version) <
+           std::tie(right.m_endpoint, right.m_version);
+  }
 };
 
 // Value type; not thread-safe.
--- a/Source/placement/shard.cc
+++ b/Source/placement/shard.cc
@@ -199,8 +199,8 @@
                                std::uint64_t extra_bytes,
                                Duration patience,
                                MonotonicTime now) {
-  const Placing no_room{.m_reason = RefusalReason::kNoCapacity,
-                        .m_retry_after = kRetryWithoutRoom};
+  Placing no_room{.m_reason = RefusalReason::kNoCapacity,
+                  .m_retry_after = kRetryWithoutRoom};
   if (CountedReplicas(model.m_id) >= model.m_max_replicas) {
     return no_room;
   }
--- a/Source/placement/shard.h
+++ b/Source/placement/shard.h
@@ -91,6 +91,14 @@
   Effects OnReleaseAsked(const ReplicaKey& replica,
                          double worth,
                          MonotonicTime now);
+  // Returns whether OnReleaseAsked() makes or made this room.
+  bool Releases(const ReplicaKey& replica,
+                double worth,
+                MonotonicTime now) const;
+  // Another shard has answered AskRelease.
+  Effects OnReleaseAnswered(const ReplicaKey& replica,
+                            bool released,
+                            MonotonicTime now);
 
   Effects OnRecord(const RecordReply& reply, MonotonicTime now);
   Effects OnRecordFailed(const RecordName& record, MonotonicTime now);
@@ -170,9 +178,16 @@
                 std::uint64_t bytes,
                 double worth,
                 MonotonicTime now);
+  bool IsKept(const ReplicaKey& foreign, MonotonicTime now) const;
+  std::uint64_t ForeignBytes(const EndpointId& endpoint,
+                             MonotonicTime now) const;
+  bool HasRoomAhead(const ReplicaKey& key,
+                    const Replica& replica,
+                    MonotonicTime now) const;
   void AskForRoom(const EndpointId& endpoint,
                   std::uint64_t bytes,
-                  double worth);
+                  double worth,
+                  MonotonicTime now);
   void BeginRelease(const ReplicaKey& key);
   void ContinueDrains();
   void ReviewReplicas(MonotonicTime now);
@@ -269,6 +284,9 @@
   std::deque<Demand> m_undecided;                         // To decide in Run().
   std::vector<std::pair<Demand, MonotonicTime>> m_early;  // Before recovery.
   std::map<EndpointId, MonotonicTime> m_next_poll;
+  // Replicas of other shards that were not released when asked, and until when
+  // they are not asked for again.
+  std::map<ReplicaKey, MonotonicTime> m_kept_by_others;
   MonotonicTime m_next_review{};
   MonotonicTime m_next_refresh{};
   Effects m_effects;
--- a/Source/placement/shard_records.cc
+++ b/Source/placement/shard_records.cc
@@ -7,6 +7,13 @@
 #include "placement/shard.h"
 
 namespace hickoryloft::placement {
+namespace {
+
+// A demand tries this many more engines when one turns out to have no room.
+constexpr std::uint32_t kMostAttempts = 4;
+constexpr Duration kRetryAfterGivingUp = seconds(2);
+
+}  // namespace
 
 void Shard::Touch(RecordKind kind, const std::string& name) {
   m_touched.insert({.m_kind = kind, .m_name = name});
@@ -256,7 +263,13 @@
 }
 
 void Shard::GiveUp(const ReplicaKey& key, Replica& replica) {
-  RefuseWaiting(replica, RefusalReason::kNoCapacity);
+  for (Demand& demand : std::exchange(replica.m_waiting, {})) {
+    if (++demand.m_attempts > kMostAttempts) {
+      Refuse(demand, RefusalReason::kNoCapacity, kRetryAfterGivingUp);
+    } else {
+      m_undecided.push_back(demand);
+    }
+  }
   if (key.m_artifact.m_adapter.empty()) {
     m_replicas.Move(key, replica, ReplicaStep::kForgetting);
     Touch(RecordKind::kModel, key.m_artifact.m_model.value());
--- a/Source/placement/shard_room.cc
+++ b/Source/placement/shard_room.cc
@@ -9,6 +9,8 @@
 
 // A replica that became ready is not evicted for another before this time.
 constexpr Duration kLeastResidence = seconds(5);
+// A replica that another shard would not release is not asked for again before.
+constexpr Duration kAskAgainAfter = seconds(10);
 
 }  // namespace
 
@@ -44,23 +46,69 @@
 std::uint64_t Shard::EvictableBytes(const EndpointId& endpoint,
                                     double worth,
                                     MonotonicTime now) const {
-  std::uint64_t bytes = 0;
+  std::uint64_t bytes = ForeignBytes(endpoint, now);
   for (const auto& [own_worth, key] : Evictable(endpoint, worth, now)) {
     bytes += m_replicas.Find(key)->m_bytes;
   }
+  return bytes;
+}
+
+bool Shard::IsKept(const ReplicaKey& foreign, MonotonicTime now) const {
+  const auto kept = m_kept_by_others.find(foreign);
+  return kept != m_kept_by_others.end() && now < kept->second;
+}
+
+std::uint64_t Shard::ForeignBytes(const EndpointId& endpoint,
+                                  MonotonicTime now) const {
   const EndpointLedger* ledger = LedgerOf(endpoint);
   if (ledger == nullptr) {
-    return bytes;
+    return 0;
   }
+  std::uint64_t bytes = 0;
   for (const auto& [artifact, reservation] : ledger->m_reservations) {
     const bool foreign = reservation.m_scope != m_settings.m_scope;
-    if (foreign && !reservation.m_peaks && artifact.m_adapter.empty()) {
+    if (foreign && !reservation.m_peaks && artifact.m_adapter.empty() &&
+        !IsKept({.m_artifact = artifact, .m_endpoint = endpoint}, now)) {
       bytes += reservation.m_bytes;
     }
   }
   return bytes;
 }
 
+bool Shard::HasRoomAhead(const ReplicaKey& key,
+                         const Replica& replica,
+                         MonotonicTime now) const {
+  std::uint64_t room =
+      m_chooser.FreeBytes(key.m_endpoint) + ForeignBytes(key.m_endpoint, now);
+  for (const ReplicaKey& other : m_replicas.On(key.m_endpoint)) {
+    const Replica& leaving = *m_replicas.Find(other);
+    if (leaving.m_step >= ReplicaStep::kDraining &&
+        leaving.m_step <= ReplicaStep::kReleasing) {
+      room += leaving.m_bytes;
+    }
+  }
+  return room >= std::max(replica.m_bytes, replica.m_peak_bytes);
+}
+
+Effects Shard::OnReleaseAnswered(const ReplicaKey& foreign,
+                                 bool released,
+                                 MonotonicTime now) {
+  if (released) {
+    return TakeEffects(now);
+  }
+  m_kept_by_others[foreign] = now + kAskAgainAfter;
+  for (const ReplicaKey& key : m_replicas.On(foreign.m_endpoint)) {
+    Replica* replica = m_replicas.Find(key);
+    if (replica != nullptr &&
+        (replica->m_step == ReplicaStep::kDeciding ||
+         replica->m_step == ReplicaStep::kReserving) &&
+        !HasRoomAhead(key, *replica, now)) {
+      GiveUp(key, *replica);
+    }
+  }
+  return TakeEffects(now);
+}
+
 void Shard::MakeRoom(const EndpointId& endpoint,
                      std::uint64_t bytes,
                      double worth,
@@ -74,13 +122,14 @@
     BeginRelease(key);
   }
   if (free < bytes) {
-    AskForRoom(endpoint, bytes - free, worth);
+    AskForRoom(endpoint, bytes - free, worth, now);
   }
 }
 
 void Shard::AskForRoom(const EndpointId& endpoint,
                        std::uint64_t bytes,
-                       double worth) {
+                       double worth,
+                       MonotonicTime now) {
   const EndpointLedger* ledger = LedgerOf(endpoint);
   if (ledger == nullptr) {
     return;
@@ -88,7 +137,8 @@
   std::uint64_t asked = 0;
   for (const auto& [artifact, reservation] : ledger->m_reservations) {
     const bool foreign = reservation.m_scope != m_settings.m_scope;
-    if (!foreign || reservation.m_peaks || !artifact.m_adapter.empty()) {
+    if (!foreign || reservation.m_peaks || !artifact.m_adapter.empty() ||
+        IsKept({.m_artifact = artifact, .m_endpoint = endpoint}, now)) {
       continue;
     }
     if (asked >= bytes) {
@@ -100,13 +150,24 @@
   }
 }
 
+bool Shard::Releases(const ReplicaKey& key,
+                     double worth,
+                     MonotonicTime now) const {
+  const Replica* replica = m_replicas.Find(key);
+  if (replica == nullptr) {
+    return false;
+  }
+  if (replica->m_step != ReplicaStep::kReady) {
+    return replica->m_step >= ReplicaStep::kDraining;
+  }
+  return now - replica->m_ready_at >= kLeastResidence &&
+         WorthOf(key, *replica, now) < worth;
+}
+
 Effects Shard::OnReleaseAsked(const ReplicaKey& key,
                               double worth,
                               MonotonicTime now) {
-  const Replica* replica = m_replicas.Find(key);
-  if (replica != nullptr && replica->m_step == ReplicaStep::kReady &&
-      now - replica->m_ready_at >= kLeastResidence &&
-      WorthOf(key, *replica, now) < worth) {
+  if (Releases(key, worth, now)) {
     BeginRelease(key);
   }
   return TakeEffects(now);
--- a/Source/placement/types.h
+++ b/Source/placement/types.h
@@ -3,10 +3,10 @@
 #ifndef SOURCE_PLACEMENT_TYPES_H_
 #define SOURCE_PLACEMENT_TYPES_H_
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 
 #include "base/ids.h"
 #include "base/time.h"
@@ -56,7 +56,10 @@
   EndpointId m_endpoint;
 
   friend bool operator==(const ReplicaKey&, const ReplicaKey&) = default;
-  friend auto operator<=>(const ReplicaKey&, const ReplicaKey&) = default;
+  friend bool operator<(const ReplicaKey& left, const ReplicaKey& right) {
+    return std::tie(left.m_artifact, left.m_endpoint) <
+           std::tie(right.m_artifact, right.m_endpoint);
+  }
 };
 
 using DemandId = std::uint64_t;
@@ -68,6 +71,7 @@
   AdapterId m_adapter;
   Duration m_patience{};
   std::uint32_t m_requests = 1;
+  std::uint32_t m_attempts = 0;  // Engines that turned out to have no room.
 };
 
 enum class DemandVerdict { kReady, kLoading, kRefused };
--- a/Source/tools/policy_bench/bench_fleet.cc
+++ b/Source/tools/policy_bench/bench_fleet.cc
@@ -395,14 +395,21 @@
   });
 }
 
-void BenchFleet::Do(std::size_t /*index*/,
-                    FencingNumber /*fence*/,
+void BenchFleet::Do(std::size_t index,
+                    FencingNumber fence,
                     const placement::AskRelease& effect) {
   const std::size_t other = IndexOf(effect.m_replica.m_artifact.m_model);
   Later(kMessageTime, other, m_holders[other].m_fence,
-        [this, effect](Shard& shard) {
-          return shard.OnReleaseAsked(effect.m_replica, effect.m_value,
-                                      m_clock.Now());
+        [this, index, fence, effect](Shard& shard) {
+          const placement::ReplicaKey replica = effect.m_replica;
+          const bool released =
+              shard.Releases(replica, effect.m_value, m_clock.Now());
+          Later(kMessageTime, index, fence,
+                [this, replica, released](Shard& asker) {
+                  return asker.OnReleaseAnswered(replica, released,
+                                                 m_clock.Now());
+                });
+          return shard.OnReleaseAsked(replica, effect.m_value, m_clock.Now());
         });
 }
 
--- a/Source/tools/policy_bench/bench_result.cc
+++ b/Source/tools/policy_bench/bench_result.cc
@@ -32,6 +32,11 @@
   m_retry_errors.push_back(std::abs(ToSeconds(stated) - real) / real);
 }
 
+void BenchResult::CountRetry(bool served) {
+  m_retries += 1;
+  m_served_retries += served ? 1 : 0;
+}
+
 void BenchResult::SetIdle(double byte_seconds, double engine_bytes) {
   m_idle_hours = byte_seconds / engine_bytes / kSecondsPerHour;
 }
@@ -50,7 +55,7 @@
   return worst;
 }
 
-std::map<std::string, double> BenchResult::Measures() const {
+Measures BenchResult::ToMeasures() const {
   std::vector<double> waits;
   std::vector<double> cold_waits;
   std::vector<double> bounds;
@@ -58,10 +63,13 @@
   double at_once = 0;
   double late = 0;
   double cold = 0;
+  std::map<std::string, double> reasons = {{"refused_no_capacity", 0},
+                                           {"refused_too_slow", 0}};
   for (const RequestRecord& record : m_records) {
     cold += record.m_cold ? 1 : 0;
     if (record.m_outcome == Outcome::kRefused) {
       refused += 1;
+      reasons["refused_" + placement::ToString(record.m_reason)] += 1;
       at_once += record.m_wait <= kAtOnce ? 1 : 0;
       continue;
     }
@@ -76,25 +84,29 @@
   const auto good_retries = static_cast<double>(
       std::count_if(m_retry_errors.begin(), m_retry_errors.end(),
                     [](double error) { return error <= kRetryTolerance; }));
-  return {{"requests", all},
-          {"cold_share", Share(cold, all)},
-          {"cold_p50_s", Quantile(cold_waits, 0.5)},
-          {"cold_p99_s", Quantile(cold_waits, kTail)},
-          {"bound_p99_s", Quantile(bounds, kTail)},
-          {"cold_p99_over_bound",
-           Share(Quantile(cold_waits, kTail), Quantile(bounds, kTail))},
-          {"wait_p99_s", Quantile(waits, kTail)},
-          {"idle_hours", m_idle_hours},
-          {"refused_share", Share(refused, all)},
-          {"refused_at_once_share", refused > 0 ? at_once / refused : 1},
-          {"late_share", Share(late, all)},
-          {"retry_within_25_share",
-           Share(good_retries, static_cast<double>(m_retry_errors.size()))},
-          {"retry_error_p50", Quantile(m_retry_errors, 0.5)},
-          {"worst_account_served_share", WorstAccountShare()},
-          {"loads", static_cast<double>(m_loads)},
-          {"writes", static_cast<double>(m_writes)},
-          {"overcommits", static_cast<double>(m_overcommits)}};
+  Measures measures = {
+      {"requests", all},
+      {"cold_share", Share(cold, all)},
+      {"cold_p50_s", Quantile(cold_waits, 0.5)},
+      {"cold_p99_s", Quantile(cold_waits, kTail)},
+      {"bound_p99_s", Quantile(bounds, kTail)},
+      {"cold_p99_over_bound",
+       Share(Quantile(cold_waits, kTail), Quantile(bounds, kTail))},
+      {"wait_p99_s", Quantile(waits, kTail)},
+      {"idle_hours", m_idle_hours},
+      {"refused_share", Share(refused, all)},
+      {"refused_at_once_share", refused > 0 ? at_once / refused : 1},
+      {"late_share", Share(late, all)},
+      {"retry_within_25_share",
+       Share(good_retries, static_cast<double>(m_retry_errors.size()))},
+      {"retry_served_share", Share(m_served_retries, m_retries)},
+      {"retry_error_p50", Quantile(m_retry_errors, 0.5)},
+      {"worst_account_served_share", WorstAccountShare()},
+      {"loads", static_cast<double>(m_loads)},
+      {"writes", static_cast<double>(m_writes)},
+      {"overcommits", static_cast<double>(m_overcommits)}};
+  measures.merge(reasons);
+  return measures;
 }
 
 }  // namespace hickoryloft::tools
--- a/Source/tools/policy_bench/bench_result.h
+++ b/Source/tools/policy_bench/bench_result.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "placement/types.h"
 
 namespace hickoryloft::tools {
 
@@ -21,9 +22,11 @@
   bool m_cold = false;  // No ready replica at its arrival.
   Duration m_wait{};    // From arrival to a ready replica, or to the refusal.
   Duration m_bound{};   // The fastest possible load at its arrival, if cold.
-  Duration m_retry_after{};
+  placement::RefusalReason m_reason = placement::RefusalReason::kNone;
 };
 
+using Measures = std::map<std::string, double>;
+
 // Not thread-safe.
 class BenchResult {
  public:
@@ -31,19 +34,23 @@
   // A refused caller could have been served `actual` after its refusal, which
   // said `stated`.
   void AddRetry(Duration stated, Duration actual);
+  // A refused caller came back at the stated time.
+  void CountRetry(bool served);
   void SetIdle(double byte_seconds, double engine_bytes);
   void CountLoad() { ++m_loads; }
   void CountWrite() { ++m_writes; }
   void CountOvercommit() { ++m_overcommits; }
 
   // Returns the measures by name, in the units that the names end in.
-  std::map<std::string, double> Measures() const;
+  Measures ToMeasures() const;
 
  private:
   double WorstAccountShare() const;
 
   std::vector<RequestRecord> m_records;
   std::vector<double> m_retry_errors;
+  double m_retries = 0;
+  double m_served_retries = 0;
   double m_idle_hours = 0;
   std::uint64_t m_loads = 0;
   std::uint64_t m_writes = 0;
--- a/Source/tools/policy_bench/bench_run.cc
+++ b/Source/tools/policy_bench/bench_run.cc
@@ -43,19 +43,21 @@
   }
   const Arrival& arrival = m_trace.m_arrivals[m_next++];
   m_clock.At(m_begin + arrival.m_at, [this, &arrival] {
-    Arrive(arrival);
+    Arrive(arrival, /*retry=*/false);
     ScheduleNext();
   });
 }
 
-void BenchRun::Arrive(const Arrival& arrival) {
+void BenchRun::Arrive(const Arrival& arrival, bool retry) {
   const std::uint64_t id = m_last_id += kIdStep;
   const Artifact artifact{.m_model = arrival.m_model,
                           .m_adapter = arrival.m_adapter,
                           .m_version = "1"};
   Waiting& request = m_waiting[id];
-  request = {
-      .m_arrival = arrival, .m_artifact = artifact, .m_arrived = m_clock.Now()};
+  request = {.m_arrival = arrival,
+             .m_artifact = artifact,
+             .m_arrived = m_clock.Now(),
+             .m_retry = retry};
   if (FakeEngine* engine = m_fleet.Route(artifact)) {
     Touch(request);
     Serve(id, *engine);
@@ -105,10 +107,18 @@
           .m_bound = request.m_bound};
 }
 
+void BenchRun::Record(const Waiting& request, const RequestRecord& record) {
+  if (request.m_retry) {
+    m_result.CountRetry(record.m_outcome == Outcome::kServed);
+  } else {
+    m_result.Add(record);
+  }
+}
+
 void BenchRun::Serve(std::uint64_t id, FakeEngine& engine) {
   const auto found = m_waiting.find(id);
   const Artifact artifact = found->second.m_artifact;
-  m_result.Add(RecordOf(found->second, Outcome::kServed));
+  Record(found->second, RecordOf(found->second, Outcome::kServed));
   m_waiting.erase(found);
   engine.BeginRequest(artifact);
   std::exponential_distribution<double> extra(1 / kMeanExtraServiceSeconds);
@@ -121,17 +131,23 @@
   if (found == m_waiting.end()) {
     return;
   }
-  m_result.Add(RecordOf(found->second, Outcome::kLate));
+  Record(found->second, RecordOf(found->second, Outcome::kLate));
   m_waiting.erase(found);
 }
 
 void BenchRun::Refuse(std::uint64_t id, const placement::DemandAnswer& answer) {
   const auto found = m_waiting.find(id);
   RequestRecord record = RecordOf(found->second, Outcome::kRefused);
-  record.m_retry_after = answer.m_retry_after;
-  m_result.Add(record);
-  m_refusals[found->second.m_artifact].push_back(
-      {m_clock.Now(), answer.m_retry_after});
+  record.m_reason = answer.m_reason;
+  Record(found->second, record);
+  if (!found->second.m_retry) {
+    m_refusals[found->second.m_artifact].push_back(
+        {m_clock.Now(), answer.m_retry_after});
+    m_clock.After(answer.m_retry_after,
+                  [this, arrival = found->second.m_arrival] {
+                    Arrive(arrival, /*retry=*/true);
+                  });
+  }
   m_waiting.erase(found);
 }
 
--- a/Source/tools/policy_bench/bench_run.h
+++ b/Source/tools/policy_bench/bench_run.h
@@ -35,6 +35,7 @@
     MonotonicTime m_arrived{};
     Duration m_bound{};
     bool m_cold = false;
+    bool m_retry = false;  // A refused caller that came back as it was told.
   };
   struct Refusal {
     MonotonicTime m_at{};
@@ -45,12 +46,13 @@
   void OnReady(const placement::Artifact& artifact) override;
 
   void ScheduleNext();
-  void Arrive(const Arrival& arrival);
+  void Arrive(const Arrival& arrival, bool retry);
   void Ask(std::uint64_t id);
   void Touch(const Waiting& request);
   void Serve(std::uint64_t id, FakeEngine& engine);
   void GiveUp(std::uint64_t id);
   void Refuse(std::uint64_t id, const placement::DemandAnswer& answer);
+  void Record(const Waiting& request, const RequestRecord& record);
   RequestRecord RecordOf(const Waiting& request, Outcome outcome) const;
 
   const TraceSpec& m_spec;
--- a/Source/tools/policy_bench/main.cc
+++ b/Source/tools/policy_bench/main.cc
@@ -16,9 +16,9 @@
 namespace {
 
 using namespace hickoryloft;
+using tools::Measures;
 using tools::PolicySet;
 using tools::TraceSpec;
-using Measures = std::map<std::string, double>;
 
 constexpr int kExitOk = 0;
 constexpr int kExitFailed = 1;
@@ -76,7 +76,7 @@
   std::map<std::string, std::vector<double>> values;
   for (const std::uint64_t seed : seeds) {
     const Measures measures =
-        tools::BenchRun(spec, policies, seed).Run().Measures();
+        tools::BenchRun(spec, policies, seed).Run().ToMeasures();
     for (const auto& [name, value] : measures) {
       values[name].push_back(value);
     }
--- a/Tests/placement/placement_world.cc
+++ b/Tests/placement/placement_world.cc
@@ -278,20 +278,29 @@
   m_ready_answers += effect.m_answer.m_verdict == DemandVerdict::kReady ? 1 : 0;
 }
 
-void PlacementWorld::Do(std::size_t /*shard*/,
-                        FencingNumber /*fence*/,
+void PlacementWorld::Do(std::size_t shard,
+                        FencingNumber fence,
                         const placement::AskRelease& effect) {
   const ReplicaKey replica = effect.m_replica;
-  const auto arrive = [this, replica, worth = effect.m_value]() {
-    for (std::size_t shard = 0; shard < kShards; ++shard) {
-      Holder& holder = m_holders[shard];
+  const auto answer = [this, shard, fence, replica](bool released) {
+    if (Shard* at = Find(shard, fence)) {
+      CarryOut(shard, fence, at->OnReleaseAnswered(replica, released, m_now));
+    }
+  };
+  const auto lost = [answer] { answer(false); };
+  const auto arrive = [this, replica, answer, lost, worth = effect.m_value]() {
+    bool released = false;
+    for (std::size_t other = 0; other < kShards; ++other) {
+      const Holder& holder = m_holders[other];
       if (holder.m_shard) {
-        CarryOut(shard, holder.m_fence,
+        released |= holder.m_shard->Releases(replica, worth, m_now);
+        CarryOut(other, holder.m_fence,
                  holder.m_shard->OnReleaseAsked(replica, worth, m_now));
       }
     }
+    Post([answer, released] { answer(released); }, lost);
   };
-  Post(arrive, [] {});
+  Post(arrive, lost);
 }
 
 void PlacementWorld::Ask(std::size_t shard, std::size_t model, bool adapter) {
