--- a/Source/placement/shard.cc
+++ b/Source/placement/shard.cc
@@ -59,11 +59,9 @@
 }
 
 Effects Shard::OnDemand(const Demand& demand, MonotonicTime now) {
-  if (!m_recovered) {
-    m_early.emplace_back(demand, now);
-    return TakeEffects(now);
-  }
-  Decide(demand, now);
+  Demand dated = demand;
+  dated.m_deadline = now + demand.m_patience;
+  m_undecided.push_back(dated);
   return TakeEffects(now);
 }
 
@@ -74,7 +72,8 @@
                      });
 }
 
-void Shard::Decide(const Demand& demand, MonotonicTime now) {
+void Shard::Decide(Demand demand, MonotonicTime now) {
+  demand.m_patience = demand.m_deadline - now;
   const CatalogModel* model = FindModel(demand.m_model);
   if (model == nullptr || (!demand.m_adapter.empty() &&
                            model->m_adapters.count(demand.m_adapter) == 0)) {
--- a/Source/placement/shard.h
+++ b/Source/placement/shard.h
@@ -44,7 +44,7 @@
   // it.
   Duration m_refresh_interval = milliseconds(100);
   // The longest wait for memory that is being released.
-  Duration m_room_limit = seconds(3);
+  Duration m_room_limit = seconds(1);
   // How often idle replicas are reviewed.
   Duration m_review_interval = milliseconds(500);
 };
@@ -131,7 +131,7 @@
   };
 
   // Demands (shard.cc).
-  void Decide(const Demand& demand, MonotonicTime now);
+  void Decide(Demand demand, MonotonicTime now);
   bool AnswerReady(const Demand& demand, const Artifact& artifact);
   bool JoinComing(const Demand& demand,
                   const Artifact& artifact,
@@ -281,8 +281,7 @@
   std::map<ServiceId, CasRegister<StoreRecord>> m_stores;
   std::set<RecordName> m_touched;  // To be compared with what is wanted.
 
-  std::deque<Demand> m_undecided;                         // To decide in Run().
-  std::vector<std::pair<Demand, MonotonicTime>> m_early;  // Before recovery.
+  std::deque<Demand> m_undecided;  // To decide in Run().
   std::map<EndpointId, MonotonicTime> m_next_poll;
   // Replicas of other shards that were not released when asked, and until when
   // they are not asked for again.
--- a/Source/placement/shard_records.cc
+++ b/Source/placement/shard_records.cc
@@ -460,11 +460,6 @@
     ObserveLedger(endpoint, cas.value(), now);
   }
   m_recovered = true;
-  for (const auto& [demand, asked_at] : std::exchange(m_early, {})) {
-    Demand waited = demand;
-    waited.m_patience -= now - asked_at;
-    m_undecided.push_back(waited);
-  }
   return TakeEffects(now);
 }
 
--- a/Source/placement/shard_room.cc
+++ b/Source/placement/shard_room.cc
@@ -99,10 +99,14 @@
   m_kept_by_others[foreign] = now + kAskAgainAfter;
   for (const ReplicaKey& key : m_replicas.On(foreign.m_endpoint)) {
     Replica* replica = m_replicas.Find(key);
-    if (replica != nullptr &&
-        (replica->m_step == ReplicaStep::kDeciding ||
-         replica->m_step == ReplicaStep::kReserving) &&
-        !HasRoomAhead(key, *replica, now)) {
+    if (replica == nullptr || (replica->m_step != ReplicaStep::kDeciding &&
+                               replica->m_step != ReplicaStep::kReserving)) {
+      continue;
+    }
+    if (HasRoomAhead(key, *replica, now)) {
+      MakeRoom(key.m_endpoint, replica->m_peak_bytes,
+               WorthOf(key, *replica, now), now);
+    } else {
       GiveUp(key, *replica);
     }
   }
--- a/Source/placement/types.h
+++ b/Source/placement/types.h
@@ -71,6 +71,7 @@
   AdapterId m_adapter;
   Duration m_patience{};
   std::uint32_t m_requests = 1;
+  MonotonicTime m_deadline{};    // Set by the shard.
   std::uint32_t m_attempts = 0;  // Engines that turned out to have no room.
 };
 
