--- a/Utilities/measure_capacity.py
+++ b/Utilities/measure_capacity.py
@@ -237,7 +237,8 @@
             fleet.start_all()
             fleet.put_document(0, document_text(adapters, accounts))
             fleet.wait_in_force()
-            settle_seconds = 6
+            # Claims move to a new member once it has settled.
+            settle_seconds = 20 + 0.5 * hosts
             time.sleep(settle_seconds)
             before, begin = fleet.usage(), time.monotonic()
             time.sleep(window)
