--- a/Source/limits/entry_bucket.cc
+++ b/Source/limits/entry_bucket.cc
@@ -16,7 +16,7 @@
 constexpr Duration kMaxDryTime = milliseconds(100);
 constexpr Duration kFailureBackoff = milliseconds(200);
 // A reservation waits at most this long while no home answers.
-constexpr Duration kMaxUnavailableWait = seconds(1);
+constexpr Duration kMaxUnavailableWait = seconds(2);
 // A draw without a reply for this long no longer keeps others from being sent.
 constexpr Duration kSlowDraw = milliseconds(25);
 constexpr Duration kReportInterval = milliseconds(200);
--- /dev/null
+++ b/Tests/process/outage_test.py
@@ -0,0 +1,81 @@
+"""Outages of the key-value service, frozen holders, leaving endpoints."""
+
+import time
+import unittest
+
+import harness
+
+
+class Outage(harness.FleetTest):
+
+    def test_key_value_outage(self):
+        """Actions are refused as not run; other requests go on."""
+        self.assertEqual(self.fleet.complete(0).status, 200)
+        self.assertEqual(self.fleet.payout(0, "before").status, 200)
+        self.fleet.faults(self.fleet.platform, outage="close")
+        end = time.monotonic() + 3 * harness.SHORT_LEASE_S
+        refused = []
+        number = 0
+        while time.monotonic() < end:
+            number += 1
+            key = f"during-{number}"
+            answer = self.fleet.payout(number % 2, key)
+            self.assertNotEqual(answer.status, 200, "recorded nowhere")
+            if answer.outcome == "not_run":
+                refused.append(key)
+            warm = self.fleet.complete(number % 2)
+            self.assertEqual(warm.status, 200, warm)
+            time.sleep(0.2)
+        self.assertGreater(len(refused), 0)
+        self.fleet.faults(self.fleet.platform, outage=False)
+        harness.wait_for(lambda: self.fleet.payout(0, "after").status == 200,
+                         20, "payouts are served after the outage")
+        executions = self.fleet.executions()
+        for key in refused:
+            self.assertNotIn(key, executions)
+
+    def test_frozen_holder(self):
+        """A coordinator that is paused past its lease wakes powerless."""
+        keys = [f"freeze-{i}" for i in range(64)]
+        for key in keys[:16]:
+            self.fleet.payout(1, key)
+        self.fleet.coordinators[0].freeze()
+        time.sleep(3 * harness.SHORT_LEASE_S)
+        for key in keys:
+            self.fleet.payout(1, key)
+        self.fleet.coordinators[0].thaw()
+        served = 0
+        for key in keys:
+            answer = self.fleet.payout(0, key)
+            served += answer.status == 200
+        harness.wait_for(
+            lambda: self.fleet.payout(0, "woken").status == 200, 20,
+            "the woken host serves again")
+        executions = self.fleet.executions()
+        self.assertLessEqual(max(executions.values()), 1, executions)
+        self.assertGreater(served, 0)
+
+
+class Leaving(harness.FleetTest):
+
+    engines = 2
+
+    def test_leaving_engine_gets_no_new_work(self):
+        limit_s = 2
+        self.assertEqual(self.fleet.complete(0).status, 200)
+        leaving = max(self.fleet.engines,
+                      key=self._generated)
+        # The host list still shows it; only the engine itself tells.
+        self.fleet.faults(leaving, leaving=True)
+        time.sleep(limit_s)
+        before = self._generated(leaving)
+        answers = [self.fleet.complete(i % 2) for i in range(10)]
+        self.assertEqual([a.status for a in answers], [200] * 10, answers)
+        self.assertEqual(self._generated(leaving), before)
+
+    def _generated(self, engine):
+        return len(self.fleet.record(engine)["generations_by_id"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/Tests/process/payouts_test.py
@@ -0,0 +1,97 @@
+"""Non-idempotent requests run at most once, through kills of any process."""
+
+import threading
+import unittest
+
+import harness
+
+
+class Payouts(harness.FleetTest):
+
+    def setUp(self):
+        super().setUp()
+        self.answers = []
+        self._lock = threading.Lock()
+
+    def _send(self, worker, keys, repeats):
+        for repeat in range(repeats):
+            for key in keys:
+                host = (worker + repeat) % 2
+                answer = self.fleet.payout(host, key)
+                with self._lock:
+                    self.answers.append((key, answer))
+
+    def _storm(self, workers, keys, repeats):
+        threads = [threading.Thread(target=self._send,
+                                    args=(worker, keys, repeats))
+                   for worker in range(workers)]
+        for thread in threads:
+            thread.start()
+        return threads
+
+    def _join(self, threads):
+        for thread in threads:
+            thread.join(100)
+            self.assertFalse(thread.is_alive())
+
+    def _judge(self, keys):
+        """Checks the answers against what the plain service recorded."""
+        executions = self.fleet.executions()
+        for key in keys:
+            self.assertLessEqual(executions.get(key, 0), 1, key)
+        for key, answer in self.answers:
+            if answer.status == 200:
+                self.assertEqual(executions.get(key, 0), 1, answer)
+        return executions
+
+    def test_repeats_get_the_recorded_answer(self):
+        keys = [f"pay-{i}" for i in range(20)]
+        self._join(self._storm(4, keys, 10))
+        executions = self._judge(keys)
+        self.assertEqual(sum(executions.get(key, 0) for key in keys), len(keys))
+        bodies = {}
+        for key, answer in self.answers:
+            if answer.status == 200:
+                bodies.setdefault(key, set()).add(answer.body)
+            else:
+                self.assertEqual(answer.problem, "action-in-progress", answer)
+        self.assertTrue(all(len(seen) == 1 for seen in bodies.values()), bodies)
+        mismatch = self.fleet.payout(0, keys[0], body='{"other":1}')
+        self.assertEqual(mismatch.problem, "action-mismatch", mismatch)
+        self.assertEqual(self._judge(keys), executions)
+
+    def test_entry_killed(self):
+        keys = [f"pay-{i}" for i in range(40)]
+        self.fleet.faults(self.fleet.service, delay_ms=30)
+        threads = self._storm(4, keys, 4)
+        self.fleet.entries[0].kill()
+        self.fleet.entries[0] = self.fleet.start_entry(0)
+        self._join(threads)
+        self._judge(keys)
+        self.assertGreater(sum(a.status == 200 for _, a in self.answers), 0)
+
+    def test_coordinator_killed(self):
+        keys = [f"pay-{i}" for i in range(40)]
+        self.fleet.faults(self.fleet.service, delay_ms=10)
+        threads = self._storm(4, keys, 4)
+        self.fleet.coordinators[0].kill()
+        self.fleet.coordinators[0] = self.fleet.start_coordinator(0)
+        self._join(threads)
+        self._judge(keys)
+
+        def served():
+            return self.fleet.payout(1, "after").status == 200
+
+        harness.wait_for(served, 4 * harness.SHORT_LEASE_S,
+                         "payouts are served after the takeover")
+        self._judge(keys + ["after"])
+
+    def test_lost_write_replies(self):
+        keys = [f"pay-{i}" for i in range(30)]
+        self.fleet.faults(self.fleet.platform, drop_replies=20)
+        self._join(self._storm(2, keys, 3))
+        self._judge(keys)
+
+
+if __name__ == "__main__":
+    unittest.main()
