placement: shortlist of engines; entries tell of warm use; decision bench

Entries ask only for artifacts without a replica, so the holder could not see that a warm replica was in use and would have released it.

--- a/Source/entry/completion_flow.cc
+++ b/Source/entry/completion_flow.cc
@@ -165,6 +165,7 @@
 
 void CompletionFlow::Call(const routing::EndpointRecord& endpoint) {
   ++m_attempts;
+  m_context.m_demand.NoteUse(m_served_name, m_artifact, m_principal->m_id);
   m_endpoint = endpoint.m_id;
   m_call_started = m_context.m_loop.Now();
   // Unpredictable, and different for each call of the request.
--- a/Source/entry/demand_board.cc
+++ b/Source/entry/demand_board.cc
@@ -31,6 +31,28 @@
   }
 }
 
+void DemandBoard::NoteUse(const std::string& served_name,
+                          const endpoint::Artifact& artifact,
+                          const ClientAccountId& account) {
+  const MonotonicTime now = m_loop.Now();
+  const auto noted = m_noted.find(served_name);
+  if (noted != m_noted.end() && now - noted->second < kUseInterval) {
+    return;
+  }
+  std::erase_if(m_noted, [now](const auto& item) {
+    return now - item.second >= kUseInterval;
+  });
+  m_noted[served_name] = now;
+  wire::DemandRequestT request;
+  request.account = account.value();
+  request.model = artifact.m_model.value();
+  request.adapter = artifact.m_adapter.value();
+  request.version = artifact.m_version;
+  request.requests = 1;
+  m_link.Request(wire::MakeEnvelope(std::move(request)), kReplyLimit,
+                 [](const Result<wire::EnvelopeT>& /*reply*/) {});
+}
+
 void DemandBoard::Cancel(std::uint64_t id) {
   const auto found = m_artifact_of.find(id);
   if (found == m_artifact_of.end()) {
--- a/Source/entry/demand_board.h
+++ b/Source/entry/demand_board.h
@@ -44,6 +44,7 @@
   static constexpr Duration kAskAgain = milliseconds(500);
   static constexpr Duration kAskAfterFailure = milliseconds(100);
   static constexpr Duration kReplyLimit = seconds(2);
+  static constexpr Duration kUseInterval = seconds(1);
 
   DemandBoard(EventLoop& loop, CoordinatorLink& link)
       : m_loop(loop), m_link(link) {}
@@ -53,6 +54,12 @@
   void Wait(DemandWait wait);
   void Cancel(std::uint64_t id);
 
+  // Tells the coordinator, at most once every kUseInterval for an artifact,
+  // that a caller uses a replica that is ready, so that it is kept.
+  void NoteUse(const std::string& served_name,
+               const endpoint::Artifact& artifact,
+               const ClientAccountId& account);
+
   // Ends the waits for artifacts that `is_ready` now.
   void OnEndpointsChanged(
       const std::function<bool(const std::string&)>& is_ready);
@@ -85,6 +92,7 @@
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
   std::map<std::string, Demand> m_demands;
   std::map<std::uint64_t, std::string> m_artifact_of;
+  std::map<std::string, MonotonicTime> m_noted;  // Last use by served name.
 };
 
 }  // namespace hickoryloft::entry
--- a/Source/placement/endpoint_chooser.cc
+++ b/Source/placement/endpoint_chooser.cc
@@ -1,10 +1,22 @@
 #include "placement/endpoint_chooser.h"
 
 #include <algorithm>
-#include <set>
-#include <utility>
 
 namespace hickoryloft::placement {
+namespace {
+
+// Engines of each kind on a shortlist.
+constexpr std::size_t kShortlisted = 16;
+
+std::uint32_t CountLoads(const EndpointLedger& ledger) {
+  return static_cast<std::uint32_t>(std::count_if(
+      ledger.m_reservations.begin(), ledger.m_reservations.end(),
+      [](const auto& item) {
+        return item.first.m_adapter.empty() && item.second.m_peaks;
+      }));
+}
+
+}  // namespace
 
 EndpointChooser::EndpointChooser(const EndpointPolicy& policy,
                                  const ReplicaTable& replicas,
@@ -13,9 +25,60 @@
       m_replicas(replicas),
       m_ledger_of(std::move(ledger_of)) {}
 
+void EndpointChooser::Index(const EndpointId& endpoint, const Known& known) {
+  m_by_free_bytes.emplace(known.m_free_bytes, endpoint);
+  for (const auto& [artifact, tier] : known.m_view.m_tiers) {
+    m_by_checkpoint[artifact].insert(endpoint);
+  }
+}
+
+void EndpointChooser::Unindex(const EndpointId& endpoint, const Known& known) {
+  m_by_free_bytes.erase({known.m_free_bytes, endpoint});
+  for (const auto& [artifact, tier] : known.m_view.m_tiers) {
+    m_by_checkpoint[artifact].erase(endpoint);
+  }
+}
+
+void EndpointChooser::Update(const EndpointView& view) {
+  Known& known = m_known[view.m_id];
+  Unindex(view.m_id, known);
+  known.m_view = view;
+  Index(view.m_id, known);
+  Refresh(view.m_id);
+}
+
+void EndpointChooser::Remove(const EndpointId& endpoint) {
+  const auto found = m_known.find(endpoint);
+  if (found != m_known.end()) {
+    Unindex(endpoint, found->second);
+    m_known.erase(found);
+  }
+}
+
+void EndpointChooser::Refresh(const EndpointId& endpoint) {
+  const auto found = m_known.find(endpoint);
+  if (found == m_known.end()) {
+    return;
+  }
+  Known& known = found->second;
+  const EndpointLedger* ledger = m_ledger_of(endpoint);
+  const std::uint64_t memory = known.m_view.m_memory_bytes;
+  const std::uint64_t used = ledger == nullptr ? memory : ledger->UsedBytes();
+  m_by_free_bytes.erase({known.m_free_bytes, endpoint});
+  known.m_free_bytes = memory > used ? memory - used : 0;
+  known.m_loads_in_progress = ledger == nullptr ? 0 : CountLoads(*ledger);
+  m_by_free_bytes.emplace(known.m_free_bytes, endpoint);
+}
+
+void EndpointChooser::RefreshAll() {
+  for (const auto& [endpoint, known] : m_known) {
+    Refresh(endpoint);
+  }
+}
+
 const EndpointView* EndpointChooser::Find(const EndpointId& endpoint) const {
-  const auto found = m_views.find(endpoint);
-  return found == m_views.end() ? nullptr : &found->second;
+  const auto found = m_known.find(endpoint);
+  return found == m_known.end() ? nullptr : &found->second.m_view;
 }
 
 bool EndpointChooser::Usable(const EndpointId& endpoint) const {
@@ -24,13 +87,8 @@
 }
 
 std::uint64_t EndpointChooser::FreeBytes(const EndpointId& endpoint) const {
-  const EndpointView* view = Find(endpoint);
-  const EndpointLedger* ledger = m_ledger_of(endpoint);
-  if (view == nullptr || ledger == nullptr) {
-    return 0;
-  }
-  const std::uint64_t used = ledger->UsedBytes();
-  return view->m_memory_bytes > used ? view->m_memory_bytes - used : 0;
+  const auto found = m_known.find(endpoint);
+  return found == m_known.end() ? 0 : found->second.m_free_bytes;
 }
 
 CheckpointTier EndpointChooser::TierOf(const EndpointId& endpoint,
@@ -43,22 +101,9 @@
   return found == view->m_tiers.end() ? CheckpointTier::kRemote : found->second;
 }
 
-std::uint32_t EndpointChooser::LoadsInProgress(
-    const EndpointId& endpoint) const {
-  const EndpointLedger* ledger = m_ledger_of(endpoint);
-  if (ledger == nullptr) {
-    return 0;
-  }
-  return static_cast<std::uint32_t>(std::count_if(
-      ledger->m_reservations.begin(), ledger->m_reservations.end(),
-      [](const auto& item) {
-        return item.first.m_adapter.empty() && item.second.m_peaks;
-      }));
-}
-
-std::map<FailureDomainId, std::uint32_t> EndpointChooser::Domains(
+EndpointChooser::Domains EndpointChooser::DomainsOf(
     const std::vector<ReplicaKey>& replicas) const {
-  std::map<FailureDomainId, std::uint32_t> domains;
+  Domains domains;
   for (const ReplicaKey& replica : replicas) {
     if (const EndpointView* view = Find(replica.m_endpoint)) {
       ++domains[view->m_failure_domain];
@@ -67,8 +112,41 @@
   return domains;
 }
 
+std::set<EndpointId> EndpointChooser::Shortlist(
+    const PlacementQuery& query) const {
+  std::set<EndpointId> list;
+  const auto holders = m_by_checkpoint.find(query.m_artifact);
+  if (holders != m_by_checkpoint.end()) {
+    const auto count = static_cast<std::ptrdiff_t>(
+        std::min(kShortlisted, holders->second.size()));
+    list.insert(holders->second.begin(),
+                std::next(holders->second.begin(), count));
+  }
+  const auto first = m_by_free_bytes.lower_bound({query.m_bytes, EndpointId()});
+  std::size_t taken = 0;
+  for (auto at = first; at != m_by_free_bytes.end() && taken < kShortlisted;
+       ++at, ++taken) {
+    list.insert(at->second);
+  }
+  taken = 0;
+  for (auto at = m_by_free_bytes.end(); at != first && taken < kShortlisted;
+       ++taken) {
+    list.insert((--at)->second);
+  }
+  return list;
+}
+
+std::set<EndpointId> EndpointChooser::All() const {
+  std::set<EndpointId> all;
+  for (const auto& [endpoint, known] : m_known) {
+    all.insert(all.end(), endpoint);
+  }
+  return all;
+}
+
 std::vector<EndpointOption> EndpointChooser::OptionsFor(
     const PlacementQuery& query,
+    const std::set<EndpointId>& among,
     const EvictableOf& evictable) const {
   const std::vector<ReplicaKey> replicas =
       m_replicas.OfBase(query.m_artifact.m_model);
@@ -76,23 +154,25 @@
   for (const ReplicaKey& replica : replicas) {
     taken.insert(replica.m_endpoint);
   }
-  std::map<FailureDomainId, std::uint32_t> domains = Domains(replicas);
+  Domains domains = DomainsOf(replicas);
   std::vector<EndpointOption> options;
-  for (const auto& [id, view] : m_views) {
-    if (!Usable(id) || taken.count(id) > 0) {
+  for (const EndpointId& id : among) {
+    const Known& known = m_known.at(id);
+    if (taken.count(id) > 0 || !Usable(id)) {
       continue;
     }
-    const std::uint64_t free = FreeBytes(id);
-    const std::uint64_t room = free + (evictable ? evictable(id) : 0);
+    const std::uint64_t room =
+        known.m_free_bytes + (evictable ? evictable(id) : 0);
     if (room < query.m_bytes) {
       continue;
     }
-    options.push_back({.m_view = &view,
-                       .m_free_bytes = free,
-                       .m_load_time = LoadTime(TierOf(id, query.m_artifact),
-                                               query.m_load_bytes),
-                       .m_loads_in_progress = LoadsInProgress(id),
-                       .m_replicas_in_domain = domains[view.m_failure_domain]});
+    options.push_back(
+        {.m_view = &known.m_view,
+         .m_free_bytes = known.m_free_bytes,
+         .m_load_time =
+             LoadTime(TierOf(id, query.m_artifact), query.m_load_bytes),
+         .m_loads_in_progress = known.m_loads_in_progress,
+         .m_replicas_in_domain = domains[known.m_view.m_failure_domain]});
   }
   return options;
 }
@@ -100,9 +180,10 @@
 std::optional<EndpointId> EndpointChooser::Choose(
     const PlacementQuery& query,
     const EvictableOf& evictable) const {
-  std::vector<EndpointOption> options = OptionsFor(query, nullptr);
+  std::vector<EndpointOption> options =
+      OptionsFor(query, Shortlist(query), nullptr);
   if (options.empty() && evictable) {
-    options = OptionsFor(query, evictable);
+    options = OptionsFor(query, All(), evictable);
   }
   const std::optional<std::size_t> best = m_policy.Choose(options);
   if (!best.has_value()) {
--- a/Source/placement/endpoint_chooser.h
+++ b/Source/placement/endpoint_chooser.h
@@ -7,6 +7,8 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
+#include <utility>
 #include <vector>
 
 #include "placement/endpoint_ledger.h"
@@ -36,10 +38,12 @@
                   const ReplicaTable& replicas,
                   LedgerOf ledger_of);
 
-  void Update(const EndpointView& view) { m_views[view.m_id] = view; }
-  void Remove(const EndpointId& endpoint) { m_views.erase(endpoint); }
+  void Update(const EndpointView& view);
+  void Remove(const EndpointId& endpoint);
+  // The ledger of an engine, or of all, has changed.
+  void Refresh(const EndpointId& endpoint);
+  void RefreshAll();
   const EndpointView* Find(const EndpointId& endpoint) const;
-  const std::map<EndpointId, EndpointView>& views() const { return m_views; }
 
   // Returns whether the engine may get new work.
   bool Usable(const EndpointId& endpoint) const;
@@ -58,16 +62,31 @@
                                    const EvictableOf& evictable) const;
 
  private:
+  // What decisions need of one engine.
+  struct Known {
+    EndpointView m_view;
+    std::uint64_t m_free_bytes = 0;
+    std::uint32_t m_loads_in_progress = 0;
+  };
+  using Domains = std::map<FailureDomainId, std::uint32_t>;
+
+  void Index(const EndpointId& endpoint, const Known& known);
+  void Unindex(const EndpointId& endpoint, const Known& known);
+  // Returns a few engines with room: those that hold the checkpoint, those that
+  // the replica fits best, and those with the most free memory.
+  std::set<EndpointId> Shortlist(const PlacementQuery& query) const;
+  std::set<EndpointId> All() const;
   std::vector<EndpointOption> OptionsFor(const PlacementQuery& query,
+                                         const std::set<EndpointId>& among,
                                          const EvictableOf& evictable) const;
-  std::uint32_t LoadsInProgress(const EndpointId& endpoint) const;
-  std::map<FailureDomainId, std::uint32_t> Domains(
-      const std::vector<ReplicaKey>& replicas) const;
+  Domains DomainsOf(const std::vector<ReplicaKey>& replicas) const;
 
   const EndpointPolicy& m_policy;
   const ReplicaTable& m_replicas;
   LedgerOf m_ledger_of;
-  std::map<EndpointId, EndpointView> m_views;
+  std::map<EndpointId, Known> m_known;
+  std::set<std::pair<std::uint64_t, EndpointId>> m_by_free_bytes;
+  std::map<Artifact, std::set<EndpointId>> m_by_checkpoint;
   LoadTimeEstimator m_load_times;
 };
 
--- a/Source/placement/shard_records.cc
+++ b/Source/placement/shard_records.cc
@@ -352,6 +352,7 @@
         break;
       case RecordKind::kLedger:
         m_ledgers[EndpointId(name)].Take(reply);
+        m_chooser.Refresh(EndpointId(name));
         break;
       case RecordKind::kStore:
         m_stores[ServiceId(name)].Take(reply);
@@ -460,6 +461,7 @@
     ObserveLedger(endpoint, cas.value(), now);
   }
   m_recovered = true;
+  m_chooser.RefreshAll();
   return TakeEffects(now);
 }
 
--- /dev/null
+++ b/Source/tools/bench/decision_bench.cc
@@ -0,0 +1,217 @@
+// loft-decision-bench: the cost of one placement and one routing decision, and
+// the memory per adapter, at the size of the capacity page.
+
+#include <benchmark/benchmark.h>
+#include <malloc.h>
+
+#include <string>
+
+#include "base/random.h"
+#include "placement/shard.h"
+#include "routing/two_choices.h"
+
+namespace hickoryloft {
+namespace {
+
+constexpr int kEndpoints = 600;
+constexpr int kModels = 130;
+constexpr int kAdaptersUnit = 150;
+constexpr int kFailureDomains = 6;
+constexpr std::uint64_t kEngineBytes = 320'000'000'000;
+constexpr std::uint64_t kModelBytes = 14'000'000'000;
+constexpr std::uint64_t kAdapterBytes = 60'000'000;
+const MonotonicTime kStart{std::chrono::hours(1)};
+
+ModelId ModelAt(int index) {
+  return ModelId("bench/m" + std::to_string(index));
+}
+
+AdapterId AdapterAt(int index) {
+  return AdapterId("a" + std::to_string(index));
+}
+
+placement::Catalog CatalogOf(int adapters) {
+  placement::Catalog catalog;
+  for (int index = 0; index < kModels; ++index) {
+    catalog[ModelAt(index)] = {.m_id = ModelAt(index),
+                               .m_version = "1",
+                               .m_bytes = kModelBytes,
+                               .m_peak_bytes = kModelBytes,
+                               .m_max_replicas = 8};
+  }
+  for (int index = 0; index < adapters; ++index) {
+    catalog[ModelAt(index % kModels)].m_adapters[AdapterAt(index)] = {
+        .m_version = "1", .m_bytes = kAdapterBytes};
+  }
+  return catalog;
+}
+
+// One shard that holds all models, with the adapters loaded beside their base
+// models: sixteen times the state of a real shard.
+class LoadedShard {
+ public:
+  explicit LoadedShard(int adapters)
+      : m_shard({.m_scope = "placement/0"},
+                {.m_endpoint = std::make_unique<placement::TierAwarePolicy>(),
+                 .m_keep = std::make_unique<placement::HistogramKeepPolicy>(
+                     placement::kKeepDefaults),
+                 .m_load_order =
+                     std::make_unique<placement::EarliestDeadlinePolicy>()},
+                1) {
+    m_shard.SetCatalog(CatalogOf(adapters),
+                       {{ServiceId("bench"), {{1000, 1000}, 1'000'000}}},
+                       kStart);
+    for (int index = 0; index < kEndpoints; ++index) {
+      m_shard.OnEndpoint({.m_id = EndpointId("e" + std::to_string(index)),
+                          .m_failure_domain = FailureDomainId(
+                              "d" + std::to_string(index % kFailureDomains)),
+                          .m_checks_fencing = true,
+                          .m_memory_bytes = kEngineBytes},
+                         kStart);
+    }
+    m_shard.OnRecovered({}, kStart);
+    for (int index = 0; index < kModels; ++index) {
+      Load(ModelAt(index), AdapterId());
+    }
+    for (int index = 0; index < adapters; ++index) {
+      Load(ModelAt(index % kModels), AdapterAt(index));
+    }
+  }
+
+  // Asks for an artifact and carries out all that follows at once.
+  void Load(const ModelId& model, const AdapterId& adapter) {
+    Carry(m_shard.OnDemand({.m_id = ++m_last_demand,
+                            .m_model = model,
+                            .m_adapter = adapter,
+                            .m_patience = std::chrono::hours(1)},
+                           kStart));
+  }
+
+  placement::Effects Ask(const ModelId& model, const AdapterId& adapter) {
+    return m_shard.OnDemand({.m_id = ++m_last_demand,
+                             .m_model = model,
+                             .m_adapter = adapter,
+                             .m_patience = std::chrono::hours(1)},
+                            kStart);
+  }
+
+  std::size_t replicas() const { return m_shard.replicas().all().size(); }
+
+ private:
+  void Carry(const placement::Effects& effects) {
+    for (const placement::Effect& effect : effects) {
+      if (const auto* swap = std::get_if<placement::SwapRecord>(&effect)) {
+        Carry(m_shard.OnRecord({.m_record = swap->m_record,
+                                .m_swapped = true,
+                                .m_revision = ++m_revision},
+                               kStart));
+      } else if (const auto* order =
+                     std::get_if<placement::SendOrder>(&effect)) {
+        Carry(m_shard.OnInventory(
+            order->m_endpoint,
+            {.m_memory_bytes = kEngineBytes,
+             .m_items = {{.m_artifact = order->m_order.m_artifact,
+                          .m_phase = endpoint::ArtifactPhase::kReady,
+                          .m_bytes = order->m_order.m_bytes,
+                          .m_order_number = order->m_order.m_number}}},
+            kStart - seconds(1), kStart));
+      }
+    }
+  }
+
+  placement::Shard m_shard;
+  placement::DemandId m_last_demand = 0;
+  Revision m_revision = 0;
+};
+
+void BM_WarmDemand(benchmark::State& state) {
+  const int adapters = static_cast<int>(state.range(0)) * kAdaptersUnit;
+  LoadedShard shard(adapters);
+  int next = 0;
+  for (auto _ : state) {
+    next = (next + 7) % adapters;
+    benchmark::DoNotOptimize(
+        shard.Ask(ModelAt(next % kModels), AdapterAt(next)));
+  }
+  state.counters["replicas"] = static_cast<double>(shard.replicas());
+}
+BENCHMARK(BM_WarmDemand)->RangeMultiplier(10)->Range(1, 100);
+
+void BM_ChooseEndpoint(benchmark::State& state) {
+  placement::ReplicaTable replicas;
+  const placement::TierAwarePolicy policy;
+  std::map<EndpointId, placement::EndpointLedger> ledgers;
+  placement::EndpointChooser chooser(
+      policy, replicas,
+      [&ledgers](const EndpointId& id) { return &ledgers[id]; });
+  const int adapters = static_cast<int>(state.range(0)) * kAdaptersUnit;
+  for (int index = 0; index < kEndpoints; ++index) {
+    const EndpointId id("e" + std::to_string(index));
+    chooser.Update({.m_id = id,
+                    .m_failure_domain = FailureDomainId(
+                        "d" + std::to_string(index % kFailureDomains)),
+                    .m_memory_bytes = kEngineBytes});
+    for (int adapter = index; adapter < adapters; adapter += kEndpoints) {
+      ledgers[id].m_reservations[{.m_model = ModelAt(adapter % kModels),
+                                  .m_adapter = AdapterAt(adapter),
+                                  .m_version = "1"}] = {
+          .m_bytes = kAdapterBytes, .m_peaks = false};
+    }
+  }
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(
+        chooser.Choose({.m_artifact = {.m_model = ModelAt(0), .m_version = "1"},
+                        .m_bytes = kModelBytes,
+                        .m_load_bytes = kModelBytes},
+                       nullptr));
+  }
+}
+BENCHMARK(BM_ChooseEndpoint)->RangeMultiplier(10)->Range(1, 100);
+
+std::string ServedName(int adapter) {
+  return ModelAt(adapter % kModels).value() + ":" + AdapterAt(adapter).value() +
+         "@1";
+}
+
+void BM_Route(benchmark::State& state) {
+  const int adapters = static_cast<int>(state.range(0)) * kAdaptersUnit;
+  routing::EndpointTable table;
+  for (int index = 0; index < kEndpoints; ++index) {
+    routing::EndpointRecord record{.m_id =
+                                       EndpointId("e" + std::to_string(index))};
+    for (int adapter = index; adapter < adapters; adapter += kEndpoints) {
+      record.m_replicas.push_back(
+          {.m_served_name = ServedName(adapter), .m_ready = true});
+    }
+    table.Update(std::move(record));
+  }
+  routing::LoadTracker loads;
+  routing::TwoChoices chooser(loads);
+  RandomEngine random(1);
+  int next = 0;
+  for (auto _ : state) {
+    next = (next + 7) % adapters;
+    const auto& candidates = table.Ready(ServedName(next));
+    benchmark::DoNotOptimize(chooser.Choose(candidates, {}, kStart, random));
+  }
+}
+BENCHMARK(BM_Route)->RangeMultiplier(10)->Range(1, 100);
+
+// Heap bytes of the shard's state for each loaded adapter.
+void BM_MemoryPerAdapter(benchmark::State& state) {
+  const int adapters = static_cast<int>(state.range(0)) * kAdaptersUnit;
+  double per_adapter = 0;
+  for (auto _ : state) {
+    const auto before = mallinfo2().uordblks;
+    LoadedShard shard(adapters);
+    const auto after = mallinfo2().uordblks;
+    per_adapter = static_cast<double>(after - before) / adapters;
+  }
+  state.counters["bytes_per_adapter"] = per_adapter;
+}
+BENCHMARK(BM_MemoryPerAdapter)->Arg(10)->Arg(100)->Iterations(1);
+
+}  // namespace
+}  // namespace hickoryloft
+
+BENCHMARK_MAIN();
