--- a/Source/entry/completion_flow.cc
+++ b/Source/entry/completion_flow.cc
@@ -17,8 +17,15 @@
 // Share of a late first answer that makes the rate check its cause.
 constexpr int kRateCauseDivisor = 2;
 
+// Priority of an account of weight 1; engines run smaller numbers first.
+constexpr double kPriorityScale = 100;
+
 const Logger kLog("completions");
 
+std::int64_t PriorityOf(const documents::ClientAccountSpec& account) {
+  return static_cast<std::int64_t>(kPriorityScale / account.m_weight);
+}
+
 }  // namespace
 
 CompletionFlow::CompletionFlow(EntryContext& context,
@@ -188,8 +195,8 @@
       .m_target = m_exchange->request().m_path,
       .m_headers = {{"Content-Type", "application/json"},
                     {"X-Request-Id", request_id},
-                    {"X-Priority", std::to_string(static_cast<std::int64_t>(
-                                       m_principal->m_account->m_weight))}},
+                    {"X-Priority",
+                     std::to_string(PriorityOf(*m_principal->m_account))}},
       .m_body = m_rendered,
       .m_idle_timeout = m_context.m_settings.m_endpoint_idle_timeout};
   if (m_delivered > 0) {
--- a/Source/entry/engine_call.cc
+++ b/Source/entry/engine_call.cc
@@ -135,7 +135,7 @@
   done(m_head, m_body);
 }
 
-void EngineCall::Fail(EngineFailure failure) {
+void EngineCall::Fail(const EngineFailure& failure) {
   const auto failed = std::move(m_events.m_failed);
   if (failed) {
     failed(failure);
--- a/Source/entry/engine_call.h
+++ b/Source/entry/engine_call.h
@@ -62,7 +62,7 @@
   void OnHead(const endpoint::AnswerHead& head);
   void OnBytes(std::string_view bytes);
   void OnDone();
-  void Fail(EngineFailure failure);
+  void Fail(const EngineFailure& failure);
   void OnRefused();
 
   std::string m_request_id;
--- /dev/null
+++ b/Tests/entry/completion_test.cc
@@ -0,0 +1,166 @@
+#include <catch2/catch.hpp>
+
+#include "Tests/entry/entry_world.h"
+
+using namespace hickoryloft;
+using namespace hickoryloft::entry;
+
+namespace {
+
+std::uint64_t Requests(const standins::StandIn& server) {
+  return server.Record()["requests"]["count"];
+}
+
+std::function<std::optional<wire::DemandReplyT>(const wire::DemandRequestT&)>
+Loading(std::uint32_t ready_in_ms) {
+  return [ready_in_ms](const wire::DemandRequestT&) {
+    wire::DemandReplyT reply;
+    reply.verdict = wire::DemandVerdict::Loading;
+    reply.ready_in_ms = ready_in_ms;
+    return reply;
+  };
+}
+
+}  // namespace
+
+TEST_CASE("A completion is answered and the unused tokens go back") {
+  EntryWorld world;
+  world.Load(world.m_engine1);
+  world.Publish({&world.m_engine1});
+  auto request = world.Completion();
+  request.m_headers.push_back({"X-Request-Id", "mine-7"});
+  const SeenAnswer answer = world.Run(request);
+  REQUIRE(answer.m_head.m_status == 200);
+  CHECK(answer.Json()["choices"][0]["text"] == "t0 t1 t2 t3 t4 ");
+  CHECK(*endpoint::FindHeader(answer.m_head.m_headers, "X-Request-Id") ==
+        "mine-7");
+  const auto usage = answer.Json()["usage"];
+  CHECK(world.m_reserved - world.m_refunded == usage["total_tokens"]);
+  const std::string labels =
+      "{account=\"returns/counter\",kind=\"completion\"}";
+  CHECK(world.Metric("loft_entry_requests_total" + labels) == 1);
+  CHECK(world.Metric("loft_entry_completions_total" + labels) == 1);
+  CHECK(world.Metric("loft_entry_first_answer_seconds_count" + labels) == 1);
+}
+
+TEST_CASE("No engine sees a caller's key") {
+  EntryWorld world;
+  world.Load(world.m_engine1);
+  world.Publish({&world.m_engine1});
+  auto request = world.Completion();
+  request.m_target += "?token=" + kKey;
+  CHECK(world.Run(request).m_head.m_status == 200);
+  const auto record = world.m_engine1.Record()["requests"];
+  CHECK(record["with_authorization"] == 0);
+  CHECK(record["with_secret"] == 0);
+  request.m_body = R"({"model":"notes","prompt":")" + kKey + "\"}";
+  CHECK(world.Run(request).ProblemType() == "key-in-request");
+}
+
+TEST_CASE("A burst for an idle model becomes one demand") {
+  EntryWorld world;
+  world.Publish({});
+  world.m_coordinator.m_on_demand = Loading(100);
+  std::vector<std::shared_ptr<SeenAnswer>> answers;
+  for (int i = 0; i < 20; ++i) {
+    answers.push_back(world.Start(world.Completion()));
+  }
+  world.RunFor(milliseconds(100));
+  REQUIRE(world.m_coordinator.m_demands.size() == 1);
+  const auto& demand = world.m_coordinator.m_demands[0];
+  CHECK(demand.model == "returns/notes");
+  CHECK(demand.version == "3");
+  CHECK(demand.account == "returns/counter");
+  world.Load(world.m_engine1);
+  world.Publish({&world.m_engine1});
+  for (const auto& answer : answers) {
+    world.RunUntil([&] { return answer->over(); });
+    CHECK(answer->m_head.m_status == 200);
+  }
+  CHECK(world.Metric("loft_entry_cold_start_seconds_count") == 20);
+}
+
+TEST_CASE("A load that ends after the deadline is refused at once") {
+  EntryWorld world;
+  world.Publish({});
+  world.m_coordinator.m_on_demand = Loading(8000);
+  auto request = world.Completion();
+  request.m_headers.push_back({"X-Patience-Ms", "3000"});
+  const MonotonicTime start = world.m_loop.Now();
+  const SeenAnswer answer = world.Run(request);
+  CHECK(world.m_loop.Now() - start < seconds(1));
+  CHECK(answer.ProblemType() == "patience-exceeded");
+  CHECK(answer.Json()["outcome"] == "not_run");
+  CHECK(*endpoint::FindHeader(answer.m_head.m_headers, "Retry-After") == "8");
+  CHECK(world.m_reserved == world.m_refunded);
+  CHECK(world.Metric("loft_entry_refusals_total{account=\"returns/counter\","
+                     "kind=\"completion\",reason=\"patience-exceeded\","
+                     "within_rate=\"true\"}") == 1);
+}
+
+TEST_CASE("Refusals of the coordinator and of the rate are passed on") {
+  EntryWorld world;
+  world.Publish({});
+  world.m_coordinator.m_on_demand = [](const wire::DemandRequestT&) {
+    wire::DemandReplyT reply;
+    reply.verdict = wire::DemandVerdict::Refused;
+    reply.retry_after_ms = 2500;
+    reply.reason = "memory";
+    return reply;
+  };
+  const SeenAnswer refused = world.Run(world.Completion());
+  CHECK(refused.ProblemType() == "no-capacity");
+  CHECK(*endpoint::FindHeader(refused.m_head.m_headers, "Retry-After") == "3");
+  world.m_over_rate = true;
+  const SeenAnswer over = world.Run(world.Completion());
+  CHECK(over.m_head.m_status == 429);
+  CHECK(over.ProblemType() == "over-rate");
+  CHECK(*endpoint::FindHeader(over.m_head.m_headers, "Retry-After") == "2");
+}
+
+TEST_CASE("Engines that cannot take a request are passed over") {
+  EntryWorld world;
+  world.Load(world.m_engine2);
+  // The view is stale: engine 1 does not hold the model.
+  world.Publish({&world.m_engine1, &world.m_engine2});
+  const std::uint64_t orders = Requests(world.m_engine1);
+  for (int i = 0; i < 6; ++i) {
+    CHECK(world.Run(world.Completion()).m_head.m_status == 200);
+  }
+  CHECK(Requests(world.m_engine1) <= orders + 1);
+
+  world.Load(world.m_engine1);
+  world.Publish({&world.m_engine1, &world.m_engine2});
+  world.m_engine2.SetFaults({{"leaving", true}});
+  const std::uint64_t before = Requests(world.m_engine2);
+  for (int i = 0; i < 6; ++i) {
+    CHECK(world.Run(world.Completion()).m_head.m_status == 200);
+  }
+  CHECK(Requests(world.m_engine2) <= before + 1);
+}
+
+TEST_CASE("An answer that bears another request's id never reaches a caller") {
+  EntryWorld world;
+  world.Load(world.m_engine1);
+  world.Load(world.m_engine2);
+  world.Publish({&world.m_engine1, &world.m_engine2});
+  world.m_engine1.SetFaults({{"reply_with_wrong_id", 1}});
+  world.m_engine2.SetFaults({{"reply_with_wrong_id", 1}});
+  for (int i = 0; i < 4; ++i) {
+    CHECK(world.Run(world.Completion()).m_head.m_status == 200);
+  }
+  CHECK(world.Metric("loft_entry_wrong_ids_total") >= 1);
+  CHECK(world.Metric("loft_entry_retries_total") >= 1);
+}
+
+TEST_CASE("An engine that stays silent costs the caller only the patience") {
+  EntryWorld world;
+  world.Load(world.m_engine1);
+  world.Publish({&world.m_engine1});
+  world.m_engine1.SetFaults({{"freeze_ms", 3000}});
+  auto request = world.Completion();
+  request.m_headers.push_back({"X-Patience-Ms", "200"});
+  const SeenAnswer answer = world.Run(request);
+  CHECK(answer.ProblemType() == "patience-exceeded");
+  CHECK(answer.Json()["outcome"] == "unknown");
+}
--- /dev/null
+++ b/Tests/entry/demand_board_test.cc
@@ -0,0 +1,125 @@
+#include "entry/demand_board.h"
+
+#include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
+#include <optional>
+
+#include "entry/serving_right.h"
+#include "wire/frame.h"
+
+using namespace hickoryloft;
+using namespace hickoryloft::entry;
+using trompeloeil::_;
+
+namespace {
+
+class MockLink : public CoordinatorLink {
+ public:
+  MAKE_MOCK3(Request,
+             void(wire::EnvelopeT, Duration, wire::ReplyCallback),
+             override);
+  MAKE_CONST_MOCK0(connected, bool(), override);
+};
+
+struct Waiter {
+  std::optional<DemandResult> m_result;
+};
+
+DemandWait MakeWait(EventLoop& loop,
+                    std::uint64_t id,
+                    Duration patience,
+                    Waiter& waiter) {
+  return {.m_id = id,
+          .m_served_name = "s/m@1",
+          .m_artifact = {.m_model = ModelId("s/m"), .m_version = "1"},
+          .m_account = ClientAccountId("s/a"),
+          .m_deadline = loop.Now() + patience,
+          .m_callback = [&waiter](const DemandResult& result) {
+            CHECK_FALSE(waiter.m_result);
+            waiter.m_result = result;
+          }};
+}
+
+wire::EnvelopeT Refusal() {
+  wire::DemandReplyT reply;
+  reply.verdict = wire::DemandVerdict::Refused;
+  reply.retry_after_ms = 700;
+  return wire::MakeEnvelope(reply);
+}
+
+}  // namespace
+
+TEST_CASE("A refusal for short patience does not end a more patient wait") {
+  EventLoop loop;
+  MockLink link;
+  DemandBoard board(loop, link);
+  std::vector<wire::ReplyCallback> asked;
+  ALLOW_CALL(link, Request(_, _, _)).LR_SIDE_EFFECT(asked.push_back(_3));
+  Waiter hasty;
+  Waiter patient;
+  Waiter gone;
+  board.Wait(MakeWait(loop, 1, milliseconds(500), hasty));
+  board.Wait(MakeWait(loop, 2, seconds(50), patient));
+  board.Wait(MakeWait(loop, 3, seconds(50), gone));
+  board.Cancel(3);
+  REQUIRE(asked.size() == 1);
+  asked[0](Refusal());
+  REQUIRE(hasty.m_result);
+  CHECK_FALSE(hasty.m_result->m_ready);
+  CHECK(hasty.m_result->m_retry_after == milliseconds(700));
+  CHECK_FALSE(patient.m_result);
+  REQUIRE(asked.size() == 2);
+  board.OnEndpointsChanged([](const std::string&) { return true; });
+  CHECK(patient.m_result->m_ready);
+  CHECK_FALSE(gone.m_result);
+  asked[1](Refusal());
+  CHECK(board.waiting() == 0);
+}
+
+TEST_CASE("A lost coordinator is asked again while requests wait") {
+  EventLoop loop;
+  MockLink link;
+  DemandBoard board(loop, link);
+  int asked = 0;
+  ALLOW_CALL(link, Request(_, _, _))
+      .LR_SIDE_EFFECT(++asked)
+      .SIDE_EFFECT(_3(Error(ErrorCode::kUnavailable, "lost")));
+  Waiter waiter;
+  board.Wait(MakeWait(loop, 1, seconds(50), waiter));
+  const auto stop = loop.After(milliseconds(350), [&] { loop.Stop(); });
+  loop.Run();
+  CHECK(asked >= 3);
+  CHECK_FALSE(waiter.m_result);
+  board.Cancel(1);
+}
+
+TEST_CASE("The serving right counts from the send of its query") {
+  EventLoop loop;
+  MockLink link;
+  Revision revision = 7;
+  int behind = 0;
+  ServingRight right(
+      loop, link,
+      {.m_revision = [&] { return revision; }, .m_behind = [&] { ++behind; }});
+  ALLOW_CALL(link, connected()).RETURN(true);
+  std::vector<wire::ReplyCallback> asked;
+  ALLOW_CALL(link, Request(_, _, _)).LR_SIDE_EFFECT(asked.push_back(_3));
+  wire::ServingReplyT reply;
+  reply.valid_for_ms = 100;
+  reply.documents_revision = 7;
+  const MonotonicTime sent = loop.Now();
+  right.Renew();
+  CHECK_FALSE(right.Valid(sent));
+  const auto later = loop.After(milliseconds(40), [&] { loop.Stop(); });
+  loop.Run();
+  asked.at(0)(wire::MakeEnvelope(reply));
+  CHECK(right.Valid(sent + milliseconds(99)));
+  CHECK_FALSE(right.Valid(sent + milliseconds(130)));
+  // Newer documents elsewhere: no right until they are here.
+  reply.valid_for_ms = 60000;
+  reply.documents_revision = 8;
+  right.Renew();
+  asked.at(1)(wire::MakeEnvelope(reply));
+  CHECK(behind == 1);
+  CHECK_FALSE(right.Valid(sent + seconds(1)));
+}
--- /dev/null
+++ b/Tests/entry/entry_world.h
@@ -0,0 +1,162 @@
+// One entry with a scripted coordinator, two engines, a plain service and a
+// caller, all on one loop.
+
+#ifndef TESTS_ENTRY_ENTRY_WORLD_H_
+#define TESTS_ENTRY_ENTRY_WORLD_H_
+
+#include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "StandIns/engine_stand_in.h"
+#include "StandIns/service_stand_in.h"
+#include "endpoint/event_http_client.h"
+#include "entry/entry_daemon.h"
+#include "wire/listener.h"
+
+namespace hickoryloft::entry {
+
+constexpr Duration kTestLimit = seconds(10);
+
+inline const std::string kKey = "till-1-secret-key";
+inline const std::string kOtherKey = "till-2-secret-key";
+inline const std::string kNotes = "returns/notes@3";
+
+class MockTokenGate : public TokenGate {
+ public:
+  MAKE_MOCK4(Reserve,
+             void(const ClientAccountId&,
+                  std::uint64_t,
+                  Duration,
+                  std::function<void(Result<TokenDecision>)>),
+             override);
+  MAKE_MOCK2(Refund, void(const ClientAccountId&, std::uint64_t), override);
+  MAKE_MOCK0(ReturnAll, void(), override);
+};
+
+class MockActionGate : public ActionGate {
+ public:
+  MAKE_MOCK3(Begin,
+             void(const ActionRequest&,
+                  Duration,
+                  std::function<void(Result<ActionDecision>)>),
+             override);
+  MAKE_MOCK5(Finish,
+             void(const ActionRequest&,
+                  std::uint64_t,
+                  ActionResult,
+                  const RecordedAnswer&,
+                  std::function<void(bool)>),
+             override);
+};
+
+// Returns the text of the test's document: accounts counter (kKey) and clerk
+// (kOtherKey), model notes, service ledger. Without `with_key`, counter's key
+// is withdrawn.
+std::string DocumentText(bool with_key = true);
+
+// The coordinator of the host, as a script.
+class ScriptedCoordinator {
+ public:
+  explicit ScriptedCoordinator(EventLoop& loop);
+
+  void Notify(const wire::EnvelopeT& notice);
+  void SetDocument(const std::string& text);
+  void CloseAll();
+
+  std::uint16_t port() const { return m_listener->port(); }
+
+  std::uint32_t m_valid_for_ms = 60000;
+  Revision m_revision = 10;
+  std::string m_document = DocumentText();
+  std::function<std::optional<wire::DemandReplyT>(const wire::DemandRequestT&)>
+      m_on_demand;
+  std::vector<wire::DemandRequestT> m_demands;
+  int m_hellos = 0;
+  bool m_answering = true;
+
+ private:
+  void Accept(int socket);
+  void OnMessage(std::size_t index, const wire::EnvelopeT& message);
+
+  EventLoop& m_loop;
+  std::vector<std::shared_ptr<wire::Connection>> m_connections;
+  std::unique_ptr<wire::Listener> m_listener;
+};
+
+// A caller's view of one answer.
+struct SeenAnswer {
+  endpoint::AnswerHead m_head;
+  std::string m_body;
+  bool m_done = false;
+  std::optional<ErrorCode> m_failure;
+
+  bool over() const { return m_done || m_failure.has_value(); }
+  nlohmann::json Json() const { return nlohmann::json::parse(m_body); }
+  // The last part of the problem's type, or "".
+  std::string ProblemType() const;
+  // The texts of a completion stream, put together.
+  std::string StreamText() const;
+};
+
+class EntryWorld {
+ public:
+  explicit EntryWorld(const std::string& extra_settings = "");
+  ~EntryWorld();
+
+  // Starts a request and lets the caller look at its answer as it grows.
+  std::shared_ptr<SeenAnswer> Start(endpoint::CallRequest request);
+  // Runs a request to its end.
+  SeenAnswer Run(endpoint::CallRequest request);
+  void Leave(const std::shared_ptr<SeenAnswer>& answer);
+
+  endpoint::CallRequest Get(const std::string& target) const;
+  endpoint::CallRequest Completion(bool stream = false,
+                                   int tokens = 5,
+                                   const std::string& key = kKey) const;
+  endpoint::CallRequest ServiceCall(const std::string& path,
+                                    endpoint::HeaderFields headers = {}) const;
+
+  // Runs the loop until `condition` holds; fails the test after kTestLimit.
+  void RunUntil(const std::function<bool()>& condition);
+  void RunFor(Duration time);
+
+  // Loads the model on an engine, without telling the entry.
+  void Load(standins::EngineStandIn& engine);
+  // Tells the entry of the engines and the service; `ready` are the engines
+  // said to hold the model.
+  void Publish(const std::vector<const standins::EngineStandIn*>& ready);
+  // Returns the value of the first metrics line that starts so, or 0.
+  double Metric(const std::string& line_start);
+
+  EventLoop m_loop;
+  ScriptedCoordinator m_coordinator{m_loop};
+  standins::EngineStandIn m_engine1;
+  standins::EngineStandIn m_engine2;
+  standins::ServiceStandIn m_service;
+  MockTokenGate* m_tokens = nullptr;
+  MockActionGate* m_actions = nullptr;
+  std::vector<std::unique_ptr<trompeloeil::expectation>> m_expected;
+  std::uint64_t m_reserved = 0;
+  std::uint64_t m_refunded = 0;
+  int m_returned = 0;
+  bool m_over_rate = false;
+  std::unique_ptr<EntryDaemon> m_daemon;
+  bool m_stopped = false;  // The daemon has stopped the loop.
+
+ private:
+  Gates MakeGates();
+
+  endpoint::EventHttpClient m_caller;
+  std::map<const SeenAnswer*, std::unique_ptr<endpoint::Call>> m_calls;
+  std::uint64_t m_last_order = 0;
+};
+
+}  // namespace hickoryloft::entry
+
+#endif  // TESTS_ENTRY_ENTRY_WORLD_H_
--- /dev/null
+++ b/Tests/entry/plain_service_test.cc
@@ -0,0 +1,197 @@
+#include <catch2/catch.hpp>
+
+#include "Tests/entry/entry_world.h"
+
+using namespace hickoryloft;
+using namespace hickoryloft::entry;
+using trompeloeil::_;
+
+namespace {
+
+const endpoint::HeaderFields kWithKey = {{"Idempotency-Key", "p-1"}};
+
+std::uint64_t Executions(const EntryWorld& world) {
+  return world.m_service.Record()["executions"];
+}
+
+ActionDecision Decide(ActionStep step) {
+  return {.m_step = step,
+          .m_attempt = 9,
+          .m_send_before = MonotonicClock::now() + seconds(5),
+          .m_answer = {.m_status = 200,
+                       .m_content_type = "application/json",
+                       .m_body = "{\"recorded\":true}"},
+          .m_retry_after = seconds(1)};
+}
+
+// Tells the entry that the service listens on a port where nobody does.
+void PublishClosedService(EntryWorld& world) {
+  auto state = std::make_unique<wire::EndpointStateT>();
+  state->id = "ledger-1";
+  state->kind = wire::EndpointKind::Service;
+  state->service = "ledger";
+  state->address = "127.0.0.1";
+  {
+    const wire::Listener gone(world.m_loop, "127.0.0.1", 0, [](int) {});
+    state->port = gone.port();
+  }
+  wire::EndpointUpdateT update;
+  update.endpoints.push_back(std::move(state));
+  world.m_coordinator.Notify(wire::MakeEnvelope(std::move(update)));
+  world.RunFor(milliseconds(30));
+}
+
+}  // namespace
+
+TEST_CASE("Routes match by their longest prefix and whole segments") {
+  const documents::PlainServiceSpec service{
+      .m_id = ServiceId("s"),
+      .m_routes = {{.m_path = "/a"}, {.m_path = "/a/b"}, {.m_path = "/c/"}}};
+  CHECK(FindRoute(service, "/a/x")->m_path == "/a");
+  CHECK(FindRoute(service, "/a/b")->m_path == "/a/b");
+  CHECK(FindRoute(service, "/a/b/c")->m_path == "/a/b");
+  CHECK(FindRoute(service, "/a/bc")->m_path == "/a");
+  CHECK(FindRoute(service, "/ab") == nullptr);
+  CHECK(FindRoute(service, "/c/d")->m_path == "/c/");
+}
+
+TEST_CASE("Plain services are reached without the caller's key") {
+  EntryWorld world;
+  world.Publish({});
+  auto call = world.ServiceCall("/read/7?key=" + kKey + "&x=1");
+  const SeenAnswer answer = world.Run(call);
+  REQUIRE(answer.m_head.m_status == 200);
+  CHECK(answer.Json()["path"] == "/read/7");
+  CHECK(world.m_service.Record()["requests"]["with_secret"] == 0);
+  CHECK(world.m_service.Record()["requests"]["with_authorization"] == 0);
+  call.m_headers.clear();
+  CHECK(world.Run(call).ProblemType() == "unauthenticated");
+  call.m_target = "/services/ledger/read/status";
+  CHECK(world.Run(call).m_head.m_status == 200);
+  CHECK(world.Run(world.ServiceCall("/none")).ProblemType() == "unknown-route");
+  CHECK(world.Run(world.ServiceCall("/read/status/../../payouts"))
+            .ProblemType() == "bad-request");
+}
+
+TEST_CASE("An idempotent call is tried again, another one never") {
+  EntryWorld world;
+  world.Publish({});
+  world.m_service.SetFaults({{"drop_replies", 1}});
+  CHECK(world.Run(world.ServiceCall("/read")).m_head.m_status == 200);
+  CHECK(Executions(world) == 2);
+  world.m_service.SetFaults({{"drop_replies", 1}});
+  const SeenAnswer answer = world.Run(world.ServiceCall("/payouts"));
+  CHECK(answer.ProblemType() == "endpoint-failed");
+  CHECK(answer.Json()["outcome"] == "unknown");
+  CHECK(Executions(world) == 3);
+}
+
+TEST_CASE("An action runs once and its answer is recorded") {
+  EntryWorld world;
+  world.Publish({});
+  std::string recorded;
+  REQUIRE_CALL(*world.m_actions, Begin(_, _, _))
+      .WITH(_1.m_account.value() == "returns/counter" && _1.m_key == "p-1" &&
+            _1.m_service.value() == "ledger" && _1.m_route == "/payouts")
+      .SIDE_EFFECT(_3(Decide(ActionStep::kRun)));
+  REQUIRE_CALL(*world.m_actions, Finish(_, _, _, _, _))
+      .WITH(_2 == 9 && _3 == ActionResult::kAnswered)
+      .LR_SIDE_EFFECT(recorded = _4.m_body)
+      .SIDE_EFFECT(_5(true));
+  const SeenAnswer answer = world.Run(world.ServiceCall("/payouts", kWithKey));
+  CHECK(answer.m_head.m_status == 200);
+  CHECK(recorded == answer.m_body);
+  CHECK(Executions(world) == 1);
+}
+
+TEST_CASE("What the ledger says without a run is passed on truthfully") {
+  struct Case {
+    ActionStep m_step;
+    const char* m_problem;
+    const char* m_outcome;
+  };
+  EntryWorld world;
+  world.Publish({});
+  for (const Case& test :
+       {Case{ActionStep::kInProgress, "action-in-progress", "unknown"},
+        Case{ActionStep::kUnknown, "action-unknown", "unknown"},
+        Case{ActionStep::kMismatch, "action-mismatch", "not_run"},
+        Case{ActionStep::kRefused, "action-refused", "not_run"}}) {
+    REQUIRE_CALL(*world.m_actions, Begin(_, _, _))
+        .LR_SIDE_EFFECT(_3(Decide(test.m_step)));
+    const SeenAnswer answer =
+        world.Run(world.ServiceCall("/payouts", kWithKey));
+    CHECK(answer.ProblemType() == test.m_problem);
+    CHECK(answer.Json()["outcome"] == test.m_outcome);
+  }
+  {
+    REQUIRE_CALL(*world.m_actions, Begin(_, _, _))
+        .SIDE_EFFECT(_3(Decide(ActionStep::kAnswered)));
+    CHECK(
+        world.Run(world.ServiceCall("/payouts", kWithKey)).Json()["recorded"] ==
+        true);
+  }
+  REQUIRE_CALL(*world.m_actions, Begin(_, _, _))
+      .SIDE_EFFECT(_3(Error(ErrorCode::kUnavailable, "no ledger")));
+  CHECK(world.Run(world.ServiceCall("/payouts", kWithKey)).Json()["outcome"] ==
+        "not_run");
+  CHECK(Executions(world) == 0);
+  CHECK(world.m_reserved == world.m_refunded);
+}
+
+TEST_CASE("An action whose right has lapsed is recorded as not run") {
+  EntryWorld world;
+  world.Publish({});
+  ActionDecision late = Decide(ActionStep::kRun);
+  late.m_send_before = MonotonicTime{};
+  REQUIRE_CALL(*world.m_actions, Begin(_, _, _)).LR_SIDE_EFFECT(_3(late));
+  REQUIRE_CALL(*world.m_actions, Finish(_, _, _, _, _))
+      .WITH(_3 == ActionResult::kNotRun)
+      .SIDE_EFFECT(_5(true));
+  const SeenAnswer lapsed = world.Run(world.ServiceCall("/payouts", kWithKey));
+  CHECK(lapsed.Json()["outcome"] == "not_run");
+  CHECK(Executions(world) == 0);
+}
+
+TEST_CASE("An action whose service cannot be reached is recorded as not run") {
+  EntryWorld world;
+  PublishClosedService(world);
+  REQUIRE_CALL(*world.m_actions, Begin(_, _, _))
+      .SIDE_EFFECT(_3(Decide(ActionStep::kRun)));
+  REQUIRE_CALL(*world.m_actions, Finish(_, _, _, _, _))
+      .WITH(_3 == ActionResult::kNotRun)
+      .SIDE_EFFECT(_5(true));
+  const SeenAnswer closed = world.Run(world.ServiceCall("/payouts", kWithKey));
+  CHECK(closed.ProblemType() == "endpoint-failed");
+  CHECK(closed.Json()["outcome"] == "not_run");
+}
+
+TEST_CASE("An action's answer is recorded even if its caller has left") {
+  EntryWorld world;
+  world.Publish({});
+  world.m_service.SetFaults({{"delay_ms", 200}});
+  bool finished = false;
+  REQUIRE_CALL(*world.m_actions, Begin(_, _, _))
+      .SIDE_EFFECT(_3(Decide(ActionStep::kRun)));
+  REQUIRE_CALL(*world.m_actions, Finish(_, _, _, _, _))
+      .WITH(_3 == ActionResult::kAnswered)
+      .LR_SIDE_EFFECT(finished = true)
+      .SIDE_EFFECT(_5(true));
+  const auto answer = world.Start(world.ServiceCall("/payouts", kWithKey));
+  world.RunFor(milliseconds(80));
+  world.Leave(answer);
+  world.RunUntil([&] { return finished; });
+  CHECK(Executions(world) == 1);
+}
+
+TEST_CASE("An action that the ledger lets run twice is counted") {
+  EntryWorld world;
+  world.Publish({});
+  ALLOW_CALL(*world.m_actions, Begin(_, _, _))
+      .SIDE_EFFECT(_3(Decide(ActionStep::kRun)));
+  ALLOW_CALL(*world.m_actions, Finish(_, _, _, _, _)).SIDE_EFFECT(_5(true));
+  world.Run(world.ServiceCall("/payouts", kWithKey));
+  CHECK(world.Metric("loft_entry_doubled_actions_total") == 0);
+  world.Run(world.ServiceCall("/payouts", kWithKey));
+  CHECK(world.Metric("loft_entry_doubled_actions_total") == 1);
+}
