--- a/Source/placement/shard_records.cc
+++ b/Source/placement/shard_records.cc
@@ -7,6 +7,13 @@
 #include "placement/shard.h"
 
 namespace hickoryloft::placement {
+namespace {
+
+// A demand tries this many more engines when one turns out to have no room.
+constexpr std::uint32_t kMostAttempts = 4;
+constexpr Duration kRetryAfterGivingUp = seconds(2);
+
+}  // namespace
 
 void Shard::Touch(RecordKind kind, const std::string& name) {
   m_touched.insert({.m_kind = kind, .m_name = name});
@@ -256,15 +263,32 @@
 }
 
 void Shard::GiveUp(const ReplicaKey& key, Replica& replica) {
-  RefuseWaiting(replica, RefusalReason::kNoCapacity);
+  for (Demand& demand : std::exchange(replica.m_waiting, {})) {
+    if (++demand.m_attempts > kMostAttempts) {
+      Refuse(demand, RefusalReason::kNoCapacity, kRetryAfterGivingUp);
+    } else {
+      m_undecided.push_back(demand);
+    }
+  }
   if (key.m_artifact.m_adapter.empty()) {
     m_replicas.Move(key, replica, ReplicaStep::kForgetting);
     Touch(RecordKind::kModel, key.m_artifact.m_model.value());
+    GiveUpAdapters(key);
     return;
   }
   Erase(key);
 }
 
+void Shard::GiveUpAdapters(const ReplicaKey& base) {
+  for (const ReplicaKey& key : m_replicas.On(base.m_endpoint)) {
+    Replica* adapter = m_replicas.Find(key);
+    if (key.m_artifact.m_model == base.m_artifact.m_model &&
+        adapter->m_step == ReplicaStep::kAwaitingBase) {
+      GiveUp(key, *adapter);
+    }
+  }
+}
+
 void Shard::Erase(const ReplicaKey& key) {
   Replica* replica = m_replicas.Find(key);
   if (replica == nullptr) {
@@ -431,12 +455,11 @@
       Take(record, now);
     }
   }
-  m_recovered = true;
-  for (const auto& [demand, asked_at] : std::exchange(m_early, {})) {
-    Demand waited = demand;
-    waited.m_patience -= now - asked_at;
-    m_undecided.push_back(waited);
+  // The ledgers come first: what they reserve stays decided.
+  for (const auto& [endpoint, cas] : m_ledgers) {
+    ObserveLedger(endpoint, cas.value(), now);
   }
+  m_recovered = true;
   return TakeEffects(now);
 }
 
