--- /dev/null
+++ b/Source/tools/bench/relay_baseline.h
@@ -0,0 +1,55 @@
+// A bare HTTP relay without any decision, as a yardstick for loft-entry.
+
+#ifndef SOURCE_TOOLS_BENCH_RELAY_BASELINE_H_
+#define SOURCE_TOOLS_BENCH_RELAY_BASELINE_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/event_loop.h"
+
+struct evhttp;
+struct evhttp_connection;
+struct evhttp_request;
+
+namespace hickoryloft::tools {
+
+struct RelaySettings {
+  std::string m_listen_address;
+  std::uint16_t m_listen_port = 0;
+  std::string m_target_address;
+  std::uint16_t m_target_port = 0;
+};
+
+// Passes every request to one target and its answer back, piece by piece, over
+// connections that it keeps. It checks nothing. Use on the loop's thread only.
+class RelayBaseline {
+ public:
+  // Listens at once. Throws Error(kIo).
+  RelayBaseline(EventLoop& loop, const RelaySettings& settings);
+  ~RelayBaseline();
+  RelayBaseline(const RelayBaseline&) = delete;
+  RelayBaseline& operator=(const RelayBaseline&) = delete;
+
+ private:
+  struct Exchange;
+
+  static void OnRequest(evhttp_request* request, void* self);
+  static int OnHead(evhttp_request* answer, void* exchange);
+  static void OnPiece(evhttp_request* answer, void* exchange);
+  static void OnDone(evhttp_request* answer, void* exchange);
+  static void OnClosed(evhttp_connection* connection, void* exchange);
+
+  evhttp_connection* TakeConnection();
+  void Forward(evhttp_request* request);
+
+  EventLoop& m_loop;
+  RelaySettings m_settings;
+  evhttp* m_http;
+  std::vector<evhttp_connection*> m_idle;
+};
+
+}  // namespace hickoryloft::tools
+
+#endif  // SOURCE_TOOLS_BENCH_RELAY_BASELINE_H_
