standins: refuse malformed calls instead of ending

A body of the wrong JSON type threw out of the event loop and ended the process. Handlers' JSON exceptions and Errors are now answered with 400.

ctest platform, memory_store, standins: 3 passed. The same three programs passed under the address and undefined-behavior sanitizers, with 200 sequences for the store.

--- a/StandIns/stand_in.cc
+++ b/StandIns/stand_in.cc
@@ -140,20 +140,24 @@
 }
 
 void StandIn::Dispatch(const CallPtr& call) {
-  if (call->path() == "/record") {
-    call->Send(kOk, Record());
-    return;
-  }
-  if (call->path() != "/faults") {
-    Handle(call);
-    return;
-  }
   constexpr int kBadRequest = 400;
   try {
-    SetFaults(call->Json());
-    call->Send(kOk, nlohmann::json::object());
+    Route(call);
   } catch (const nlohmann::json::exception& error) {
     call->Send(kBadRequest, {{"error", error.what()}});
+  } catch (const Error& error) {
+    call->Send(kBadRequest, {{"error", error.what()}});
+  }
+}
+
+void StandIn::Route(const CallPtr& call) {
+  if (call->path() == "/record") {
+    call->Send(kOk, Record());
+  } else if (call->path() == "/faults") {
+    SetFaults(call->Json());
+    call->Send(kOk, nlohmann::json::object());
+  } else {
+    Handle(call);
   }
 }
 
--- a/StandIns/stand_in.h
+++ b/StandIns/stand_in.h
@@ -48,6 +48,8 @@
  protected:
   EventLoop& loop() { return m_loop; }
 
+  // Answers the call, now or later. A JSON exception or an Error thrown from
+  // here is answered with status 400.
   virtual void Handle(const CallPtr& call) = 0;
   // Sets the server's own faults; those named by the base are set already.
   virtual void ApplyFaults(const nlohmann::json& faults) = 0;
@@ -64,6 +66,7 @@
   void Track(const CallPtr& call);
   void Accept(const CallPtr& call);
   void Dispatch(const CallPtr& call);
+  void Route(const CallPtr& call);
 
   EventLoop& m_loop;
   evhttp* m_server;
--- a/Tests/standins/other_stand_ins_test.cc
+++ b/Tests/standins/other_stand_ins_test.cc
@@ -1,7 +1,9 @@
 #include <catch2/catch.hpp>
 
+#include "StandIns/platform_stand_in.h"
 #include "StandIns/relay.h"
 #include "StandIns/service_stand_in.h"
+#include "StandIns/store_stand_in.h"
 #include "StandIns/transfer_lane.h"
 #include "Tests/standins/stand_in_client.h"
 
@@ -25,6 +27,27 @@
   CHECK(record["refused"] == 1);
 }
 
+TEST_CASE("A malformed call is refused and the server goes on") {
+  EventLoop loop;
+  PlatformStandIn platform(loop, {});
+  StoreStandIn store(loop, {}, {});
+  test::StandInClient to_platform(loop, platform.port());
+  test::StandInClient to_store(loop, store.port());
+  const nlohmann::json bad_key = {{"key", "?"}};
+  CHECK(to_platform.Post("/v3/watch", {{"create_request", bad_key}})
+            .value()
+            .m_status == 400);
+  CHECK(to_platform.Post("/v3/kv/put", bad_key).value().m_status == 400);
+  CHECK(to_platform.Post("/faults", {{"delay_ms", "long"}}).value().m_status ==
+        400);
+  CHECK(to_store.Post("/fetch", {{"artifact", "a"}, {"bytes", "many"}})
+            .value()
+            .m_status == 400);
+  CHECK(to_store.Post("/fetch", {{"artifact", "a"}, {"bytes", 1}})
+            .value()
+            .m_status == 200);
+}
+
 TEST_CASE("Transfers beyond the limit slow down in proportion") {
   EventLoop loop;
   TransferLane lane(loop, /*at_full_speed=*/2);
