--- a/Tests/entry/bad_input_test.cc
+++ b/Tests/entry/bad_input_test.cc
@@ -157,8 +157,10 @@
 
 TEST_CASE("Callers beyond the limit of connections wait for their turn") {
   EntryWorld world("limits.connections = 8\n");
+  constexpr int kCallers = 12;
   std::vector<std::unique_ptr<RawCaller>> callers;
-  for (int i = 0; i < 12; ++i) {
+  callers.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) {
     callers.push_back(std::make_unique<RawCaller>(
         world, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"));
   }
--- a/Tests/entry/demand_board_test.cc
+++ b/Tests/entry/demand_board_test.cc
@@ -9,10 +9,11 @@
 
 using namespace hickoryloft;
 using namespace hickoryloft::entry;
-using trompeloeil::_;
 
 namespace {
 
+using trompeloeil::_;
+
 class MockLink : public CoordinatorLink {
  public:
   MAKE_MOCK3(Request,
--- a/Tests/entry/plain_service_test.cc
+++ b/Tests/entry/plain_service_test.cc
@@ -4,10 +4,11 @@
 
 using namespace hickoryloft;
 using namespace hickoryloft::entry;
-using trompeloeil::_;
 
 namespace {
 
+using trompeloeil::_;
+
 const endpoint::HeaderFields kWithKey = {{"Idempotency-Key", "p-1"}};
 
 std::uint64_t Executions(const EntryWorld& world) {
