claims: a fuzzed proof of one holder, and a fix that it found

Cause: a successor that missed who holds a claim waited for a holder long gone, while every other host waited for the successor. Change: a host that sees it tells all who held the claim.

--- a/Source/claims/claim_decisions.cc
+++ b/Source/claims/claim_decisions.cc
@@ -205,10 +205,28 @@
   }
   Adopt(entry, evidence->m_stored, now);
   const bool usable = m_lease != 0 && m_short.ValidAt(now);
-  if (usable && m_acquiring && entry.m_wanted &&
-      MayTake(entry, *evidence, now)) {
+  if (!usable || !m_acquiring || !entry.m_wanted) {
+    return;
+  }
+  if (MayTake(entry, *evidence, now)) {
     Acquire(claim, entry);
+  } else if (evidence->m_successor_standing) {
+    RemindSuccessor(claim, entry, now);
+  }
+}
+
+// The successor may have missed who holds the claim, and then waits for a
+// holder that is long gone.
+void ClaimTable::RemindSuccessor(const ClaimName& claim,
+                                 Entry& entry,
+                                 MonotonicTime now) {
+  const ClaimRecord& record = entry.m_stored->m_record;
+  if (record.m_successor == m_self) {
+    return;
   }
+  entry.m_retry_at = now + m_settings.m_short_ttl / 2;
+  m_effects.emplace_back(AnnounceClaim{
+      claim, record.m_holder, record.m_incarnation, entry.m_stored->fence()});
 }
 
 void ClaimTable::Settle(const ClaimName& claim,
--- a/Source/claims/claim_table.h
+++ b/Source/claims/claim_table.h
@@ -170,6 +170,7 @@
 
   bool MayTake(Entry& entry, const ClaimEvidence& evidence, MonotonicTime now);
   void Acquire(const ClaimName& claim, Entry& entry);
+  void RemindSuccessor(const ClaimName& claim, Entry& entry, MonotonicTime now);
   void Adopt(Entry& entry,
              const std::optional<StoredClaim>& stored,
              MonotonicTime now);
--- a/Tests/claims/claim_table_state_test.cc
+++ b/Tests/claims/claim_table_state_test.cc
@@ -12,84 +12,101 @@
 
 namespace {
 
-struct Action {
-  int m_kind = 0;
-  int m_host = 0;
-  int m_amount = 0;
+constexpr std::size_t kHosts = 3;
+
+enum class ServiceFault { kNone, kOut, kOneCut, kOnlyOneNotCut };
+enum class HostEvent { kNone, kRestart, kPause, kRelease };
+
+// A while in which the same faults last.
+struct Phase {
+  ServiceFault m_service = ServiceFault::kNone;
+  std::size_t m_service_host = 0;
+  bool m_cut_peers = false;
+  std::size_t m_peer_host = 0;
+  HostEvent m_event = HostEvent::kNone;
+  std::size_t m_event_host = 0;
+  int m_steps = 0;
+  Weather m_weather;
+  unsigned m_seed = 0;
 };
 
-void showValue(const Action& action, std::ostream& out) {
-  out << '{' << action.m_kind << ',' << action.m_host << ',' << action.m_amount
-      << '}';
+void showValue(const Phase& phase, std::ostream& out) {
+  out << "{service " << static_cast<int>(phase.m_service) << '/'
+      << phase.m_service_host << ", peers " << phase.m_cut_peers << '/'
+      << phase.m_peer_host << ", event " << static_cast<int>(phase.m_event)
+      << '/' << phase.m_event_host << ", steps " << phase.m_steps
+      << ", weather " << phase.m_weather.m_arrive << ' '
+      << phase.m_weather.m_answer << ' ' << phase.m_weather.m_lose << ' '
+      << phase.m_weather.m_give_up << ", seed " << phase.m_seed << '}';
 }
 
-constexpr std::size_t kHosts = 3;
+rc::Gen<Weather> AnyWeather() {
+  return rc::gen::elementOf(std::vector<Weather>{
+      {100, 100, 0, 0},  // Calm.
+      {100, 100, 0, 0},
+      {100, 6, 0, 0},   // Replies come late.
+      {8, 100, 0, 0},   // Requests come late.
+      {90, 90, 10, 0},  // Some are lost.
+      {10, 60, 5, 15},  // Callers give up; requests arrive later.
+  });
+}
 
-rc::Gen<Action> AnyAction() {
-  // Deliveries and time dominate, so that something happens between faults.
-  const auto kind = rc::gen::weightedElement<int>({{14, 0},
-                                                   {10, 1},
-                                                   {6, 2},
-                                                   {2, 3},
-                                                   {2, 4},
-                                                   {2, 5},
-                                                   {2, 6},
-                                                   {2, 7},
-                                                   {2, 8},
-                                                   {2, 9},
-                                                   {2, 10},
-                                                   {1, 11},
-                                                   {3, 12},
-                                                   {2, 13},
-                                                   {1, 14}});
-  return rc::gen::map(rc::gen::tuple(kind, rc::gen::inRange<int>(0, kHosts),
-                                     rc::gen::inRange(0, 40)),
-                      [](const std::tuple<int, int, int>& parts) {
-                        return Action{std::get<0>(parts), std::get<1>(parts),
-                                      std::get<2>(parts)};
-                      });
+rc::Gen<Phase> AnyPhase() {
+  const auto host = rc::gen::inRange<std::size_t>(0, kHosts);
+  return rc::gen::build<Phase>(
+      rc::gen::set(&Phase::m_service, rc::gen::weightedElement<ServiceFault>(
+                                          {{4, ServiceFault::kNone},
+                                           {2, ServiceFault::kOut},
+                                           {4, ServiceFault::kOneCut},
+                                           {3, ServiceFault::kOnlyOneNotCut}})),
+      rc::gen::set(&Phase::m_service_host, host),
+      rc::gen::set(&Phase::m_cut_peers,
+                   rc::gen::weightedElement<bool>({{2, false}, {1, true}})),
+      rc::gen::set(&Phase::m_peer_host, host),
+      rc::gen::set(&Phase::m_event, rc::gen::weightedElement<HostEvent>(
+                                        {{8, HostEvent::kNone},
+                                         {1, HostEvent::kRestart},
+                                         {2, HostEvent::kPause},
+                                         {1, HostEvent::kRelease}})),
+      rc::gen::set(&Phase::m_event_host, host),
+      rc::gen::set(&Phase::m_steps, rc::gen::oneOf(rc::gen::inRange(1, 30),
+                                                   rc::gen::inRange(1, 120))),
+      rc::gen::set(&Phase::m_weather, AnyWeather()),
+      rc::gen::set(&Phase::m_seed, rc::gen::arbitrary<unsigned>()));
 }
 
-void Do(ClaimWorld& world, const Action& action) {
-  const auto host = static_cast<std::size_t>(action.m_host);
-  const auto amount = static_cast<std::size_t>(action.m_amount);
-  switch (action.m_kind) {
-    case 0:
-      return world.Deliver(amount, Fault::kNone);
-    case 1:
-      return world.DeliverAll();
-    case 2:
-      return world.Advance(milliseconds(250) * action.m_amount);
-    case 3:
-      return world.Deliver(amount, Fault::kLoseRequest);
-    case 4:
-      return world.Deliver(amount, Fault::kLoseReply);
-    case 5:
-      return world.Deliver(amount, Fault::kTimeOut);
-    case 6:
-      return world.Pause(host);
-    case 7:
-      return world.Resume(host);
-    case 8:
-      return world.CutFromService(host, amount % 2 == 0);
-    case 9:
-      return world.CutPeers(host, amount % 3 == 0);
-    case 10:
-      return world.SetServiceUp(amount % 2 == 0);
-    case 11:
-      return world.Restart(host);
-    case 12:
-      // A while in which everything under way is delivered.
-      for (int i = 0; i < action.m_amount; ++i) {
-        world.DeliverAll();
-        world.Advance(milliseconds(250));
-        RC_ASSERT(world.Holders() <= 1);
-      }
+void BeginPhase(ClaimWorld& world, const Phase& phase) {
+  world.SetServiceUp(phase.m_service != ServiceFault::kOut);
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    const bool named = host == phase.m_service_host;
+    world.CutFromService(
+        host, (phase.m_service == ServiceFault::kOneCut && named) ||
+                  (phase.m_service == ServiceFault::kOnlyOneNotCut && !named));
+    world.CutPeers(host, phase.m_cut_peers && host == phase.m_peer_host);
+    world.Resume(host);
+  }
+  switch (phase.m_event) {
+    case HostEvent::kNone:
       return;
-    case 13:
-      return world.Release(host);
-    default:
-      return world.Advance(seconds(2) * action.m_amount);
+    case HostEvent::kRestart:
+      return world.Restart(phase.m_event_host);
+    case HostEvent::kPause:
+      return world.Pause(phase.m_event_host);
+    case HostEvent::kRelease:
+      return world.Release(phase.m_event_host);
+  }
+}
+
+void RunPhase(ClaimWorld& world, const Phase& phase) {
+  BeginPhase(world, phase);
+  RandomEngine random(phase.m_seed);
+  for (int i = 0; i < phase.m_steps; ++i) {
+    world.Step(phase.m_weather, random);
+    if (world.Holders() > 1) {
+      RC_LOG() << world.Describe() << '\n';
+    }
+    RC_ASSERT(world.Holders() <= 1);
+    RC_ASSERT(world.InOrder());
   }
 }
 
@@ -99,17 +116,16 @@
   std::size_t changes = 0;
   std::size_t hand_overs = 0;
   const bool holds = rc::check([&] {
-    const auto actions = *rc::gen::container<std::vector<Action>>(AnyAction());
+    const auto phases = *rc::gen::container<std::vector<Phase>>(AnyPhase());
     ClaimWorld world(kHosts);
-    for (const Action& action : actions) {
-      Do(world, action);
-      if (world.Holders() > 1) {
-        RC_LOG() << world.Describe() << '\n';
-      }
-      RC_ASSERT(world.Holders() <= 1);
-      RC_ASSERT(world.InOrder());
+    RandomEngine calm(1);
+    for (int i = 0; i < 40; ++i) {
+      world.Step({}, calm);
+    }
+    for (const Phase& phase : phases) {
+      RunPhase(world, phase);
     }
-    world.Heal();
+    world.Heal(calm);
     if (world.Holders() != 1) {
       RC_LOG() << world.Describe() << '\n';
     }
--- a/Tests/claims/claim_world.cc
+++ b/Tests/claims/claim_world.cc
@@ -23,8 +23,9 @@
 }  // namespace
 
 ClaimWorld::ClaimWorld(std::size_t hosts) {
-  m_settings.m_short_ttl = seconds(6);
-  m_settings.m_long_ttl = seconds(40);
+  m_settings.m_short_ttl = seconds(4);
+  m_settings.m_long_ttl = seconds(16);
+  m_settings.m_drift_margin = milliseconds(300);
   m_settings.m_settle_time = seconds(5);
   m_hosts.resize(hosts);
   for (std::size_t i = 0; i < hosts; ++i) {
@@ -54,18 +55,73 @@
       static_cast<double>(m_now.time_since_epoch().count()) * host.m_rate)));
 }
 
-void ClaimWorld::Advance(Duration duration) {
-  const MonotonicTime end = m_now + duration;
-  while (m_now < end) {
-    m_now = std::min(end, m_now + kStep);
-    m_store.Expire(m_now);
-    for (std::size_t i = 0; i < m_hosts.size(); ++i) {
-      Step(i);
+void ClaimWorld::Step(const Weather& weather, RandomEngine& random) {
+  m_now += kStep;
+  m_store.Expire(m_now);
+  for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+    StepHost(i);
+  }
+  // A call may start others, which are appended and moved in turn; the bound
+  // stands for the time that a step has.
+  constexpr int kMaxMoves = 64;
+  int moves = 0;
+  for (auto item = m_calls.begin(); item != m_calls.end() && moves < kMaxMoves;
+       ++moves) {
+    item = Move(*item, weather, random) ? m_calls.erase(item) : std::next(item);
+  }
+}
+
+// Returns whether the call is over.
+bool ClaimWorld::Move(Call& call,
+                      const Weather& weather,
+                      RandomEngine& random) {
+  const auto chance = [&](unsigned percent) {
+    return random() % 100 < percent;
+  };
+  const bool alive = CallerAlive(call);
+  if (!call.m_arrived) {
+    if (chance(weather.m_lose) || (!Reachable(call) && chance(50))) {
+      Fail(call);
+      return true;
+    }
+    if (Reachable(call) && chance(weather.m_arrive)) {
+      call.m_arrived = true;
+      call.m_arrive();
+      if (call.m_peer) {
+        RunEffects(*call.m_peer);
+      }
+    }
+  }
+  if (call.m_arrived && (!alive || call.m_given_up)) {
+    return true;
+  }
+  if (call.m_arrived && m_hosts[call.m_host].m_running) {
+    if (chance(weather.m_lose)) {
+      Fail(call);
+      return true;
+    }
+    if (chance(weather.m_answer)) {
+      call.m_reply();
+      RunEffects(call.m_host);
+      return true;
     }
   }
+  if (!call.m_given_up && chance(weather.m_give_up)) {
+    Fail(call);
+    call.m_given_up = true;
+    return call.m_arrived;
+  }
+  return false;
 }
 
-void ClaimWorld::Step(std::size_t index) {
+void ClaimWorld::Fail(const Call& call) {
+  if (CallerAlive(call) && !call.m_given_up) {
+    call.m_fail();
+    RunEffects(call.m_host);
+  }
+}
+
+void ClaimWorld::StepHost(std::size_t index) {
   Host& host = m_hosts[index];
   if (!host.m_running) {
     return;
@@ -185,59 +241,6 @@
   return host.m_incarnation == call.m_incarnation;
 }
 
-void ClaimWorld::Deliver(std::size_t choice, Fault fault) {
-  if (m_calls.empty()) {
-    return;
-  }
-  const auto item =
-      m_calls.begin() + static_cast<std::ptrdiff_t>(choice % m_calls.size());
-  const std::size_t index = item->m_host;
-  // A paused caller reads its answer when it wakes.
-  if (!m_hosts[index].m_running && CallerAlive(*item)) {
-    return;
-  }
-  const bool alive = CallerAlive(*item);
-  if (fault == Fault::kTimeOut) {
-    if (!item->m_answered && alive) {
-      item->m_answered = true;
-      const auto fail = item->m_fail;
-      fail();
-      RunEffects(index);
-    }
-    return;
-  }
-  const Call call = std::move(*item);
-  m_calls.erase(item);
-  const bool arrives = fault != Fault::kLoseRequest && Reachable(call);
-  if (arrives) {
-    call.m_arrive();
-    if (call.m_peer) {
-      RunEffects(*call.m_peer);
-    }
-  }
-  if (!alive || call.m_answered) {
-    return;
-  }
-  (arrives && fault != Fault::kLoseReply ? call.m_reply : call.m_fail)();
-  RunEffects(index);
-}
-
-void ClaimWorld::DeliverAll() {
-  constexpr int kRounds = 64;
-  for (int i = 0; i < kRounds && !m_calls.empty(); ++i) {
-    const std::size_t count = m_calls.size();
-    std::size_t skipped = 0;
-    for (std::size_t j = 0; j < count; ++j) {
-      const std::size_t before = m_calls.size();
-      Deliver(skipped, Fault::kNone);
-      skipped += m_calls.size() >= before && skipped < m_calls.size() ? 1 : 0;
-      if (skipped >= m_calls.size()) {
-        break;
-      }
-    }
-  }
-}
-
 void ClaimWorld::Pause(std::size_t host) {
   m_hosts[host].m_running = false;
 }
@@ -271,20 +274,17 @@
   RunEffects(host);
 }
 
-void ClaimWorld::Heal() {
+void ClaimWorld::Heal(RandomEngine& random) {
   m_service_up = true;
   for (Host& host : m_hosts) {
     host.m_running = true;
     host.m_cut_from_service = false;
     host.m_cut_from_peers = false;
   }
-  // Long enough for a successor's long lease, its promise and the ranks.
   const Duration enough = m_settings.m_long_ttl + 10 * m_settings.m_short_ttl;
-  for (Duration passed{}; passed < enough; passed += milliseconds(500)) {
-    DeliverAll();
-    Advance(milliseconds(500));
+  for (Duration passed{}; passed < enough; passed += kStep) {
+    Step({}, random);
   }
-  DeliverAll();
 }
 
 std::size_t ClaimWorld::Holders() const {
--- a/Tests/claims/claim_world.h
+++ b/Tests/claims/claim_world.h
@@ -5,32 +5,33 @@
 #define TESTS_CLAIMS_CLAIM_WORLD_H_
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "base/random.h"
 #include "claims/claim_table.h"
 #include "platform/memory_store.h"
 
 namespace hickoryloft::claims {
 
-enum class Fault {
-  kNone,
-  kLoseRequest,
-  kLoseReply,
-  kTimeOut,  // The caller gives up; the request still arrives.
+// How calls and messages fare, as chances out of 100 in each step.
+struct Weather {
+  unsigned m_arrive = 100;  // A request arrives.
+  unsigned m_answer = 100;  // The reply to an arrived request comes back.
+  unsigned m_lose = 0;      // A request or a reply is lost.
+  unsigned m_give_up = 0;   // The caller gives up; the request may arrive.
 };
 
 class ClaimWorld {
  public:
   explicit ClaimWorld(std::size_t hosts);
 
-  // Lets time pass; every host that runs ticks and renews on its own clock.
-  void Advance(Duration duration);
-  // Hands on the `choice`-th call or message that is under way.
-  void Deliver(std::size_t choice, Fault fault);
-  void DeliverAll();
+  // Lets a step of time pass: every host that runs renews, ticks and moves
+  // its calls, on its own clock.
+  void Step(const Weather& weather, RandomEngine& random);
   void Pause(std::size_t host);
   void Resume(std::size_t host);
   // A new run of the host with nothing kept.
@@ -39,7 +40,8 @@
   void SetServiceUp(bool up) { m_service_up = up; }
   void CutPeers(std::size_t host, bool cut);
   void Release(std::size_t host);
-  void Heal();
+  // Ends all faults and lets enough time pass for any takeover.
+  void Heal(RandomEngine& random);
 
   // Returns how many hosts hold the claim at this instant.
   std::size_t Holders() const;
@@ -51,6 +53,7 @@
   std::string Describe() const;
 
   static constexpr char kClaim[] = "placement/0";
+  static constexpr Duration kStep = milliseconds(250);
 
  private:
   struct Host {
@@ -75,12 +78,15 @@
     std::function<void()> m_arrive;  // At the callee.
     std::function<void()> m_reply;   // At the caller, after the callee.
     std::function<void()> m_fail;    // At the caller, without an answer.
-    bool m_answered = false;
+    bool m_arrived = false;
+    bool m_given_up = false;
   };
 
   MonotonicTime LocalTime(const Host& host) const;
   void Start(std::size_t index);
-  void Step(std::size_t index);
+  void StepHost(std::size_t index);
+  bool Move(Call& call, const Weather& weather, RandomEngine& random);
+  void Fail(const Call& call);
   void RenewLeases(std::size_t index);
   void Register(std::size_t index, MonotonicTime sent_at);
   void ReadView(std::size_t index);
@@ -97,14 +103,12 @@
   bool Reachable(const Call& call) const;
   bool CallerAlive(const Call& call) const;
 
-  static constexpr Duration kStep = milliseconds(250);
-
   ClaimSettings m_settings;
   MonotonicTime m_now{std::chrono::hours(1)};
   platform::MemoryStore m_store;
   bool m_service_up = true;
   std::vector<Host> m_hosts;
-  std::vector<Call> m_calls;
+  std::list<Call> m_calls;
   Incarnation m_last_incarnation = 0;
   FencingNumber m_last_fence = 0;
   std::string m_last_payload;
