--- a/Tests/entry/completion_test.cc
+++ b/Tests/entry/completion_test.cc
@@ -61,8 +61,10 @@
   EntryWorld world;
   world.Publish({});
   world.m_coordinator.m_on_demand = Loading(100);
+  constexpr int kBurst = 20;
   std::vector<std::shared_ptr<SeenAnswer>> answers;
-  for (int i = 0; i < 20; ++i) {
+  answers.reserve(kBurst);
+  for (int i = 0; i < kBurst; ++i) {
     answers.push_back(world.Start(world.Completion()));
   }
   world.RunFor(milliseconds(100));
@@ -77,7 +79,7 @@
     world.RunUntil([&] { return answer->over(); });
     CHECK(answer->m_head.m_status == 200);
   }
-  CHECK(world.Metric("loft_entry_cold_start_seconds_count") == 20);
+  CHECK(world.Metric("loft_entry_cold_start_seconds_count") == kBurst);
 }
 
 TEST_CASE("A load that ends after the deadline is refused at once") {
