--- a/Source/coordinator/document_keeper.cc
+++ b/Source/coordinator/document_keeper.cc
@@ -152,7 +152,7 @@
 
 void DocumentKeeper::AskPeer() {
   const std::vector<HostId> sources = Sources();
-  const HostId source = sources[m_ask_failures % sources.size()];
+  const HostId& source = sources[m_ask_failures % sources.size()];
   m_asking = true;
   const MonotonicTime sent_at = m_loop.Now();
   const std::weak_ptr<bool> alive = m_alive;
--- a/Source/coordinator/document_texts.cc
+++ b/Source/coordinator/document_texts.cc
@@ -238,7 +238,7 @@
         });
     return;
   }
-  const ServiceId service = missing.front();
+  const ServiceId& service = missing.front();
   m_key_values.Get(
       DocumentKey(service),
       [this, alive, service](const Result<platform::ReadReply>& result) {
--- a/Tests/claims/claim_table_state_test.cc
+++ b/Tests/claims/claim_table_state_test.cc
@@ -40,6 +40,12 @@
       << phase.m_weather.m_give_up << ", seed " << phase.m_seed << '}';
 }
 
+// The whole range, whatever the size of the case.
+template <typename T>
+rc::Gen<T> Between(T minimum, T end) {
+  return rc::gen::resize(rc::kNominalSize, rc::gen::inRange<T>(minimum, end));
+}
+
 rc::Gen<Weather> AnyWeather() {
   return rc::gen::elementOf(std::vector<Weather>{
       {100, 100, 0, 0},  // Calm.
@@ -52,7 +58,7 @@
 }
 
 rc::Gen<Phase> AnyPhase() {
-  const auto host = rc::gen::inRange<std::size_t>(0, kHosts);
+  const auto host = Between<std::size_t>(0, kHosts);
   return rc::gen::build<Phase>(
       rc::gen::set(&Phase::m_service, rc::gen::weightedElement<ServiceFault>(
                                           {{4, ServiceFault::kNone},
@@ -69,8 +75,8 @@
                                          {2, HostEvent::kPause},
                                          {1, HostEvent::kRelease}})),
       rc::gen::set(&Phase::m_event_host, host),
-      rc::gen::set(&Phase::m_steps, rc::gen::oneOf(rc::gen::inRange(1, 30),
-                                                   rc::gen::inRange(1, 120))),
+      rc::gen::set(&Phase::m_steps,
+                   rc::gen::oneOf(Between(1, 30), Between(1, 120))),
       rc::gen::set(&Phase::m_weather, AnyWeather()),
       rc::gen::set(&Phase::m_seed, rc::gen::arbitrary<unsigned>()));
 }
