placement: send entries the whole table only once it is complete

Cause: process_stop fails now and then in the rolling restart: a coordinator that has just started sent its entry an empty full table, and a new member heard of engines only, not of plain services. Change: the full table goes out once the list was read and each engine was looked at, or after three seconds; the pollers of its failure domain tell a new member the whole list; a host with an empty table reads the list itself. Not mended by this: an entry is ready before it has any table, so process_stop still fails (test_rolling_restart_under_load, 503 'the service has no endpoint now').

--- a/Source/coordinator/endpoint_observer.cc
+++ b/Source/coordinator/endpoint_observer.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr Duration kListInterval = seconds(1);
+// Engines that were not looked at for this long no longer hold up the table.
+constexpr Duration kCompletionLimit = seconds(3);
 constexpr Duration kInventoryInterval = milliseconds(500);
 // Unanswered reads after which an engine counts as unreachable.
 constexpr int kFailuresToSilence = 3;
@@ -79,7 +81,12 @@
 }
 
 void EndpointObserver::OnTick(MonotonicTime now) {
-  if (now >= m_next_list && !m_list_busy && PollsList()) {
+  if (!m_complete && IsComplete(now)) {
+    m_complete = true;
+    m_core.NotifyEntries(wire::MakeEnvelope(m_table.FullForEntries()));
+  }
+  if (now >= m_next_list && !m_list_busy &&
+      (m_table.entries().empty() || PollsList())) {
     m_next_list = now + kListInterval;
     PollList();
   }
@@ -101,6 +108,9 @@
                      {{"error", ToString(reply.error().code())}});
           return;
         }
+        if (!m_listed_at.has_value()) {
+          m_listed_at = m_core.Now();
+        }
         Publish(m_table.TakeList(reply.value()), /*to_hosts=*/true);
         ApplyDraining();
       });
@@ -195,21 +205,57 @@
   m_listener.OnEndpointsChanged(changed);
 }
 
+bool EndpointObserver::IsComplete(MonotonicTime now) const {
+  if (!m_listed_at.has_value()) {
+    return false;
+  }
+  return now - *m_listed_at >= kCompletionLimit ||
+         std::all_of(m_table.entries().begin(), m_table.entries().end(),
+                     [](const auto& item) {
+                       const wire::EndpointStateT& state = item.second.m_state;
+                       return state.kind != wire::EndpointKind::Engine ||
+                              state.sequence > 0;
+                     });
+}
+
+void EndpointObserver::OnEntryConnected(
+    const std::function<void(const wire::EnvelopeT&)>& send) const {
+  if (m_complete) {
+    send(wire::MakeEnvelope(m_table.FullForEntries()));
+  }
+}
+
 void EndpointObserver::OnUpdate(const wire::EndpointUpdateT& update) {
+  if (!m_listed_at.has_value()) {
+    m_listed_at = m_core.Now();
+  }
   Publish(m_table.TakeUpdate(update), /*to_hosts=*/false);
   ApplyDraining();
 }
 
+void EndpointObserver::InformNewMember(const Member& member) {
+  EndpointSet told = Observed();
+  // Those who read the host list tell the new members of their failure domain.
+  if (member.m_failure_domain == m_core.Self().m_failure_domain &&
+      PollsList()) {
+    for (const auto& [id, entry] : m_table.entries()) {
+      told.insert(id);
+    }
+  }
+  if (!told.empty()) {
+    m_core.NotifyHost(member.m_host,
+                      wire::MakeEnvelope(m_table.ForHosts(told)));
+  }
+}
+
 void EndpointObserver::OnMembersChanged() {
   std::map<HostId, Incarnation> informed;
-  const EndpointSet observed = Observed();
   for (const Member& member : m_core.Members()) {
     const auto known = m_informed.find(member.m_host);
     const bool fresh =
         known == m_informed.end() || known->second != member.m_incarnation;
-    if (fresh && member.m_host != m_core.Self().m_host && !observed.empty()) {
-      m_core.NotifyHost(member.m_host,
-                        wire::MakeEnvelope(m_table.ForHosts(observed)));
+    if (fresh && member.m_host != m_core.Self().m_host) {
+      InformNewMember(member);
     }
     informed[member.m_host] = member.m_incarnation;
   }
--- a/Source/coordinator/endpoint_observer.h
+++ b/Source/coordinator/endpoint_observer.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "base/log.h"
@@ -46,6 +47,11 @@
   void OnMembersChanged();
   void OnDocumentsChanged();
   void OnUpdate(const wire::EndpointUpdateT& update);
+  // Sends the whole table to a new entry; later to all entries if it is not
+  // complete yet, since an entry may know more than a host that has just
+  // started.
+  void OnEntryConnected(
+      const std::function<void(const wire::EnvelopeT&)>& send) const;
 
  private:
   struct Poll {
@@ -55,6 +61,9 @@
   };
 
   bool PollsList() const;
+  // Returns whether the endpoints are listed and each engine was looked at.
+  bool IsComplete(MonotonicTime now) const;
+  void InformNewMember(const Member& member);
   bool Observes(const EndpointId& endpoint) const;
   EndpointSet Observed() const;
   void PollList();
@@ -77,6 +86,8 @@
   std::map<HostId, Incarnation>
       m_informed;  // Members that have the full state.
   bool m_list_busy = false;
+  bool m_complete = false;  // Entries have had the whole table.
+  std::optional<MonotonicTime> m_listed_at;
   MonotonicTime m_next_list{};
   MonotonicTime m_next_repeat{};
   EndpointId m_last_repeated;
--- a/Source/coordinator/placement_module.cc
+++ b/Source/coordinator/placement_module.cc
@@ -221,7 +221,7 @@
 
 void PlacementModule::OnEntryConnected(
     const std::function<void(const wire::EnvelopeT&)>& send) {
-  send(wire::MakeEnvelope(m_observer.table().FullForEntries()));
+  m_observer.OnEntryConnected(send);
 }
 
 void PlacementModule::OnTick(MonotonicTime now) {
--- a/Source/tools/bench/decision_bench.cc
+++ b/Source/tools/bench/decision_bench.cc
@@ -141,7 +141,7 @@
   return *shard;
 }
 
-void BM_WarmDemand(benchmark::State& state) {
+void WarmDemand(benchmark::State& state) {
   const int adapters = static_cast<int>(state.range(0)) * kAdaptersUnit;
   LoadedShard& shard = ShardWith(adapters);
   int next = 0;
@@ -154,9 +154,9 @@
   state.counters["heap_bytes_per_adapter"] =
       static_cast<double>(shard.heap_bytes()) / adapters;
 }
-BENCHMARK(BM_WarmDemand)->RangeMultiplier(10)->Range(1, 100);
+BENCHMARK(WarmDemand)->RangeMultiplier(10)->Range(1, 100);
 
-void BM_ChooseEndpoint(benchmark::State& state) {
+void ChooseEndpoint(benchmark::State& state) {
   placement::ReplicaTable replicas;
   const placement::TierAwarePolicy policy;
   std::map<EndpointId, placement::EndpointLedger> ledgers;
@@ -185,14 +185,14 @@
                        nullptr));
   }
 }
-BENCHMARK(BM_ChooseEndpoint)->RangeMultiplier(10)->Range(1, 100);
+BENCHMARK(ChooseEndpoint)->RangeMultiplier(10)->Range(1, 100);
 
 std::string ServedName(int adapter) {
   return ModelAt(adapter % kModels).value() + ":" + AdapterAt(adapter).value() +
          "@1";
 }
 
-void BM_Route(benchmark::State& state) {
+void Route(benchmark::State& state) {
   const int adapters = static_cast<int>(state.range(0)) * kAdaptersUnit;
   routing::EndpointTable table;
   for (int index = 0; index < kEndpoints; ++index) {
@@ -214,7 +214,7 @@
     benchmark::DoNotOptimize(chooser.Choose(candidates, {}, kStart, random));
   }
 }
-BENCHMARK(BM_Route)->RangeMultiplier(10)->Range(1, 100);
+BENCHMARK(Route)->RangeMultiplier(10)->Range(1, 100);
 
 }  // namespace
 }  // namespace hickoryloft
--- a/Source/tools/load/load_report.cc
+++ b/Source/tools/load/load_report.cc
@@ -20,6 +20,10 @@
   return ToSeconds(duration) * kMillisPerSecond;
 }
 
+double PerSecond(std::uint64_t count, Duration elapsed) {
+  return static_cast<double>(count) / ToSeconds(elapsed);
+}
+
 Json QuantilesJson(std::vector<Duration> durations) {
   Json json = Json::object();
   for (const double probability : kQuantiles) {
@@ -37,7 +41,8 @@
     return {};
   }
   std::sort(durations.begin(), durations.end());
-  const double rank = std::ceil(probability * durations.size());
+  const double rank =
+      std::ceil(probability * static_cast<double>(durations.size()));
   const auto index = static_cast<std::size_t>(std::max(rank, 1.0)) - 1;
   return durations[std::min(index, durations.size() - 1)];
 }
@@ -77,16 +82,15 @@
 
 std::string LoadReport::ToJson(Duration elapsed) const {
   const auto to_json = [elapsed](const Summary& summary) {
-    return Json{
-        {"requests", summary.m_requests},
-        {"completed", summary.m_completed},
-        {"tokens", summary.m_tokens},
-        {"requests_per_second", summary.m_requests / ToSeconds(elapsed)},
-        {"tokens_per_second", summary.m_tokens / ToSeconds(elapsed)},
-        {"outcomes", summary.m_outcomes},
-        {"first_byte", QuantilesJson(summary.m_first_bytes)},
-        {"total", QuantilesJson(summary.m_totals)},
-        {"not_completed", QuantilesJson(summary.m_refusals)}};
+    return Json{{"requests", summary.m_requests},
+                {"completed", summary.m_completed},
+                {"tokens", summary.m_tokens},
+                {"requests_per_second", PerSecond(summary.m_requests, elapsed)},
+                {"tokens_per_second", PerSecond(summary.m_tokens, elapsed)},
+                {"outcomes", summary.m_outcomes},
+                {"first_byte", QuantilesJson(summary.m_first_bytes)},
+                {"total", QuantilesJson(summary.m_totals)},
+                {"not_completed", QuantilesJson(summary.m_refusals)}};
   };
   Json json = to_json(All());
   json["elapsed_s"] = ToSeconds(elapsed);
@@ -127,8 +131,8 @@
   const Summary all = All();
   row("all", all);
   out << "\nTimes in milliseconds. " << ToSeconds(elapsed) << " s, "
-      << all.m_requests / ToSeconds(elapsed) << " requests/s, "
-      << all.m_tokens / ToSeconds(elapsed) << " tokens/s, " << m_unsent
+      << PerSecond(all.m_requests, elapsed) << " requests/s, "
+      << PerSecond(all.m_tokens, elapsed) << " tokens/s, " << m_unsent
       << " not sent.\n";
   for (const auto& [outcome, count] : all.m_outcomes) {
     out << "  " << outcome << ": " << count << "\n";
--- a/Source/tools/load/scenario.cc
+++ b/Source/tools/load/scenario.cc
@@ -87,7 +87,7 @@
     scenario.m_keys[account.name()] =
         settings::LoadSecret((folder / key_file).string());
   }
-  for (TableReader flow : reader.NamedTables("flows")) {
+  for (const TableReader& flow : reader.NamedTables("flows")) {
     scenario.m_flows.push_back(ParseFlow(flow));
     const std::string& name = scenario.m_flows.back().m_account;
     if (!name.empty() && scenario.m_keys.count(name) == 0) {
