claims: a successor only where the holder acts in an outage; a host serves once it knows its endpoints

Cause: (1) two coordinators killed within one short lease left shards of the ledger and of placement without a holder for up to 670 s, since a third host waits for the dead successor's long lease. Neither module can act while the key-value service is out, so the promise gives them nothing. (3) at 8 and 16 hosts at rest, heartbeats to all were sent: a proof heard in a bad phase of the watcher's reads aged to 2.8 s. Ruled out: a shorter long lease, which would shorten the outage that rate shares bridge; longer limits. Change: modules say whether they act in an outage; the right to serve needs all modules ready; a host asks its watcher 0.2 s after the watcher's next read.

--- a/Source/claims/claim_decisions.cc
+++ b/Source/claims/claim_decisions.cc
@@ -90,6 +90,9 @@
 }
 
 bool ClaimTable::NeedsSuccessor(const Entry& entry) const {
+  if (!entry.m_acts_in_outage) {
+    return false;
+  }
   const ClaimRecord& record = entry.m_stored->m_record;
   const ClaimHost* successor = FindHost(record.m_successor);
   const bool usable = successor != nullptr && !successor->m_leaving &&
@@ -310,9 +313,11 @@
       .m_incarnation = m_incarnation,
       .m_nonce = m_random(),
       .m_lease = m_lease,
-      .m_successor = entry.m_preference.m_successor,
-      .m_successor_lease = entry.m_preference.m_successor_lease,
   };
+  if (entry.m_acts_in_outage) {
+    write.m_record.m_successor = entry.m_preference.m_successor;
+    write.m_record.m_successor_lease = entry.m_preference.m_successor_lease;
+  }
   SendWrite(claim, entry, std::move(write));
 }
 
--- a/Source/claims/claim_effects.h
+++ b/Source/claims/claim_effects.h
@@ -17,6 +17,14 @@
 
 using ClaimName = std::string;
 
+// A claim that should exist.
+struct WantedClaim {
+  ClaimName m_claim;
+  // Its holder can act while the key-value service is out, on a successor's
+  // promise. Without it no successor is named.
+  bool m_acts_in_outage = true;
+};
+
 struct ClaimSettings {
   Duration m_short_ttl = seconds(6);
   Duration m_long_ttl = seconds(660);
--- a/Source/claims/claim_table.cc
+++ b/Source/claims/claim_table.cc
@@ -36,18 +36,19 @@
   }
 }
 
-void ClaimTable::SetWanted(const std::vector<ClaimName>& claims,
+void ClaimTable::SetWanted(const std::vector<WantedClaim>& claims,
                            MonotonicTime now) {
   for (auto& [claim, entry] : m_entries) {
     entry.m_wanted = false;
   }
-  for (const ClaimName& claim : claims) {
+  for (const auto& [claim, acts_in_outage] : claims) {
     const auto [found, added] = m_entries.try_emplace(claim);
     Entry& entry = found->second;
     if (added) {
       entry.m_preference = MakePreference(claim);
     }
     entry.m_wanted = true;
+    entry.m_acts_in_outage = acts_in_outage;
     UpdateUnheld(entry, now);
   }
 }
--- a/Source/claims/claim_table.h
+++ b/Source/claims/claim_table.h
@@ -27,7 +27,7 @@
   // The live members, this host included.
   void SetHosts(std::vector<ClaimHost> hosts, MonotonicTime now);
   // The claims that should exist.
-  void SetWanted(const std::vector<ClaimName>& claims, MonotonicTime now);
+  void SetWanted(const std::vector<WantedClaim>& claims, MonotonicTime now);
   // The short lease was granted or renewed by a call sent at `sent_at`, and the
   // member key is bound to it.
   void OnShortLease(std::int64_t lease, MonotonicTime sent_at);
@@ -118,6 +118,7 @@
 
   struct Entry {
     bool m_wanted = false;
+    bool m_acts_in_outage = false;
     Preference m_preference;
 
     HostId m_holder;  // Last known; empty if none.
--- a/Source/coordinator/action_module.h
+++ b/Source/coordinator/action_module.h
@@ -25,6 +25,8 @@
 
   std::string_view name() const override { return "actions"; }
   std::vector<ClaimName> WantedClaims() const override;
+  bool ActsInOutage() const override { return false; }
+  bool Ready() const override { return true; }
   std::optional<ClaimName> ClaimFor(
       const wire::EnvelopeT& request) const override;
   void HandleRequest(const ClaimName& claim,
--- a/Source/coordinator/claim_keeper.cc
+++ b/Source/coordinator/claim_keeper.cc
@@ -83,7 +83,7 @@
   m_table.SetHosts(view.ClaimHosts(), m_loop.Now());
 }
 
-void ClaimKeeper::SetWanted(const std::vector<claims::ClaimName>& claims) {
+void ClaimKeeper::SetWanted(const std::vector<claims::WantedClaim>& claims) {
   m_table.SetWanted(claims, m_loop.Now());
 }
 
--- a/Source/coordinator/claim_keeper.h
+++ b/Source/coordinator/claim_keeper.h
@@ -41,7 +41,7 @@
   const claims::ClaimTable& table() const { return m_table; }
 
   void OnMembersChanged(const MemberView& view);
-  void SetWanted(const std::vector<claims::ClaimName>& claims);
+  void SetWanted(const std::vector<claims::WantedClaim>& claims);
   void OnShortLease(platform::LeaseId lease, MonotonicTime sent_at);
   void OnShortLeaseLost();
   void OnLongLease(platform::LeaseId lease, MonotonicTime sent_at);
--- a/Source/coordinator/coordinator.cc
+++ b/Source/coordinator/coordinator.cc
@@ -143,11 +143,11 @@
       table.applied_revision() < table.manifest_revision()) {
     return;
   }
-  std::vector<ClaimName> wanted;
+  std::vector<claims::WantedClaim> wanted;
   for (const auto& module : m_modules) {
     for (ClaimName& claim : module->WantedClaims()) {
       m_module_of_claim[claim] = module.get();
-      wanted.push_back(std::move(claim));
+      wanted.push_back({std::move(claim), module->ActsInOutage()});
     }
   }
   m_claims.SetWanted(wanted);
@@ -254,7 +254,14 @@
 }
 
 bool Coordinator::Ready() const {
-  return !m_stopping && m_documents.ServeFor(m_loop.Now()) > Duration::zero();
+  return !m_stopping && ServeFor(m_loop.Now()) > Duration::zero();
+}
+
+Duration Coordinator::ServeFor(MonotonicTime now) const {
+  const bool ready =
+      std::all_of(m_modules.begin(), m_modules.end(),
+                  [](const auto& module) { return module->Ready(); });
+  return ready ? m_documents.ServeFor(now) : Duration::zero();
 }
 
 void Coordinator::Stop(std::function<void()> stopped) {
@@ -319,7 +326,7 @@
   m_registry
       .GetGauge("loft_coordinator_serve_for_seconds",
                 "For how long this host may serve without further proof.")
-      .Set(ToSeconds(m_documents.ServeFor(now)));
+      .Set(ToSeconds(ServeFor(now)));
   if (const auto& proof = m_documents.tracker().proof()) {
     m_registry
         .GetGauge("loft_coordinator_freshness_age_seconds",
--- a/Source/coordinator/coordinator.h
+++ b/Source/coordinator/coordinator.h
@@ -53,6 +53,8 @@
 
   // Whether this host may serve now.
   bool Ready() const;
+  // Returns for how long this host may serve without further proof.
+  Duration ServeFor(MonotonicTime now) const;
   bool leaving() const { return m_stopping; }
   const DocumentKeeper& documents() const { return m_documents; }
   const claims::ClaimTable& claims() const { return m_claims.table(); }
--- a/Source/coordinator/document_keeper.cc
+++ b/Source/coordinator/document_keeper.cc
@@ -15,8 +15,12 @@
 constexpr Duration kStepInterval = milliseconds(100);
 // How often the first watcher of a failure domain reads the manifest.
 constexpr Duration kReadInterval = milliseconds(1600);
-// How often every other host asks a watcher.
+// How often every other host asks a watcher whose next read is not known.
 constexpr Duration kAskInterval = milliseconds(1000);
+// A host asks this long after the watcher's next read, so that what it hears is
+// new; in any other phase a proof could age until heartbeats are exchanged.
+constexpr Duration kAskLag = milliseconds(200);
+constexpr Duration kShortestAskInterval = milliseconds(300);
 constexpr Duration kAskTimeout = milliseconds(400);
 // After a failure another watcher is asked for this long.
 constexpr Duration kBackToFirst = seconds(10);
@@ -188,6 +192,9 @@
   m_tracker.OnProof(
       {reply.documents_revision, sent_at - milliseconds(reply.age_ms)});
   m_wanted_revision = std::max(m_wanted_revision, reply.documents_revision);
+  const Duration until_read = kReadInterval - milliseconds(reply.age_ms);
+  m_ask_at =
+      m_loop.Now() + std::max(until_read + kAskLag, kShortestAskInterval);
   if (m_loop.Now() >= m_back_to_first_at) {
     m_ask_failures = 0;
   }
--- a/Source/coordinator/endpoint_observer.h
+++ b/Source/coordinator/endpoint_observer.h
@@ -39,6 +39,9 @@
                    EndpointListener& listener);
 
   const EndpointTable& table() const { return m_table; }
+  // Returns whether the endpoints are listed and each engine was looked at, or
+  // enough time has passed for it; entries have the whole table then.
+  bool complete() const { return m_complete; }
 
   // Reads the inventory of an endpoint now, unless a read is in progress.
   void Fetch(const EndpointId& endpoint);
--- a/Source/coordinator/module.h
+++ b/Source/coordinator/module.h
@@ -89,6 +89,14 @@
   // order and acquires those that fall to this host.
   virtual std::vector<ClaimName> WantedClaims() const = 0;
 
+  // Returns whether holders of these claims can act while the key-value service
+  // is out. Only then do the claims need a successor; without one they are free
+  // for any host as soon as their holder's lease has lapsed.
+  virtual bool ActsInOutage() const = 0;
+
+  // Returns whether this module knows enough for the host to serve.
+  virtual bool Ready() const = 0;
+
   // Returns the claim whose holder must answer `request`, or none if the
   // request is not this module's.
   virtual std::optional<ClaimName> ClaimFor(
--- a/Source/coordinator/placement_module.h
+++ b/Source/coordinator/placement_module.h
@@ -33,6 +33,8 @@
 
   std::string_view name() const override { return "placement"; }
   std::vector<ClaimName> WantedClaims() const override;
+  bool ActsInOutage() const override { return false; }
+  bool Ready() const override { return m_observer.complete(); }
   std::optional<ClaimName> ClaimFor(
       const wire::EnvelopeT& request) const override;
   void HandleRequest(const ClaimName& claim,
--- a/Source/coordinator/rate_module.h
+++ b/Source/coordinator/rate_module.h
@@ -24,6 +24,8 @@
 
   std::string_view name() const override { return "rate"; }
   std::vector<ClaimName> WantedClaims() const override;
+  bool ActsInOutage() const override { return true; }
+  bool Ready() const override { return true; }
   std::optional<ClaimName> ClaimFor(
       const wire::EnvelopeT& request) const override;
   void HandleRequest(const ClaimName& claim,
--- a/Source/coordinator/status_page.cc
+++ b/Source/coordinator/status_page.cc
@@ -61,7 +61,8 @@
   return {
       {"host", coordinator.Self().m_host.value()},
       {"leaving", coordinator.leaving()},
-      {"serve_for_ms", ToMillis(documents.ServeFor(coordinator.Now())).count()},
+      {"serve_for_ms",
+       ToMillis(coordinator.ServeFor(coordinator.Now())).count()},
       {"documents_revision", documents.table().applied_revision()},
       {"members", ListMembers(coordinator)},
       {"claims", ListClaims(coordinator)},
--- a/Tests/claims/claim_table_state_test.cc
+++ b/Tests/claims/claim_table_state_test.cc
@@ -116,14 +116,12 @@
   }
 }
 
-}  // namespace
-
-TEST_CASE("At most one host holds a claim at any instant") {
+void CheckHistories(bool acts_in_outage) {
   std::size_t changes = 0;
   std::size_t hand_overs = 0;
   const bool holds = rc::check([&] {
     const auto phases = *rc::gen::container<std::vector<Phase>>(AnyPhase());
-    ClaimWorld world(kHosts);
+    ClaimWorld world(kHosts, acts_in_outage);
     RandomEngine calm(1);
     for (int i = 0; i < 40; ++i) {
       world.Step({}, calm);
@@ -144,3 +142,13 @@
   CHECK(changes > 1000);
   CHECK(hand_overs > 10);
 }
+
+}  // namespace
+
+TEST_CASE("At most one host holds a claim at any instant") {
+  CheckHistories(/*acts_in_outage=*/true);
+}
+
+TEST_CASE("At most one host holds a claim that has no successor") {
+  CheckHistories(/*acts_in_outage=*/false);
+}
--- a/Tests/claims/claim_world.cc
+++ b/Tests/claims/claim_world.cc
@@ -22,7 +22,8 @@
 
 }  // namespace
 
-ClaimWorld::ClaimWorld(std::size_t hosts) {
+ClaimWorld::ClaimWorld(std::size_t hosts, bool acts_in_outage)
+    : m_acts_in_outage(acts_in_outage) {
   m_settings.m_short_ttl = seconds(4);
   m_settings.m_long_ttl = seconds(16);
   m_settings.m_drift_margin = milliseconds(300);
@@ -40,7 +41,7 @@
   host.m_incarnation = ++m_last_incarnation;
   host.m_table = std::make_unique<ClaimTable>(
       m_settings, host.m_id, host.m_incarnation, m_last_incarnation);
-  host.m_table->SetWanted({kClaim}, LocalTime(host));
+  host.m_table->SetWanted({{kClaim, m_acts_in_outage}}, LocalTime(host));
   host.m_running = true;
   host.m_short = 0;
   host.m_long = 0;
--- a/Tests/claims/claim_world.h
+++ b/Tests/claims/claim_world.h
@@ -27,7 +27,7 @@
 
 class ClaimWorld {
  public:
-  explicit ClaimWorld(std::size_t hosts);
+  ClaimWorld(std::size_t hosts, bool acts_in_outage);
 
   // Lets a step of time pass: every host that runs renews, ticks and moves
   // its calls, on its own clock.
@@ -103,6 +103,7 @@
   bool Reachable(const Call& call) const;
   bool CallerAlive(const Call& call) const;
 
+  bool m_acts_in_outage;
   ClaimSettings m_settings;
   MonotonicTime m_now{std::chrono::hours(1)};
   platform::MemoryStore m_store;
--- a/Tests/coordinator/coordinator_test.cc
+++ b/Tests/coordinator/coordinator_test.cc
@@ -20,6 +20,8 @@
  public:
   IMPLEMENT_CONST_MOCK0(name);
   IMPLEMENT_CONST_MOCK0(WantedClaims);
+  IMPLEMENT_CONST_MOCK0(ActsInOutage);
+  IMPLEMENT_CONST_MOCK0(Ready);
   IMPLEMENT_CONST_MOCK1(ClaimFor);
   IMPLEMENT_MOCK3(HandleRequest);
   IMPLEMENT_MOCK2(HandleNotice);
@@ -57,6 +59,9 @@
     MockModule& mock = *module;
     m_expectations.push_back(NAMED_ALLOW_CALL(mock, WantedClaims())
                                  .RETURN(std::vector<ClaimName>{kClaim}));
+    m_expectations.push_back(
+        NAMED_ALLOW_CALL(mock, ActsInOutage()).RETURN(true));
+    m_expectations.push_back(NAMED_ALLOW_CALL(mock, Ready()).RETURN(true));
     m_expectations.push_back(NAMED_ALLOW_CALL(mock, ClaimFor(trompeloeil::_))
                                  .RETURN(_1.body.AsTokenDraw() != nullptr
                                              ? std::optional<ClaimName>(kClaim)
