entry: ready only once the whole endpoint table has arrived

Cause: an entry reported ready before it knew any endpoint, so the rolling restart of process_stop saw a 503 'the service has no endpoint now'. The scripted coordinator of the entry's tests sends a full table to a new entry, as the real one does; before, it sent none and the entry would never be ready.

--- a/Source/entry/entry_daemon.cc
+++ b/Source/entry/entry_daemon.cc
@@ -80,7 +80,7 @@
   return {.m_ready =
               [this] {
                 return m_drain.phase() == DrainPhase::kServing &&
-                       m_serving.Valid(m_loop.Now());
+                       m_endpoints_known && m_serving.Valid(m_loop.Now());
               },
           .m_serving = [this] { return m_serving.Valid(m_loop.Now()); },
           .m_draining =
@@ -138,6 +138,7 @@
     }
   } else if (const auto* endpoints = notice.body.AsEndpointUpdate()) {
     ApplyEndpointUpdate(*endpoints, m_loop.Now(), m_table, m_loads);
+    m_endpoints_known = m_endpoints_known || endpoints->full;
     OnEndpointsChanged();
   }
 }
--- a/Source/entry/entry_daemon.h
+++ b/Source/entry/entry_daemon.h
@@ -69,6 +69,7 @@
   Gates m_gates;
   EngineDispatcher m_dispatcher;
   DemandBoard m_demand;
+  bool m_endpoints_known = false;  // The whole table has arrived.
   std::unique_ptr<routing::RetryPolicy> m_retries;
   RunningRequests m_running;
   ExecutedActions m_executed;
--- a/Tests/entry/entry_world.cc
+++ b/Tests/entry/entry_world.cc
@@ -85,7 +85,12 @@
                                     const wire::EnvelopeT& message) {
   const auto connection = m_connections[index];
   if (message.body.AsHello() != nullptr) {
-    ++m_hellos;
+    if (++m_hellos == 1) {
+      // A coordinator sends each new entry its whole table, here an empty one.
+      wire::EndpointUpdateT table;
+      table.full = true;
+      connection->Send(wire::MakeEnvelope(std::move(table)));
+    }
   } else if (!m_answering) {
     return;
   } else if (message.body.AsDocumentQuery() != nullptr) {
