--- a/Source/tools/policy_bench/bench_fleet.cc
+++ b/Source/tools/policy_bench/bench_fleet.cc
@@ -264,7 +264,7 @@
 
 placement::RecordReply BenchFleet::SwapNow(const placement::SwapRecord& swap) {
   m_result.CountWrite();
-  const placement::RecordReply current = ReadNow(swap.m_record);
+  placement::RecordReply current = ReadNow(swap.m_record);
   if (current.m_revision != swap.m_expected) {
     return current;
   }
--- a/Source/tools/policy_bench/trace.cc
+++ b/Source/tools/policy_bench/trace.cc
@@ -67,12 +67,12 @@
           Uniform(m_demand.m_least_model_gb, m_demand.m_most_model_gb);
       const auto bytes = static_cast<std::uint64_t>(gb * kBytesPerGb);
       const ModelId id = ModelAt(rank);
-      m_trace.m_catalog[id] = {
-          .m_id = id,
-          .m_version = "1",
-          .m_bytes = bytes,
-          .m_peak_bytes = static_cast<std::uint64_t>(bytes * kPeakFactor),
-          .m_max_replicas = kMaxReplicas};
+      m_trace.m_catalog[id] = {.m_id = id,
+                               .m_version = "1",
+                               .m_bytes = bytes,
+                               .m_peak_bytes = static_cast<std::uint64_t>(
+                                   gb * kBytesPerGb * kPeakFactor),
+                               .m_max_replicas = kMaxReplicas};
     }
     for (std::uint32_t index = 0; index < m_demand.m_adapters; ++index) {
       const auto rank =
