--- a/Source/coordinator/endpoint_observer.h
+++ b/Source/coordinator/endpoint_observer.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "base/log.h"
@@ -38,6 +39,9 @@
                    EndpointListener& listener);
 
   const EndpointTable& table() const { return m_table; }
+  // Returns whether the endpoints are listed and each engine was looked at, or
+  // enough time has passed for it; entries have the whole table then.
+  bool complete() const { return m_complete; }
 
   // Reads the inventory of an endpoint now, unless a read is in progress.
   void Fetch(const EndpointId& endpoint);
@@ -46,6 +50,11 @@
   void OnMembersChanged();
   void OnDocumentsChanged();
   void OnUpdate(const wire::EndpointUpdateT& update);
+  // Sends the whole table to a new entry; later to all entries if it is not
+  // complete yet, since an entry may know more than a host that has just
+  // started.
+  void OnEntryConnected(
+      const std::function<void(const wire::EnvelopeT&)>& send) const;
 
  private:
   struct Poll {
@@ -55,6 +64,9 @@
   };
 
   bool PollsList() const;
+  // Returns whether the endpoints are listed and each engine was looked at.
+  bool IsComplete(MonotonicTime now) const;
+  void InformNewMember(const Member& member);
   bool Observes(const EndpointId& endpoint) const;
   EndpointSet Observed() const;
   void PollList();
@@ -77,6 +89,8 @@
   std::map<HostId, Incarnation>
       m_informed;  // Members that have the full state.
   bool m_list_busy = false;
+  bool m_complete = false;  // Entries have had the whole table.
+  std::optional<MonotonicTime> m_listed_at;
   MonotonicTime m_next_list{};
   MonotonicTime m_next_repeat{};
   EndpointId m_last_repeated;
