program: one command line for the daemons; rows of settings tables written in one way

Cause: both daemons had their own copy of the options and different exit codes (entry: 2 for settings, 100 and above for usage; coordinator: 2 and 3). Conclusion: exit codes are 0 done, 1 failed, 2 usage, 3 settings, for both.

--- a/Source/coordinator/settings_table.cc
+++ b/Source/coordinator/settings_table.cc
@@ -2,118 +2,89 @@
 
 #include "base/error.h"
 #include "base/random.h"
+#include "settings/setting_specs.h"
 
 namespace hickoryloft::coordinator {
 
 namespace {
 
-using settings::SettingSpec;
+using settings::MillisSetting;
+using settings::PortSetting;
 using settings::SettingTable;
-using settings::SettingType;
-
-constexpr double kMaxPort = 65535;
-
-SettingSpec Text(const char* key, const char* help) {
-  return {.m_key = key, .m_help = help};
-}
-
-SettingSpec OptionalText(const char* key,
-                         const char* help,
-                         const char* fallback,
-                         std::vector<std::string> allowed = {}) {
-  return {.m_key = key,
-          .m_help = help,
-          .m_default = std::string(fallback),
-          .m_allowed = std::move(allowed)};
-}
-
-SettingSpec Port(const char* key, const char* help, std::int64_t fallback) {
-  return {.m_key = key,
-          .m_type = SettingType::kInteger,
-          .m_help = help,
-          .m_default = fallback,
-          .m_minimum = 0,
-          .m_maximum = kMaxPort};
-}
-
-SettingSpec Millis(const char* key,
-                   const char* help,
-                   std::int64_t fallback,
-                   double minimum,
-                   double maximum) {
-  return {.m_key = key,
-          .m_type = SettingType::kMilliseconds,
-          .m_help = help,
-          .m_default = fallback,
-          .m_minimum = minimum,
-          .m_maximum = maximum};
-}
+using settings::TextSetting;
 
 SettingTable MakeTable() {
   return {
-      Text("host.name", "Name of this host, unique in the fleet."),
-      Text("host.failure_domain", "Failure domain that this host is in."),
-      OptionalText("peer.address",
-                   "IP number on which other hosts and the entries reach "
-                   "this coordinator.",
-                   "127.0.0.1"),
-      Port("peer.port", "TCP port for other hosts and the entries.", 7400),
-      OptionalText("admin.address", "IP number of the operators' interface.",
-                   "127.0.0.1"),
-      Port("admin.port", "TCP port of the operators' interface.", 7401),
-      OptionalText("admin.operator_key_file",
-                   "File whose first line is the operators' key; empty: the "
-                   "operators' interface refuses every change and read.",
-                   ""),
-      OptionalText("platform.kind",
-                   "etcd: the platform's key-value service; memory: a service "
-                   "inside this process, for a single host.",
-                   "memory", {"etcd", "memory"}),
-      OptionalText("platform.address", "IP number of the key-value service.",
-                   "127.0.0.1"),
-      Port("platform.port", "TCP port of the key-value service.", 2379),
-      Millis("platform.timeout_ms",
-             "Longest wait for an answer of the key-value service, in "
-             "milliseconds.",
-             2000, 50, 60000),
-      OptionalText("host_list.address",
-                   "IP number of the host list; empty: there is none.", ""),
-      Port("host_list.port", "TCP port of the host list.", 80),
-      OptionalText("host_list.path", "Path of the host list.", "/hosts"),
-      OptionalText("host_list.file",
-                   "File with a fixed host list in the same format, used if "
-                   "there is no host_list.address; empty: none.",
-                   ""),
-      OptionalText("documents.directory",
-                   "Directory whose <service>.toml files are stored at start "
-                   "if they differ; empty: none.",
-                   ""),
-      Millis("claims.short_lease_ms",
-             "Time to live of the short lease, in milliseconds: a dead host's "
-             "claims are taken over after it.",
-             9000, 5000, 60000),
-      Millis("claims.long_lease_ms",
-             "Time to live of the long lease, in milliseconds: the longest "
-             "outage of the key-value service through which claims are kept.",
-             660000, 10000, 7200000),
-      Millis("claims.drift_margin_ms",
-             "Allowance for the drift between two hosts' clocks over a short "
-             "lease, in milliseconds.",
-             500, 10, 5000),
-      Millis("claims.settle_ms",
-             "How long a host must be a member before claims move to it, in "
-             "milliseconds.",
-             10000, 0, 600000),
-      Millis("serving.freshness_limit_ms",
-             "Longest time without proof that the documents are the newest, "
-             "in milliseconds.",
-             3000, 2700, 60000),
-      Millis("stop.limit_ms", "Longest planned stop, in milliseconds.", 15000,
-             0, 600000),
-      OptionalText("log.level", "Lowest level that is logged.", "info",
-                   {"debug", "info", "warn", "error"}),
-      OptionalText("log.format", "Format of the log lines.", "text",
-                   {"text", "json"}),
+      TextSetting("host.name", "Name of this host, unique in the fleet."),
+      TextSetting("host.failure_domain",
+                  "Failure domain that this host is in."),
+      TextSetting("peer.address",
+                  "IP number on which other hosts and the entries reach "
+                  "this coordinator.",
+                  "127.0.0.1"),
+      PortSetting("peer.port", "TCP port for other hosts and the entries.",
+                  7400),
+      TextSetting("admin.address", "IP number of the operators' interface.",
+                  "127.0.0.1"),
+      PortSetting("admin.port", "TCP port of the operators' interface.", 7401),
+      TextSetting("admin.operator_key_file",
+                  "File whose first line is the operators' key; empty: the "
+                  "operators' interface refuses every change and read.",
+                  ""),
+      TextSetting("platform.kind",
+                  "etcd: the platform's key-value service; memory: a service "
+                  "inside this process, for a single host.",
+                  "memory", {"etcd", "memory"}),
+      TextSetting("platform.address", "IP number of the key-value service.",
+                  "127.0.0.1"),
+      PortSetting("platform.port", "TCP port of the key-value service.", 2379),
+      MillisSetting("platform.timeout_ms",
+                    "Longest wait for an answer of the key-value service, in "
+                    "milliseconds.",
+                    2000, {50, 60000}),
+      TextSetting("host_list.address",
+                  "IP number of the host list; empty: there is none.", ""),
+      PortSetting("host_list.port", "TCP port of the host list.", 80),
+      TextSetting("host_list.path", "Path of the host list.", "/hosts"),
+      TextSetting("host_list.file",
+                  "File with a fixed host list in the same format, used if "
+                  "there is no host_list.address; empty: none.",
+                  ""),
+      TextSetting("documents.directory",
+                  "Directory whose <service>.toml files are stored at start "
+                  "if they differ; empty: none.",
+                  ""),
+      MillisSetting(
+          "claims.short_lease_ms",
+          "Time to live of the short lease, in milliseconds: a dead host's "
+          "claims are taken over after it.",
+          9000, {5000, 60000}),
+      MillisSetting(
+          "claims.long_lease_ms",
+          "Time to live of the long lease, in milliseconds: the longest "
+          "outage of the key-value service through which claims are kept.",
+          660000, {10000, 7200000}),
+      MillisSetting(
+          "claims.drift_margin_ms",
+          "Allowance for the drift between two hosts' clocks over a short "
+          "lease, in milliseconds.",
+          500, {10, 5000}),
+      MillisSetting(
+          "claims.settle_ms",
+          "How long a host must be a member before claims move to it, in "
+          "milliseconds.",
+          10000, {0, 600000}),
+      MillisSetting(
+          "serving.freshness_limit_ms",
+          "Longest time without proof that the documents are the newest, "
+          "in milliseconds.",
+          3000, {2700, 60000}),
+      MillisSetting("stop.limit_ms", "Longest planned stop, in milliseconds.",
+                    15000, {0, 600000}),
+      TextSetting("log.level", "Lowest level that is logged.", "info",
+                  {"debug", "info", "warn", "error"}),
+      TextSetting("log.format", "Format of the log lines.", "text",
+                  {"text", "json"}),
   };
 }
 
--- a/Source/entry/entry_settings.cc
+++ b/Source/entry/entry_settings.cc
@@ -1,95 +1,74 @@
 #include "entry/entry_settings.h"
 
+#include "settings/setting_specs.h"
+
 namespace hickoryloft::entry {
 
 namespace {
 
+using settings::IntegerSetting;
+using settings::SettingRange;
 using settings::SettingSpec;
 using settings::SettingTable;
-using settings::SettingType;
-using settings::SettingValue;
-
-constexpr double kMaxPort = 65535;
-constexpr double kMaxBytes = 1 << 30;
-constexpr double kMaxConnections = 1'000'000;
-constexpr double kMaxMillis = 3'600'000;
-constexpr double kMaxTokens = 1'000'000;
-constexpr double kMaxQueue = 1'000'000;
-
-SettingSpec Text(const char* key,
-                 const char* help,
-                 std::optional<SettingValue> fallback,
-                 std::vector<std::string> allowed = {}) {
-  return {.m_key = key,
-          .m_type = SettingType::kString,
-          .m_help = help,
-          .m_default = std::move(fallback),
-          .m_allowed = std::move(allowed)};
-}
+using settings::TextSetting;
 
-SettingSpec Whole(const char* key,
-                  const char* help,
-                  std::int64_t fallback,
-                  double minimum,
-                  double maximum) {
-  return {.m_key = key,
-          .m_type = SettingType::kInteger,
-          .m_help = help,
-          .m_default = fallback,
-          .m_minimum = minimum,
-          .m_maximum = maximum};
-}
+constexpr SettingRange kPorts = {0, 65535};
+constexpr SettingRange kBytes = {1024, 1 << 30};
+constexpr SettingRange kConnections = {1, 1'000'000};
+constexpr SettingRange kTokens = {1, 1'000'000};
+constexpr SettingRange kQueue = {1, 1'000'000};
 
 SettingSpec Millis(const char* key, const char* help, std::int64_t fallback) {
-  return {.m_key = key,
-          .m_type = SettingType::kMilliseconds,
-          .m_help = help,
-          .m_default = fallback,
-          .m_minimum = 1,
-          .m_maximum = kMaxMillis};
+  constexpr SettingRange kMillis = {1, 3'600'000};
+  return settings::MillisSetting(key, help, fallback, kMillis);
 }
 
 SettingTable PlaceSettings() {
   return {
-      Text("host.name", "Name of this host, unique in the fleet.", {}),
-      Text("host.failure_domain", "Failure domain of this host.", {}),
-      Text("listen.address", "IP number to listen on for callers.",
-           "127.0.0.1"),
-      Whole("listen.port", "Port to listen on for callers; 0 picks one.", 8080,
-            0, kMaxPort),
-      Text("coordinator.address", "IP number of this host's coordinator.",
-           "127.0.0.1"),
-      Whole("coordinator.port", "Port of the coordinator's inner protocol.",
-            7400, 1, kMaxPort),
+      TextSetting("host.name", "Name of this host, unique in the fleet.", {}),
+      TextSetting("host.failure_domain", "Failure domain of this host.", {}),
+      TextSetting("listen.address", "IP number to listen on for callers.",
+                  "127.0.0.1"),
+      IntegerSetting("listen.port",
+                     "Port to listen on for callers; 0 picks one.", 8080,
+                     kPorts),
+      TextSetting("coordinator.address",
+                  "IP number of this host's coordinator.", "127.0.0.1"),
+      IntegerSetting("coordinator.port",
+                     "Port of the coordinator's inner protocol.", 7400,
+                     {1, 65535}),
   };
 }
 
 SettingTable LimitSettings() {
   return {
-      Whole("limits.header_bytes", "Largest request header, in bytes.", 16384,
-            1024, kMaxBytes),
-      Whole("limits.body_bytes", "Largest request body, in bytes.", 1 << 20,
-            1024, kMaxBytes),
+      IntegerSetting("limits.header_bytes", "Largest request header, in bytes.",
+                     16384, kBytes),
+      IntegerSetting("limits.body_bytes", "Largest request body, in bytes.",
+                     1 << 20, kBytes),
       Millis("limits.header_timeout_ms",
              "Time for a whole request, header and body, to arrive.", 10000),
       Millis("limits.idle_timeout_ms",
              "Silence after which an idle connection is closed.", 300000),
-      Whole("limits.connections",
-            "Connections of callers; beyond it, new ones wait.", 20000, 1,
-            kMaxConnections),
-      Whole("limits.stream_buffer_bytes",
-            "Bytes waiting for a slow caller that pause the endpoint's stream.",
-            65536, 1024, kMaxBytes),
-      Whole("dispatch.in_flight_per_endpoint",
-            "Requests of this entry that run at one endpoint.", 64, 1,
-            kMaxQueue),
-      Whole("dispatch.engine_waiting",
-            "Estimated requests waiting inside an engine that close it to more "
-            "from this entry.",
-            4, 1, kMaxQueue),
-      Whole("completion.default_max_tokens",
-            "Output tokens reserved for a request that names no max_tokens.",
-            256, 1, kMaxTokens),
+      IntegerSetting("limits.connections",
+                     "Connections of callers; beyond it, new ones wait.", 20000,
+                     kConnections),
+      IntegerSetting(
+          "limits.stream_buffer_bytes",
+          "Bytes waiting for a slow caller that pause the endpoint's stream.",
+          65536, kBytes),
+      IntegerSetting("dispatch.in_flight_per_endpoint",
+                     "Requests of this entry that run at one endpoint.", 64,
+                     kQueue),
+      IntegerSetting(
+          "dispatch.engine_waiting",
+          "Estimated requests waiting inside an engine that close it to more "
+          "from this entry.",
+          4, kQueue),
+      IntegerSetting(
+          "completion.default_max_tokens",
+          "Output tokens reserved for a request that names no max_tokens.", 256,
+          kTokens),
       Millis("endpoint.connect_timeout_ms",
              "Time for a connection to an endpoint.", 1000),
       Millis("endpoint.idle_timeout_ms",
@@ -109,21 +88,22 @@
 
 SettingTable PolicySettings() {
   return {
-      Text("policy.chooser", "How an endpoint is chosen.", "two-choices",
-           {"two-choices", "round-robin", "least-reported-load"}),
-      Text("policy.queue", "How client accounts share endpoints.", "fair",
-           {"fair", "first-come", "round-robin-accounts"}),
-      Text("policy.admission", "How requests are admitted.", "estimate",
-           {"estimate", "queue-limit"}),
-      Text("policy.retries", "How failed calls are retried.", "budget",
-           {"budget", "three-tries"}),
-      Whole("policy.queue_limit",
-            "Requests ahead that refuse a new one under policy.admission = "
-            "queue-limit.",
-            100, 1, kMaxQueue),
-      Text("log.level", "Least severe level that is logged.", "info",
-           {"debug", "info", "warn", "error"}),
-      Text("log.format", "Form of log lines.", "text", {"text", "json"}),
+      TextSetting("policy.chooser", "How an endpoint is chosen.", "two-choices",
+                  {"two-choices", "round-robin", "least-reported-load"}),
+      TextSetting("policy.queue", "How client accounts share endpoints.",
+                  "fair", {"fair", "first-come", "round-robin-accounts"}),
+      TextSetting("policy.admission", "How requests are admitted.", "estimate",
+                  {"estimate", "queue-limit"}),
+      TextSetting("policy.retries", "How failed calls are retried.", "budget",
+                  {"budget", "three-tries"}),
+      IntegerSetting(
+          "policy.queue_limit",
+          "Requests ahead that refuse a new one under policy.admission = "
+          "queue-limit.",
+          100, kQueue),
+      TextSetting("log.level", "Least severe level that is logged.", "info",
+                  {"debug", "info", "warn", "error"}),
+      TextSetting("log.format", "Form of log lines.", "text", {"text", "json"}),
   };
 }
 
--- /dev/null
+++ b/Source/program/daemon_program.h
@@ -0,0 +1,37 @@
+// The command line that all daemons share: settings file, checks, help, exit
+// codes.
+
+#ifndef SOURCE_PROGRAM_DAEMON_PROGRAM_H_
+#define SOURCE_PROGRAM_DAEMON_PROGRAM_H_
+
+#include <functional>
+#include <string>
+
+#include "settings/setting_table.h"
+
+namespace hickoryloft::program {
+
+// Exit codes of daemons.
+constexpr int kExitDone = 0;
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+constexpr int kExitSettings = 3;
+
+struct DaemonProgram {
+  std::string m_name;
+  std::string m_version;
+  std::string m_description;  // One sentence.
+  const settings::SettingTable& m_table;
+  // Throws Error(kInvalidSettings) if the values do not go together.
+  std::function<void(const settings::Settings&)> m_check;
+  // Runs until the daemon has stopped. Throws Error if it cannot go on.
+  std::function<void(const settings::Settings&)> m_run;
+};
+
+// Reads the command line, does what it asks and returns the exit code. Reports
+// failures on standard error. Call once, from main().
+int RunDaemonProgram(const DaemonProgram& program, int argc, char** argv);
+
+}  // namespace hickoryloft::program
+
+#endif  // SOURCE_PROGRAM_DAEMON_PROGRAM_H_
--- a/Source/report/svg_plot.cc
+++ b/Source/report/svg_plot.cc
@@ -16,6 +16,17 @@
 constexpr double kTop = 28;
 constexpr double kBottom = 24;
 
+// Labels closer to each other than this would overlap.
+constexpr double kLabelHeight = 12;
+
+// Returns a burn rate in at most four digits.
+std::string AxisLabel(double value) {
+  std::ostringstream out;
+  constexpr double kWholeFrom = 10;
+  out << std::fixed << std::setprecision(value >= kWholeFrom ? 0 : 2) << value;
+  return out.str();
+}
+
 double X(std::size_t index, std::size_t count) {
   const double span = kWidth - kLeft - kRight;
   if (count < 2) {
@@ -32,10 +43,10 @@
 void WriteLine(std::ostream& out,
                double y,
                const char* style,
-               double label_value) {
+               const std::string& label) {
   out << "<line x1='" << kLeft << "' x2='" << kWidth - kRight << "' y1='" << y
       << "' y2='" << y << "' " << style << "/><text x='" << kLeft - 6 << "' y='"
-      << y + 4 << "' text-anchor='end'>" << label_value << "</text>";
+      << y + 4 << "' text-anchor='end'>" << label << "</text>";
 }
 
 void WriteCurve(std::ostream& out, const PlotSpec& plot, double maximum) {
@@ -70,11 +81,11 @@
       << "' role='img' aria-label='" << EscapeHtml(plot.m_title)
       << "'><text x='" << kLeft << "' y='16' class='title'>"
       << EscapeHtml(plot.m_title) << "</text>";
-  WriteLine(out, Y(0, maximum), "stroke='#888'", 0);
+  const bool room = Y(0, maximum) - Y(plot.m_limit, maximum) >= kLabelHeight;
+  WriteLine(out, Y(0, maximum), "stroke='#888'", room ? "0" : "");
   WriteLine(out, Y(plot.m_limit, maximum),
-            "stroke='#b03a2e' stroke-dasharray='5 4'", plot.m_limit);
-  const double top_value = maximum;
-  WriteLine(out, Y(top_value, maximum), "stroke='#ddd'", top_value);
+            "stroke='#b03a2e' stroke-dasharray='5 4'", AxisLabel(plot.m_limit));
+  WriteLine(out, Y(maximum, maximum), "stroke='#ddd'", AxisLabel(maximum));
   WriteCurve(out, plot, maximum);
   WriteTimes(out, plot);
   out << "</svg>";
--- a/Utilities/check-structure.sh
+++ b/Utilities/check-structure.sh
@@ -14,6 +14,7 @@
   [metrics]="base"
   [wire]="base"
   [platform]="base"
+  [program]="base settings"
   [endpoint]="base"
   [claims]="base"
   [documents]="base settings"
@@ -22,8 +23,8 @@
   [placement]="base endpoint"
   [routing]="base"
   [report]="base metrics documents"
-  [entry]="base settings metrics wire endpoint documents limits actions routing"
-  [coordinator]="base settings metrics wire platform endpoint claims documents limits actions placement"
+  [entry]="base program settings metrics wire endpoint documents limits actions routing"
+  [coordinator]="base program settings metrics wire platform endpoint claims documents limits actions placement"
   [tools]="base settings metrics wire platform endpoint claims documents limits actions placement routing report"
 )
 
--- a/Utilities/measure_capacity.py
+++ b/Utilities/measure_capacity.py
@@ -172,16 +172,36 @@
             time.sleep(0.01)
         raise RuntimeError("the document is not in force everywhere")
 
+    def start_entry(self, index):
+        settings = os.path.join(self.work, f"entry-{index}.toml")
+        with open(settings, "w", encoding="utf-8") as file:
+            file.write(f"""host.name = "host-{index}"
+host.failure_domain = "fd-{index % FAILURE_DOMAINS}"
+listen.address = "{self.address(index)}"
+listen.port = 24480
+coordinator.address = "{self.address(index)}"
+coordinator.port = 24400
+log.level = "warn"
+""")
+        self.start(f"entry-{index}", "loft-entry", "--settings", settings)
+        self.wait_for(f"http://{self.address(index)}:24480/readyz")
+
+    def process_usage(self, name):
+        """Returns (processor seconds, resident bytes) of a process."""
+        pid = self.processes[name].pid
+        with open(f"/proc/{pid}/stat", encoding="ascii") as file:
+            fields = file.read().rsplit(")", 1)[1].split()
+        ticks = int(fields[11]) + int(fields[12])
+        return ticks / TICKS_PER_SECOND, int(fields[21]) * PAGE_BYTES
+
     def usage(self):
         """Counters of the whole fleet at this moment."""
         totals = {"cpu": 0.0, "rss": 0, "calls": 0.0, "watches": 0,
                   "sent": 0.0, "messages": 0.0, "by_type": {}, "by_kind": {}}
         for i in range(self.hosts):
-            process = self.processes[f"coordinator-{i}"]
-            with open(f"/proc/{process.pid}/stat", encoding="ascii") as file:
-                fields = file.read().rsplit(")", 1)[1].split()
-            totals["cpu"] += (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
-            totals["rss"] = max(totals["rss"], int(fields[21]) * PAGE_BYTES)
+            cpu, rss = self.process_usage(f"coordinator-{i}")
+            totals["cpu"] += cpu
+            totals["rss"] = max(totals["rss"], rss)
             for item in self.metrics(i):
                 labels = item["labels"]
                 if item["name"] == "loft_coordinator_key_value_calls_total":
@@ -268,6 +288,70 @@
             fleet.stop_all()
 
 
+def write_scenario(work, hosts, rate, accounts):
+    """Writes a load of `rate` requests a second, spread over the accounts."""
+    lines = [f"targets = {json.dumps([f'127.0.6.{i + 1}:24480' for i in range(hosts)])}"]
+    for i in range(accounts):
+        with open(os.path.join(work, f"key-{i}"), "w", encoding="utf-8") as file:
+            file.write(f"key-{i}\n")
+        lines += [f"[accounts.account-{i}]", f'key_file = "key-{i}"',
+                  f"[flows.flow-{i}]", f'account = "account-{i}"',
+                  f"requests_per_second = {rate / accounts}",
+                  'models = ["model-0"]', "prompt_words = 20",
+                  "max_tokens = 2"]
+    path = os.path.join(work, "load.toml")
+    with open(path, "w", encoding="utf-8") as file:
+        file.write("\n".join(lines) + "\n")
+    return path
+
+
+def measure_load(hosts, adapters, accounts, rate, window):
+    """Measures what a request costs entries and coordinators; returns a row."""
+    with tempfile.TemporaryDirectory() as work:
+        fleet = Fleet(hosts, work)
+        try:
+            fleet.start_all()
+            text = document_text(adapters, accounts).replace(
+                "tokens_per_second = 1000", "tokens_per_second = 1000000").replace(
+                "burst_tokens = 10000", "burst_tokens = 10000000")
+            fleet.put_document(0, text)
+            fleet.wait_in_force()
+            for i in range(hosts):
+                fleet.start_entry(i)
+            scenario = write_scenario(work, hosts, rate, accounts)
+            load = [os.path.join(BIN, "loft-load"), scenario, "--json", "--duration"]
+            # The first load brings the replica up and fills the rate shares.
+            subprocess.run([*load, "8"], capture_output=True, check=False)
+            before = fleet.usage()
+            entries = [fleet.process_usage(f"entry-{i}") for i in range(hosts)]
+            result = subprocess.run([*load, str(window)], capture_output=True,
+                                    check=True)
+            after = fleet.usage()
+            requests = rate * window
+            entry_cpu = sum(fleet.process_usage(f"entry-{i}")[0] - entries[i][0]
+                            for i in range(hosts))
+            return {
+                "hosts": hosts, "adapters": adapters, "accounts": accounts,
+                "requests_per_s": rate,
+                "entry_cpu_us_per_request": round(1e6 * entry_cpu / requests, 1),
+                "entry_rss_mb": round(max(
+                    fleet.process_usage(f"entry-{i}")[1]
+                    for i in range(hosts)) / 1e6, 1),
+                "coordinator_cpu_us_per_request": round(
+                    1e6 * (after["cpu"] - before["cpu"]) / requests, 1),
+                "coordinator_bytes_sent_per_request": round(
+                    (after["sent"] - before["sent"]) / requests, 1),
+                "messages_sent_per_request": {
+                    key: round((value - before["by_type"].get(key, 0)) / requests, 3)
+                    for key, value in sorted(after["by_type"].items())},
+                "outcomes": {
+                    name: account["outcomes"] for name, account
+                    in json.loads(result.stdout)["accounts"].items()},
+            }
+        finally:
+            fleet.stop_all()
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--hosts", default="2,4,8,16,32",
@@ -278,11 +362,17 @@
     parser.add_argument("--changes", type=int, default=5)
     parser.add_argument("--window", type=float, default=10,
                         help="seconds at rest that are measured")
+    parser.add_argument("--load", type=int, default=0,
+                        help="measure under this many requests a second instead")
     options = parser.parse_args()
     for adapters in options.adapters.split(","):
         for hosts in options.hosts.split(","):
-            row = measure(int(hosts), int(adapters), options.accounts,
-                          options.changes, options.window)
+            if options.load:
+                row = measure_load(int(hosts), int(adapters), options.accounts,
+                                   options.load, int(options.window))
+            else:
+                row = measure(int(hosts), int(adapters), options.accounts,
+                              options.changes, options.window)
             print(json.dumps(row), flush=True)
     return 0
 
