--- a/Source/coordinator/settings_table.cc
+++ b/Source/coordinator/settings_table.cc
@@ -13,7 +13,7 @@
 using settings::SettingTable;
 using settings::TextSetting;
 
-SettingTable MakeTable() {
+SettingTable HostSettings() {
   return {
       TextSetting("host.name", "Name of this host, unique in the fleet."),
       TextSetting("host.failure_domain",
@@ -31,6 +31,11 @@
                   "File whose first line is the operators' key; empty: the "
                   "operators' interface refuses every change and read.",
                   ""),
+  };
+}
+
+SettingTable PlatformSettings() {
+  return {
       TextSetting("platform.kind",
                   "etcd: the platform's key-value service; memory: a service "
                   "inside this process, for a single host.",
@@ -54,6 +59,11 @@
                   "Directory whose <service>.toml files are stored at start "
                   "if they differ; empty: none.",
                   ""),
+  };
+}
+
+SettingTable TimeAndLogSettings() {
+  return {
       MillisSetting(
           "claims.short_lease_ms",
           "Time to live of the short lease, in milliseconds: a dead host's "
@@ -91,7 +101,14 @@
 }  // namespace
 
 const SettingTable& CoordinatorSettingTable() {
-  static const SettingTable kTable = MakeTable();
+  static const SettingTable kTable = [] {
+    SettingTable table = HostSettings();
+    for (const SettingTable& part :
+         {PlatformSettings(), TimeAndLogSettings()}) {
+      table.insert(table.end(), part.begin(), part.end());
+    }
+    return table;
+  }();
   return kTable;
 }
 
--- a/Tests/placement/placement_world.cc
+++ b/Tests/placement/placement_world.cc
@@ -125,7 +125,7 @@
 
 void PlacementWorld::CarryOut(std::size_t shard,
                               FencingNumber fence,
-                              Effects effects) {
+                              const Effects& effects) {
   for (const Effect& effect : effects) {
     std::visit([&](const auto& kind) { Do(shard, fence, kind); }, effect);
   }
--- a/Tests/placement/placement_world.h
+++ b/Tests/placement/placement_world.h
@@ -92,7 +92,7 @@
 
   void StartHolder(std::size_t shard);
   Shard* Find(std::size_t shard, FencingNumber fence);
-  void CarryOut(std::size_t shard, FencingNumber fence, Effects effects);
+  void CarryOut(std::size_t shard, FencingNumber fence, const Effects& effects);
   void Do(std::size_t shard, FencingNumber fence, const SwapRecord& effect);
   void Do(std::size_t shard, FencingNumber fence, const ReadRecord& effect);
   void Do(std::size_t shard, FencingNumber fence, const ReadAllRecords& effect);
