coordinator: claims of a new document are wanted at once

Cause: the wanted claims were collected before the modules had read the new document, so a new account's rate shares were claimed at the next refresh, a second later, and the demo's first request was refused as rate-unavailable. Change: the modules read the document first.

--- a/Source/coordinator/coordinator.cc
+++ b/Source/coordinator/coordinator.cc
@@ -207,10 +207,11 @@
 
 void Coordinator::OnDocumentsApplied(
     const std::vector<documents::AppliedDocument>& changes) {
-  RefreshWanted();
   for (const auto& module : m_modules) {
     module->OnDocumentsChanged();
   }
+  // The modules name the claims of the new documents only now.
+  RefreshWanted();
   for (const documents::AppliedDocument& change : changes) {
     wire::DocumentUpdateT update;
     update.service = change.m_service.value();
