claims: a restarted coordinator ends the wait for its earlier run

Cause: after kill -9 of both coordinators of two hosts every request was refused as rate-unavailable until the dead successor's long lease had lapsed (660 s). Ruled out: a shorter long lease (it is the outage that is bridged); deleting the key by host name alone (a host's name may be given to another machine while the first one still runs). Change: the standing key names address and port; a coordinator that listens there deletes the keys of earlier runs. outage_promise.pml has the rule and the broken variant DELETE_WHILE_RUNNING.

--- a/Source/coordinator/lease_keeper.cc
+++ b/Source/coordinator/lease_keeper.cc
@@ -1,5 +1,6 @@
 #include "coordinator/lease_keeper.h"
 
+#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "coordinator/keys.h"
@@ -32,6 +33,45 @@
 void LeaseKeeper::Start() {
   m_timer = m_loop.Every(kStepInterval, [this] { Step(); });
   Step();
+  DeleteEarlierRuns();
+}
+
+void LeaseKeeper::DeleteEarlierRuns() {
+  const std::weak_ptr<bool> alive = m_alive;
+  m_key_values.GetPrefix(
+      kStandingPrefix + m_self.m_host.value() + "/",
+      [this, alive](const Result<platform::ReadReply>& result) {
+        if (alive.expired()) {
+          return;
+        }
+        if (!result) {
+          m_delete_timer =
+              m_loop.After(kRetryInterval, [this] { DeleteEarlierRuns(); });
+          return;
+        }
+        for (const platform::KeyValue& standing : result.value().m_items) {
+          DeleteIfEarlier(standing);
+        }
+      });
+}
+
+void LeaseKeeper::DeleteIfEarlier(const platform::KeyValue& standing) {
+  const auto value =
+      nlohmann::json::parse(standing.m_value, nullptr, /*exceptions=*/false);
+  const auto own = nlohmann::json::parse(StandingValue());
+  const auto same = [&](const char* key) {
+    return value.is_object() && value.contains(key) && value[key] == own[key];
+  };
+  if (!same("address") || !same("port") || same("incarnation")) {
+    return;
+  }
+  m_log.Info("The standing key of a dead run of this host is deleted.",
+             {{"key", standing.m_key}});
+  // If the write fails, the key lapses with its lease.
+  m_key_values.Swap({.m_key = standing.m_key,
+                     .m_expected_revision = standing.m_mod_revision,
+                     .m_value = std::nullopt},
+                    [](const Result<platform::SwapReply>&) {});
 }
 
 void LeaseKeeper::SetLeaving() {
@@ -75,7 +115,7 @@
     Grant(m_long, m_settings.m_long_ttl);
   } else if (!m_long.m_registered) {
     m_long.m_key = StandingKey(m_self.m_host, m_long.m_lease);
-    Register(m_long, std::to_string(m_self.m_incarnation), m_callbacks.m_long);
+    Register(m_long, StandingValue(), m_callbacks.m_long);
   } else {
     Renew(m_long, m_settings.m_long_ttl / kLongRenewals, m_callbacks.m_long,
           m_callbacks.m_long_lost);
@@ -208,6 +248,13 @@
   lost();
 }
 
+std::string LeaseKeeper::StandingValue() const {
+  return nlohmann::json{{"incarnation", m_self.m_incarnation},
+                        {"address", m_self.m_address},
+                        {"port", m_self.m_port}}
+      .dump();
+}
+
 std::string LeaseKeeper::MemberValue() const {
   return FormatMemberRecord({.m_member = m_self,
                              .m_lease = m_short.m_lease,
--- a/Source/coordinator/lease_keeper.h
+++ b/Source/coordinator/lease_keeper.h
@@ -39,6 +39,9 @@
               LeaseSettings settings,
               Callbacks callbacks);
 
+  // Precondition: this process listens on its own address and port. That proves
+  // that an earlier run of the host at this address is dead, so the standing
+  // keys of such runs are deleted.
   void Start();
   // Rewrites the member key with the leaving flag.
   void SetLeaving();
@@ -61,6 +64,9 @@
   };
 
   void Step();
+  // Reads the standing keys of this host and deletes those of dead runs.
+  void DeleteEarlierRuns();
+  void DeleteIfEarlier(const platform::KeyValue& standing);
   void StepLong(MonotonicTime now);
   void StepShort(MonotonicTime now);
   void Grant(Holding& holding, Duration ttl);
@@ -80,6 +86,7 @@
       const Result<platform::SwapReply>& result,
       const std::function<void(platform::LeaseId, MonotonicTime)>& registered);
   std::string MemberValue() const;
+  std::string StandingValue() const;
 
   EventLoop& m_loop;
   platform::KeyValueService& m_key_values;
@@ -91,6 +98,7 @@
   Holding m_long;
   bool m_stopped = false;
   std::unique_ptr<Timer> m_timer;
+  std::unique_ptr<Timer> m_delete_timer;
   // Replies that come after destruction find it expired.
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/Specs/outage_promise.pml
+++ b/Specs/outage_promise.pml
@@ -11,6 +11,7 @@
 // VARIANT: PROMISE_WITHOUT_LONG_LEASE
 // VARIANT: PROMISE_WHILE_ACQUIRING
 // VARIANT: THIRD_HOST_AT_ONCE
+// VARIANT: DELETE_WHILE_RUNNING
 
 /* TTL: the short lease; LONG_TTL: the long lease. */
 #define NEVER 255
@@ -148,6 +149,13 @@
        successor = false; acquiring = false; promised_left = 0;
        long_valid_left = 0; long_renewal_sent = false;
        long_renewal_done = false; long_renewal_left = 0 }
+  /* It has bound the address of the earlier run, which is therefore dead, and
+     deletes that run's standing key. */
+#ifdef DELETE_WHILE_RUNNING
+  :: atomic { long_left > 0 -> long_left = 0 }
+#else
+  :: atomic { !successor && long_left > 0 -> long_left = 0 }
+#endif
   od
 }
 
