--- a/CMake/HickoryloftInstall.cmake
+++ b/CMake/HickoryloftInstall.cmake
@@ -13,8 +13,8 @@
 
 install(TARGETS ${library_targets} EXPORT hickoryloftTargets
   ARCHIVE DESTINATION ${CMAKE_INSTALL_LIBDIR})
-# placement's messages use the orders of package endpoint.
-foreach(package IN LISTS library_packages ITEMS endpoint)
+# placement uses the orders of package endpoint and the types of package fleet.
+foreach(package IN LISTS library_packages ITEMS endpoint fleet)
   install(DIRECTORY ${CMAKE_SOURCE_DIR}/Source/${package}
     DESTINATION ${CMAKE_INSTALL_INCLUDEDIR}/hickoryloft FILES_MATCHING PATTERN "*.h")
 endforeach()
--- a/CMake/hickoryloftConfig.cmake
+++ b/CMake/hickoryloftConfig.cmake
@@ -6,7 +6,7 @@
 find_dependency(nlohmann_json)
 pkg_check_modules(LIBEVENT REQUIRED IMPORTED_TARGET libevent)
 pkg_check_modules(LIBEVENT_PTHREADS REQUIRED IMPORTED_TARGET libevent_pthreads)
-pkg_check_modules(LOG4CXX REQUIRED IMPORTED_TARGET liblog4cxx)
+find_package(spdlog REQUIRED)
 pkg_check_modules(LIBXXHASH REQUIRED IMPORTED_TARGET libxxhash)
 pkg_check_modules(LIBCRYPTO REQUIRED IMPORTED_TARGET libcrypto)
 
--- /dev/null
+++ b/Source/base/bounded_sink.cc
@@ -0,0 +1,61 @@
+#include "base/bounded_sink.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <utility>
+
+namespace hickoryloft {
+
+bool LineBudget::Admit(std::string_view kind, MonotonicTime now) {
+  Second& second = m_kinds[std::string(kind)];
+  if (now - second.m_began >= seconds(1)) {
+    second = {.m_began = now, .m_lines = 0};
+  }
+  if (second.m_lines >= m_lines_per_second) {
+    ++m_dropped;
+    return false;
+  }
+  ++second.m_lines;
+  return true;
+}
+
+std::uint64_t LineBudget::TakeDropped() {
+  return std::exchange(m_dropped, 0);
+}
+
+BoundedSink::BoundedSink(int descriptor) : m_descriptor(descriptor) {
+  const int flags = fcntl(descriptor, F_GETFL);
+  if (flags >= 0) {
+    fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
+  }
+}
+
+void BoundedSink::sink_it_(const spdlog::details::log_msg& message) {
+  spdlog::memory_buf_t formatted;
+  formatter_->format(message, formatted);
+  if (m_dropped > 0) {
+    const std::string notice =
+        "{\"part\":\"log\",\"message\":\"lines dropped, the reader of the log "
+        "left no room\",\"count\":" +
+        std::to_string(m_dropped) + "}\n";
+    if (Write(notice)) {
+      m_dropped = 0;
+    }
+  }
+  if (!Write({formatted.data(), formatted.size()})) {
+    ++m_dropped;
+  }
+}
+
+bool BoundedSink::Write(std::string_view line) {
+  for (;;) {
+    const ssize_t written = write(m_descriptor, line.data(), line.size());
+    if (written >= 0 || errno != EINTR) {
+      return written >= 0;
+    }
+  }
+}
+
+}  // namespace hickoryloft
--- a/Source/base/event_loop.cc
+++ b/Source/base/event_loop.cc
@@ -8,21 +8,12 @@
 #include <utility>
 
 #include "base/error.h"
+#include "base/socket_options.h"
 
 namespace hickoryloft {
 
 namespace {
 
-timeval ToTimeval(Duration duration) {
-  const auto micros =
-      std::max<std::int64_t>(0, duration_cast<microseconds>(duration).count());
-  constexpr std::int64_t kMicrosPerSecond = 1'000'000;
-  timeval value{};
-  value.tv_sec = micros / kMicrosPerSecond;
-  value.tv_usec = micros % kMicrosPerSecond;
-  return value;
-}
-
 event_base* NewBase() {
   // A write to a socket that the peer has closed must fail as an error, not end
   // the process.
--- a/Source/base/log.cc
+++ b/Source/base/log.cc
@@ -1,30 +1,46 @@
 #include "base/log.h"
 
-#include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
-#include <log4cxx/logger.h>
-#include <log4cxx/patternlayout.h>
+#include <spdlog/spdlog.h>
+#include <unistd.h>
 
+#include <memory>
+#include <mutex>
 #include <utility>
 
+#include "base/bounded_sink.h"
+
 namespace hickoryloft {
 
 namespace {
 
-LogFormat g_format = LogFormat::kText;
+// Lines of one kind a second: four lines a request at ten times the peak of
+// requests a host in the capacity plan.
+constexpr std::uint32_t kLinesPerKindPerSecond = 200;
+
+struct LogState {
+  std::mutex m_mutex;  // Guards m_budget.
+  LineBudget m_budget{kLinesPerKindPerSecond};
+  LogFormat m_format = LogFormat::kText;
+  std::shared_ptr<spdlog::logger> m_logger = spdlog::default_logger();
+};
 
-log4cxx::LevelPtr ToLog4cxx(LogLevel level) {
+LogState& State() {
+  static LogState state;
+  return state;
+}
+
+spdlog::level::level_enum ToSpdlog(LogLevel level) {
   switch (level) {
     case LogLevel::kDebug:
-      return log4cxx::Level::getDebug();
+      return spdlog::level::debug;
     case LogLevel::kInfo:
-      return log4cxx::Level::getInfo();
+      return spdlog::level::info;
     case LogLevel::kWarn:
-      return log4cxx::Level::getWarn();
+      return spdlog::level::warn;
     case LogLevel::kError:
-      return log4cxx::Level::getError();
+      return spdlog::level::err;
   }
-  return log4cxx::Level::getInfo();
+  return spdlog::level::info;
 }
 
 // Escapes quotes, backslashes and control characters, so that a value cannot
@@ -58,6 +74,26 @@
   return '"' + escaped + '"';
 }
 
+std::string Line(std::string_view prefix,
+                 std::string_view sentence,
+                 std::initializer_list<LogField> fields) {
+  std::string line;
+  if (State().m_format == LogFormat::kText) {
+    line.append(prefix).append(": ").append(sentence);
+    for (const LogField& field : fields) {
+      line += ' ' + field.m_key + '=' + TextValue(field.m_value);
+    }
+    return line;
+  }
+  line.append("\"part\":\"").append(prefix).append("\",\"message\":\"");
+  line += Escape(sentence) + '"';
+  for (const LogField& field : fields) {
+    line += ",\"" + field.m_key + "\":";
+    line += field.m_number ? field.m_value : '"' + Escape(field.m_value) + '"';
+  }
+  return line;
+}
+
 }  // namespace
 
 LogField::LogField(std::string_view key, std::string_view value)
@@ -65,26 +101,25 @@
 LogField::LogField(std::string_view key, const char* value)
     : m_key(key), m_value(value) {}
 LogField::LogField(std::string_view key, std::int64_t value)
-    : m_key(key), m_value(std::to_string(value)) {}
+    : m_key(key), m_value(std::to_string(value)), m_number(true) {}
 LogField::LogField(std::string_view key, std::uint64_t value)
-    : m_key(key), m_value(std::to_string(value)) {}
+    : m_key(key), m_value(std::to_string(value)), m_number(true) {}
 LogField::LogField(std::string_view key, int value)
-    : m_key(key), m_value(std::to_string(value)) {}
+    : m_key(key), m_value(std::to_string(value)), m_number(true) {}
 LogField::LogField(std::string_view key, double value)
-    : m_key(key), m_value(std::to_string(value)) {}
+    : m_key(key), m_value(std::to_string(value)), m_number(true) {}
 
 void ConfigureLogs(LogLevel level, LogFormat format) {
-  g_format = format;
-  const auto layout = std::make_shared<log4cxx::PatternLayout>(
+  LogState& state = State();
+  state.m_format = format;
+  state.m_logger = std::make_shared<spdlog::logger>(
+      "hickoryloft", std::make_shared<BoundedSink>(STDOUT_FILENO));
+  state.m_logger->set_pattern(
       format == LogFormat::kText
-          ? "%d{ISO8601} %-5p %m%n"
-          : "{\"time\":\"%d{ISO8601}\",\"level\":\"%p\",%m}%n");
-  const auto appender =
-      std::make_shared<log4cxx::ConsoleAppender>(layout, "System.err");
-  const auto root = log4cxx::Logger::getRootLogger();
-  root->removeAllAppenders();
-  root->addAppender(appender);
-  root->setLevel(ToLog4cxx(level));
+          ? "%Y-%m-%d %H:%M:%S.%e %l %v"
+          : "{\"time\":\"%Y-%m-%dT%H:%M:%S.%e\",\"level\":\"%l\",%v}",
+      spdlog::pattern_time_type::utc);
+  state.m_logger->set_level(ToSpdlog(level));
 }
 
 Logger::Logger(std::string prefix) : m_prefix(std::move(prefix)) {}
@@ -109,25 +144,25 @@
 void Logger::Write(LogLevel level,
                    std::string_view sentence,
                    std::initializer_list<LogField> fields) const {
-  const auto logger = log4cxx::Logger::getRootLogger();
-  const auto log4cxx_level = ToLog4cxx(level);
-  if (!logger->isEnabledFor(log4cxx_level)) {
+  LogState& state = State();
+  const spdlog::level::level_enum spdlog_level = ToSpdlog(level);
+  if (!state.m_logger->should_log(spdlog_level)) {
     return;
   }
-  std::string line;
-  if (g_format == LogFormat::kText) {
-    line = m_prefix + ": " + std::string(sentence);
-    for (const LogField& field : fields) {
-      line += ' ' + field.m_key + '=' + TextValue(field.m_value);
-    }
-  } else {
-    line =
-        "\"part\":\"" + m_prefix + "\",\"message\":\"" + Escape(sentence) + '"';
-    for (const LogField& field : fields) {
-      line += ",\"" + field.m_key + "\":\"" + Escape(field.m_value) + '"';
+  std::uint64_t dropped = 0;
+  {
+    const std::lock_guard lock(state.m_mutex);
+    if (!state.m_budget.Admit(sentence, MonotonicClock::now())) {
+      return;
     }
+    dropped = state.m_budget.TakeDropped();
+  }
+  if (dropped > 0) {
+    state.m_logger->log(spdlog_level,
+                        Line("log", "lines dropped, one kind came too often",
+                             {{"count", dropped}}));
   }
-  logger->forcedLog(log4cxx_level, line);
+  state.m_logger->log(spdlog_level, Line(m_prefix, sentence, fields));
 }
 
 }  // namespace hickoryloft
--- a/Source/base/log.h
+++ b/Source/base/log.h
@@ -25,10 +25,12 @@
 
   std::string m_key;
   std::string m_value;
+  bool m_number = false;  // Written without quotes in JSON.
 };
 
 // Sets the level and format of every logger of this process, writing to
-// standard error. Call once, before any log.
+// standard output without ever waiting for its reader. Lines of one kind (the
+// sentence) beyond a rate are dropped and counted. Call once, before any log.
 void ConfigureLogs(LogLevel level, LogFormat format);
 
 // Writes the lines of one part of the program. Never pass a key, a credential
--- a/Source/wire/socket_address.cc
+++ b/Source/base/socket_address.cc
@@ -1,4 +1,4 @@
-#include "wire/socket_address.h"
+#include "base/socket_address.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -7,7 +7,7 @@
 
 #include "base/error.h"
 
-namespace hickoryloft::wire {
+namespace hickoryloft {
 
 SocketAddress ParseSocketAddress(const std::string& address,
                                  std::uint16_t port) {
@@ -32,4 +32,4 @@
               "'" + address + "' is not an IP number");
 }
 
-}  // namespace hickoryloft::wire
+}  // namespace hickoryloft
--- a/Source/wire/socket_address.h
+++ b/Source/base/socket_address.h
@@ -1,14 +1,14 @@
 // Socket addresses from IP numbers; names are never resolved.
 
-#ifndef SOURCE_WIRE_SOCKET_ADDRESS_H_
-#define SOURCE_WIRE_SOCKET_ADDRESS_H_
+#ifndef SOURCE_BASE_SOCKET_ADDRESS_H_
+#define SOURCE_BASE_SOCKET_ADDRESS_H_
 
 #include <sys/socket.h>
 
 #include <cstdint>
 #include <string>
 
-namespace hickoryloft::wire {
+namespace hickoryloft {
 
 // An IPv4 or IPv6 address with a port, in the form that socket calls take.
 // Value type.
@@ -32,6 +32,6 @@
 SocketAddress ParseSocketAddress(const std::string& address,
                                  std::uint16_t port);
 
-}  // namespace hickoryloft::wire
+}  // namespace hickoryloft
 
-#endif  // SOURCE_WIRE_SOCKET_ADDRESS_H_
+#endif  // SOURCE_BASE_SOCKET_ADDRESS_H_
--- /dev/null
+++ b/Source/base/socket_options.cc
@@ -0,0 +1,51 @@
+#include "base/socket_options.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+
+namespace hickoryloft {
+
+namespace {
+
+// Unacknowledged data for this long means that the peer is gone; several
+// retransmissions fit in it.
+constexpr milliseconds kUnacknowledgedTimeout{3000};
+// Probes of a silent connection: the first one, the pause between them, and
+// how many may be lost.
+constexpr int kProbeAfterSeconds = 1;
+constexpr int kProbePauseSeconds = 1;
+constexpr int kProbeCount = 3;
+
+void SetOption(int socket, int level, int option, int value) {
+  setsockopt(socket, level, option, &value, sizeof(value));
+}
+
+}  // namespace
+
+void DisableNagle(int socket) {
+  SetOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+}
+
+void DetectDeadPeer(int socket) {
+  SetOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(kUnacknowledgedTimeout.count()));
+  SetOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, kProbeAfterSeconds);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, kProbePauseSeconds);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, kProbeCount);
+}
+
+timeval ToTimeval(Duration duration) {
+  constexpr std::int64_t kMicrosPerSecond = 1'000'000;
+  const std::int64_t micros = std::max<std::int64_t>(
+      0, duration_cast<microseconds>(duration).count());
+  timeval value{};
+  value.tv_sec = micros / kMicrosPerSecond;
+  value.tv_usec = micros % kMicrosPerSecond;
+  return value;
+}
+
+}  // namespace hickoryloft
--- a/Source/base/time.h
+++ b/Source/base/time.h
@@ -3,12 +3,29 @@
 #ifndef SOURCE_BASE_TIME_H_
 #define SOURCE_BASE_TIME_H_
 
+#include <time.h>
+
 #include <chrono>
 
 namespace hickoryloft {
 
-// The clock behind every deadline, lease and rate. It never goes backwards.
-using MonotonicClock = std::chrono::steady_clock;
+// The clock behind every deadline, lease and rate. It never goes backwards, and
+// unlike std::chrono::steady_clock it counts the time that a host is suspended,
+// so that a lease cannot outlive a suspension. Thread-safe.
+struct MonotonicClock {
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<MonotonicClock>;
+  static constexpr bool is_steady = true;
+
+  static time_point now() noexcept {
+    timespec reading{};
+    clock_gettime(CLOCK_BOOTTIME, &reading);
+    return time_point(std::chrono::seconds(reading.tv_sec) +
+                      std::chrono::nanoseconds(reading.tv_nsec));
+  }
+};
 using MonotonicTime = MonotonicClock::time_point;
 using Duration = MonotonicClock::duration;
 
--- a/Source/coordinator/action_module.cc
+++ b/Source/coordinator/action_module.cc
@@ -31,7 +31,7 @@
          digits;
 }
 
-actions::StoredBatch ToStored(const platform::KeyValue& item) {
+actions::StoredBatch ToStored(const keyvalue::KeyValue& item) {
   const std::string_view key = item.m_key;
   const std::string_view digits = key.substr(key.rfind('/') + 1);
   actions::StoredBatch stored{.m_revision = item.m_mod_revision,
@@ -45,7 +45,7 @@
   return stored;
 }
 
-actions::CreateResult ToResult(const Result<platform::SwapReply>& reply) {
+actions::CreateResult ToResult(const Result<keyvalue::SwapReply>& reply) {
   actions::CreateResult result;
   if (!reply.ok()) {
     result.m_outcome = reply.error().code() == ErrorCode::kUnavailable
@@ -53,7 +53,7 @@
                            : actions::CreateOutcome::kInDoubt;
     return result;
   }
-  const platform::SwapReply& swap = reply.value();
+  const keyvalue::SwapReply& swap = reply.value();
   if (swap.m_swapped) {
     result.m_outcome = actions::CreateOutcome::kCreated;
     result.m_revision = swap.m_revision;
@@ -319,13 +319,13 @@
 void ActionModule::ReadChain(const ShardRef& shard) {
   m_core.KeyValues().GetPrefix(
       PrefixOf(shard->m_claim), [this, weak = std::weak_ptr<Shard>(shard)](
-                                    const Result<platform::ReadReply>& reply) {
+                                    const Result<keyvalue::ReadReply>& reply) {
         Advance(
             weak, [&](actions::ActionLedger& ledger, actions::LedgerTime time) {
               std::optional<std::vector<actions::StoredBatch>> chain;
               if (reply.ok()) {
                 chain.emplace();
-                for (const platform::KeyValue& item : reply.value().m_items) {
+                for (const keyvalue::KeyValue& item : reply.value().m_items) {
                   chain->push_back(ToStored(item));
                 }
               }
@@ -341,7 +341,7 @@
                            .m_expected_revision = 0,
                            .m_value = create.m_text},
                           [this, weak = std::weak_ptr<Shard>(shard)](
-                              const Result<platform::SwapReply>& reply) {
+                              const Result<keyvalue::SwapReply>& reply) {
                             Advance(weak, [&](actions::ActionLedger& ledger,
                                               actions::LedgerTime time) {
                               return ledger.OnCreate(ToResult(reply), time);
@@ -355,7 +355,7 @@
       {.m_key = KeyOf(shard->m_claim, remove.m_sequence),
        .m_expected_revision = remove.m_revision},
       [this, weak = std::weak_ptr<Shard>(shard)](
-          const Result<platform::SwapReply>& reply) {
+          const Result<keyvalue::SwapReply>& reply) {
         const bool gone =
             reply.ok() && (reply.value().m_swapped || !reply.value().m_current);
         Advance(weak, [&](actions::ActionLedger& ledger,
--- a/Source/coordinator/claim_keeper.cc
+++ b/Source/coordinator/claim_keeper.cc
@@ -14,7 +14,7 @@
 constexpr Duration kLoadRetry = milliseconds(1000);
 constexpr Duration kPromiseTimeout = milliseconds(1000);
 
-claims::WriteOutcome ToOutcome(const Result<platform::SwapReply>& result) {
+claims::WriteOutcome ToOutcome(const Result<keyvalue::SwapReply>& result) {
   if (result) {
     return result.value().m_swapped ? claims::WriteOutcome::kWritten
                                     : claims::WriteOutcome::kConflict;
@@ -36,7 +36,7 @@
 }  // namespace
 
 ClaimKeeper::ClaimKeeper(EventLoop& loop,
-                         platform::KeyValueService& key_values,
+                         keyvalue::KeyValueService& key_values,
                          PeerMesh& peers,
                          const Member& self,
                          claims::ClaimSettings settings,
@@ -56,7 +56,7 @@
 void ClaimKeeper::LoadHolders() {
   const std::weak_ptr<bool> alive = m_alive;
   m_key_values.GetPrefix(
-      kClaimsPrefix, [this, alive](const Result<platform::ReadReply>& result) {
+      kClaimsPrefix, [this, alive](const Result<keyvalue::ReadReply>& result) {
         if (alive.expired()) {
           return;
         }
@@ -64,7 +64,7 @@
           m_load_retry = m_loop.After(kLoadRetry, [this] { LoadHolders(); });
           return;
         }
-        for (const platform::KeyValue& item : result.value().m_items) {
+        for (const keyvalue::KeyValue& item : result.value().m_items) {
           try {
             const claims::StoredClaim stored{
                 claims::ParseClaimRecord(item.m_value), item.m_mod_revision};
@@ -87,7 +87,7 @@
   m_table.SetWanted(claims, m_loop.Now());
 }
 
-void ClaimKeeper::OnShortLease(platform::LeaseId lease, MonotonicTime sent_at) {
+void ClaimKeeper::OnShortLease(keyvalue::LeaseId lease, MonotonicTime sent_at) {
   m_table.OnShortLease(lease, sent_at);
 }
 
@@ -96,7 +96,7 @@
   Tick();
 }
 
-void ClaimKeeper::OnLongLease(platform::LeaseId lease, MonotonicTime sent_at) {
+void ClaimKeeper::OnLongLease(keyvalue::LeaseId lease, MonotonicTime sent_at) {
   m_table.OnLongLease(lease, sent_at);
 }
 
@@ -172,7 +172,7 @@
   const std::weak_ptr<bool> alive = m_alive;
   m_key_values.Get(ClaimKey(effect.m_claim),
                    [this, alive, claim = effect.m_claim](
-                       const Result<platform::ReadReply>& result) {
+                       const Result<keyvalue::ReadReply>& result) {
                      if (!alive.expired()) {
                        OnClaimRead(claim, result);
                      }
@@ -180,12 +180,12 @@
 }
 
 void ClaimKeeper::OnClaimRead(const claims::ClaimName& claim,
-                              const Result<platform::ReadReply>& result) {
+                              const Result<keyvalue::ReadReply>& result) {
   claims::ClaimEvidence evidence;
   try {
-    const platform::ReadReply& reply = result.value();
+    const keyvalue::ReadReply& reply = result.value();
     if (!reply.m_items.empty()) {
-      const platform::KeyValue& item = reply.m_items.front();
+      const keyvalue::KeyValue& item = reply.m_items.front();
       evidence.m_stored = claims::StoredClaim{
           claims::ParseClaimRecord(item.m_value), item.m_mod_revision};
     }
@@ -204,7 +204,7 @@
   m_key_values.Get(
       MemberKey(record.m_holder, record.m_incarnation),
       [this, alive, claim,
-       evidence](const Result<platform::ReadReply>& member) mutable {
+       evidence](const Result<keyvalue::ReadReply>& member) mutable {
         if (alive.expired()) {
           return;
         }
@@ -231,7 +231,7 @@
   const std::weak_ptr<bool> alive = m_alive;
   m_key_values.Get(StandingKey(record.m_successor, record.m_successor_lease),
                    [this, alive, claim, evidence = evidence](
-                       const Result<platform::ReadReply>& standing) mutable {
+                       const Result<keyvalue::ReadReply>& standing) mutable {
                      if (alive.expired()) {
                        return;
                      }
@@ -252,7 +252,7 @@
 }
 
 void ClaimKeeper::Run(const claims::WriteClaim& effect) {
-  platform::CompareAndSwap operation{
+  keyvalue::CompareAndSwap operation{
       .m_key = ClaimKey(effect.m_claim),
       .m_expected_revision = effect.m_expected,
   };
@@ -263,7 +263,7 @@
   m_key_values.Swap(
       std::move(operation),
       [this, alive, claim = effect.m_claim,
-       nonce = effect.m_nonce](const Result<platform::SwapReply>& result) {
+       nonce = effect.m_nonce](const Result<keyvalue::SwapReply>& result) {
         if (alive.expired()) {
           return;
         }
--- a/Source/coordinator/claim_keeper.h
+++ b/Source/coordinator/claim_keeper.h
@@ -13,7 +13,7 @@
 #include "claims/claim_table.h"
 #include "coordinator/member_view.h"
 #include "coordinator/peer_mesh.h"
-#include "platform/key_value_service.h"
+#include "keyvalue/key_value_service.h"
 
 namespace hickoryloft::coordinator {
 
@@ -29,7 +29,7 @@
 
   // Everything passed by reference must outlive the keeper.
   ClaimKeeper(EventLoop& loop,
-              platform::KeyValueService& key_values,
+              keyvalue::KeyValueService& key_values,
               PeerMesh& peers,
               const Member& self,
               claims::ClaimSettings settings,
@@ -42,9 +42,9 @@
 
   void OnMembersChanged(const MemberView& view);
   void SetWanted(const std::vector<claims::WantedClaim>& claims);
-  void OnShortLease(platform::LeaseId lease, MonotonicTime sent_at);
+  void OnShortLease(keyvalue::LeaseId lease, MonotonicTime sent_at);
   void OnShortLeaseLost();
-  void OnLongLease(platform::LeaseId lease, MonotonicTime sent_at);
+  void OnLongLease(keyvalue::LeaseId lease, MonotonicTime sent_at);
   void OnLongLeaseLost();
   // Tells a newly connected coordinator what this host holds.
   void OnPeerConnected(const HostId& host);
@@ -74,14 +74,14 @@
   void Run(const claims::MoveClaim& effect);
 
   void OnClaimRead(const claims::ClaimName& claim,
-                   const Result<platform::ReadReply>& result);
+                   const Result<keyvalue::ReadReply>& result);
   void ReadSuccessor(const claims::ClaimName& claim,
                      const claims::ClaimEvidence& evidence);
   void Answer(const claims::ClaimName& claim,
               const std::optional<claims::ClaimEvidence>& evidence);
 
   EventLoop& m_loop;
-  platform::KeyValueService& m_key_values;
+  keyvalue::KeyValueService& m_key_values;
   PeerMesh& m_peers;
   Member m_self;
   Callbacks m_callbacks;
--- a/Source/coordinator/coordinator.cc
+++ b/Source/coordinator/coordinator.cc
@@ -22,7 +22,7 @@
 }  // namespace
 
 Coordinator::Coordinator(EventLoop& loop,
-                         platform::KeyValueService& key_values,
+                         keyvalue::KeyValueService& key_values,
                          const CoordinatorSettings& settings)
     : m_loop(loop),
       m_key_values(key_values, m_registry),
@@ -89,11 +89,11 @@
 LeaseKeeper::Callbacks Coordinator::LeaseCallbacks() {
   return {
       .m_short =
-          [this](platform::LeaseId lease, MonotonicTime sent_at) {
+          [this](keyvalue::LeaseId lease, MonotonicTime sent_at) {
             m_claims.OnShortLease(lease, sent_at);
           },
       .m_long =
-          [this](platform::LeaseId lease, MonotonicTime sent_at) {
+          [this](keyvalue::LeaseId lease, MonotonicTime sent_at) {
             m_claims.OnLongLease(lease, sent_at);
           },
       .m_short_lost = [this] { m_claims.OnShortLeaseLost(); },
--- a/Source/coordinator/coordinator.h
+++ b/Source/coordinator/coordinator.h
@@ -36,7 +36,7 @@
   // Listens for peers and entries. Throws Error(kIo) if it cannot. `loop` and
   // `key_values` must outlive the coordinator.
   Coordinator(EventLoop& loop,
-              platform::KeyValueService& key_values,
+              keyvalue::KeyValueService& key_values,
               const CoordinatorSettings& settings);
   ~Coordinator() override;
 
@@ -67,7 +67,7 @@
   // Core:
   EventLoop& Loop() override { return m_loop; }
   MonotonicTime Now() const override { return m_loop.Now(); }
-  platform::KeyValueService& KeyValues() override { return m_key_values; }
+  keyvalue::KeyValueService& KeyValues() override { return m_key_values; }
   metrics::Registry& Metrics() override { return m_registry; }
   const Member& Self() const override { return m_self; }
   const std::vector<Member>& Members() const override {
--- a/Source/coordinator/daemon.cc
+++ b/Source/coordinator/daemon.cc
@@ -14,7 +14,7 @@
 #include "coordinator/platform_clients.h"
 #include "coordinator/settings_table.h"
 #include "documents/parse_document.h"
-#include "endpoint/event_http_client.h"
+#include "endpoint/pooled_http_client.h"
 #include "endpoint/http_order_service.h"
 #include "settings/settings_file.h"
 
@@ -102,7 +102,7 @@
   EventLoop loop;
   const auto key_values = MakeKeyValueService(loop, settings);
   const auto host_list = MakeHostList(loop, settings);
-  endpoint::EventHttpClient endpoint_client(loop);
+  endpoint::PooledHttpClient endpoint_client(loop);
   endpoint::HttpOrderService orders(loop, endpoint_client);
   Coordinator coordinator(loop, *key_values, core_settings);
   coordinator.SetModules(
--- a/Source/coordinator/document_keeper.cc
+++ b/Source/coordinator/document_keeper.cc
@@ -33,7 +33,7 @@
 }  // namespace
 
 DocumentKeeper::DocumentKeeper(EventLoop& loop,
-                               platform::KeyValueService& key_values,
+                               keyvalue::KeyValueService& key_values,
                                PeerMesh& peers,
                                const MemberView& view,
                                const Member& self,
@@ -112,7 +112,7 @@
   const MonotonicTime sent_at = m_loop.Now();
   const std::weak_ptr<bool> alive = m_alive;
   m_key_values.Get(kManifestKey, [this, alive, sent_at](
-                                     const Result<platform::ReadReply>& r) {
+                                     const Result<keyvalue::ReadReply>& r) {
     if (alive.expired()) {
       return;
     }
--- a/Source/coordinator/document_keeper.h
+++ b/Source/coordinator/document_keeper.h
@@ -17,7 +17,7 @@
 #include "coordinator/peer_mesh.h"
 #include "documents/document_table.h"
 #include "documents/freshness_tracker.h"
-#include "platform/key_value_service.h"
+#include "keyvalue/key_value_service.h"
 
 namespace hickoryloft::coordinator {
 
@@ -32,7 +32,7 @@
   // called with the documents that changed; `members_differ` with a host whose
   // member view is another one.
   DocumentKeeper(EventLoop& loop,
-                 platform::KeyValueService& key_values,
+                 keyvalue::KeyValueService& key_values,
                  PeerMesh& peers,
                  const MemberView& view,
                  const Member& self,
@@ -86,7 +86,7 @@
   wire::HeartbeatT MakeHeartbeat() const;
 
   void StartWatch();
-  void OnBatch(const platform::WatchBatch& batch);
+  void OnBatch(const keyvalue::WatchBatch& batch);
   void NoteRemoval(const ServiceId& service, Revision revision);
   void ListUnlisted(MonotonicTime now);
   void List(const ServiceId& service, const documents::ManifestEntry& entry);
@@ -101,7 +101,7 @@
   void OnSnapshot(const wire::DocumentSnapshotT& snapshot);
 
   EventLoop& m_loop;
-  platform::KeyValueService& m_key_values;
+  keyvalue::KeyValueService& m_key_values;
   PeerMesh& m_peers;
   const MemberView& m_view;
   Member m_self;
@@ -124,7 +124,7 @@
   Revision m_wanted_revision = 0;  // Of the manifest; heard of from others.
   std::vector<PendingAck> m_pending_acks;
 
-  std::unique_ptr<platform::Watch> m_watch;
+  std::unique_ptr<keyvalue::Watch> m_watch;
   bool m_loading = false;
   MonotonicTime m_watch_at{};
   std::map<ServiceId, Revision> m_unlisted_removals;
--- a/Source/coordinator/document_texts.cc
+++ b/Source/coordinator/document_texts.cc
@@ -31,7 +31,7 @@
   const std::weak_ptr<bool> alive = m_alive;
   m_key_values.GetPrefix(
       kDocumentsWatchPrefix,
-      [this, alive](const Result<platform::ReadReply>& result) {
+      [this, alive](const Result<keyvalue::ReadReply>& result) {
         if (alive.expired()) {
           return;
         }
@@ -40,13 +40,13 @@
         if (!result) {
           return;
         }
-        platform::WatchBatch batch{.m_revision = result.value().m_revision};
-        for (const platform::KeyValue& item : result.value().m_items) {
+        keyvalue::WatchBatch batch{.m_revision = result.value().m_revision};
+        for (const keyvalue::KeyValue& item : result.value().m_items) {
           batch.m_events.push_back({.m_deleted = false, .m_item = item});
         }
         m_watch = m_key_values.WatchPrefix(
             kDocumentsWatchPrefix, batch.m_revision,
-            [this](const platform::WatchBatch& changes) { OnBatch(changes); },
+            [this](const keyvalue::WatchBatch& changes) { OnBatch(changes); },
             [this](const Error& error) {
               m_log.Warn("The watch on the documents ended.",
                          {{"reason", error.what()}});
@@ -57,9 +57,9 @@
       });
 }
 
-void DocumentKeeper::OnBatch(const platform::WatchBatch& batch) {
-  for (const platform::WatchEvent& event : batch.m_events) {
-    const platform::KeyValue& item = event.m_item;
+void DocumentKeeper::OnBatch(const keyvalue::WatchBatch& batch) {
+  for (const keyvalue::WatchEvent& event : batch.m_events) {
+    const keyvalue::KeyValue& item = event.m_item;
     if (item.m_key == kManifestKey) {
       if (!event.m_deleted) {
         try {
@@ -221,7 +221,7 @@
   const std::vector<ServiceId> missing = m_table.Missing();
   if (missing.empty()) {
     m_key_values.Get(
-        kManifestKey, [this, alive](const Result<platform::ReadReply>& r) {
+        kManifestKey, [this, alive](const Result<keyvalue::ReadReply>& r) {
           if (alive.expired()) {
             return;
           }
@@ -241,7 +241,7 @@
   const ServiceId& service = missing.front();
   m_key_values.Get(
       DocumentKey(service),
-      [this, alive, service](const Result<platform::ReadReply>& result) {
+      [this, alive, service](const Result<keyvalue::ReadReply>& result) {
         if (alive.expired()) {
           return;
         }
@@ -253,7 +253,7 @@
           NoteRemoval(service, result.value().m_revision);
           return;
         }
-        const platform::KeyValue& item = result.value().m_items.front();
+        const keyvalue::KeyValue& item = result.value().m_items.front();
         m_table.AddText(service, {item.m_mod_revision, item.m_value});
         Advance();
       });
--- a/Source/coordinator/document_writer.cc
+++ b/Source/coordinator/document_writer.cc
@@ -17,7 +17,7 @@
 // One running change; keeps itself alive through the callbacks.
 struct Writing : std::enable_shared_from_this<Writing> {
   EventLoop& m_loop;
-  platform::KeyValueService& m_key_values;
+  keyvalue::KeyValueService& m_key_values;
   PeerMesh& m_peers;
   const MemberView& m_view;
   DocumentKeeper& m_keeper;
@@ -33,7 +33,7 @@
   std::unique_ptr<Timer> m_round;
 
   Writing(EventLoop& loop,
-          platform::KeyValueService& key_values,
+          keyvalue::KeyValueService& key_values,
           PeerMesh& peers,
           const MemberView& view,
           DocumentKeeper& keeper,
@@ -81,12 +81,12 @@
     m_key_values.Swap(
         {DocumentKey(m_write.m_service), m_write.m_expected_revision,
          m_write.m_text, 0},
-        [self = shared_from_this()](const Result<platform::SwapReply>& result) {
+        [self = shared_from_this()](const Result<keyvalue::SwapReply>& result) {
           self->OnSwapped(result);
         });
   }
 
-  void OnSwapped(const Result<platform::SwapReply>& result) {
+  void OnSwapped(const Result<keyvalue::SwapReply>& result) {
     if (result && result.value().m_swapped) {
       OnStored(result.value().m_revision);
     } else if (result) {
@@ -105,12 +105,12 @@
   void ReadBack() {
     m_key_values.Get(
         DocumentKey(m_write.m_service),
-        [self = shared_from_this()](const Result<platform::ReadReply>& result) {
+        [self = shared_from_this()](const Result<keyvalue::ReadReply>& result) {
           self->OnReadBack(result);
         });
   }
 
-  void OnReadBack(const Result<platform::ReadReply>& result) {
+  void OnReadBack(const Result<keyvalue::ReadReply>& result) {
     constexpr char kUnknown[] =
         "the key-value service did not say whether the document was stored; "
         "read it before you try again";
@@ -210,7 +210,7 @@
 }  // namespace
 
 void WriteDocument(EventLoop& loop,
-                   platform::KeyValueService& key_values,
+                   keyvalue::KeyValueService& key_values,
                    PeerMesh& peers,
                    const MemberView& view,
                    DocumentKeeper& keeper,
--- a/Source/coordinator/document_writer.h
+++ b/Source/coordinator/document_writer.h
@@ -42,7 +42,7 @@
 // after the key-value service's answers. Everything passed by reference must
 // outlive the call. Use on the loop's thread only.
 void WriteDocument(EventLoop& loop,
-                   platform::KeyValueService& key_values,
+                   keyvalue::KeyValueService& key_values,
                    PeerMesh& peers,
                    const MemberView& view,
                    DocumentKeeper& keeper,
--- a/Source/coordinator/endpoint_observer.cc
+++ b/Source/coordinator/endpoint_observer.cc
@@ -36,7 +36,7 @@
 
 EndpointObserver::EndpointObserver(Core& core,
                                    endpoint::OrderService& orders,
-                                   platform::HostList& host_list,
+                                   keyvalue::HostList& host_list,
                                    EndpointListener& listener)
     : m_core(core),
       m_orders(orders),
@@ -98,7 +98,7 @@
   m_list_busy = true;
   std::weak_ptr<bool> alive = m_alive;
   m_host_list.Fetch(
-      [this, alive](Result<std::vector<platform::ListedTarget>> reply) {
+      [this, alive](Result<std::vector<keyvalue::ListedTarget>> reply) {
         if (alive.expired()) {
           return;
         }
--- a/Source/coordinator/endpoint_observer.h
+++ b/Source/coordinator/endpoint_observer.h
@@ -14,7 +14,7 @@
 #include "coordinator/endpoint_table.h"
 #include "coordinator/module.h"
 #include "endpoint/orders.h"
-#include "platform/host_list.h"
+#include "keyvalue/host_list.h"
 
 namespace hickoryloft::coordinator {
 
@@ -35,7 +35,7 @@
   // All arguments must outlive this.
   EndpointObserver(Core& core,
                    endpoint::OrderService& orders,
-                   platform::HostList& host_list,
+                   keyvalue::HostList& host_list,
                    EndpointListener& listener);
 
   const EndpointTable& table() const { return m_table; }
@@ -81,7 +81,7 @@
 
   Core& m_core;
   endpoint::OrderService& m_orders;
-  platform::HostList& m_host_list;
+  keyvalue::HostList& m_host_list;
   EndpointListener& m_listener;
   Logger m_log{"endpoints"};
   EndpointTable m_table;
--- a/Source/coordinator/endpoint_table.cc
+++ b/Source/coordinator/endpoint_table.cc
@@ -9,10 +9,10 @@
 
 using wire::EndpointStateT;
 
-EndpointStateT FromListed(const platform::ListedTarget& target) {
+EndpointStateT FromListed(const keyvalue::ListedTarget& target) {
   EndpointStateT state;
   state.id = target.m_name;
-  state.kind = target.m_role == platform::ListedRole::kEngine
+  state.kind = target.m_role == keyvalue::ListedRole::kEngine
                    ? wire::EndpointKind::Engine
                    : wire::EndpointKind::Service;
   state.service = target.m_service.value();
@@ -98,11 +98,11 @@
 }  // namespace
 
 EndpointSet EndpointTable::TakeList(
-    const std::vector<platform::ListedTarget>& targets) {
+    const std::vector<keyvalue::ListedTarget>& targets) {
   EndpointSet changed;
   EndpointSet listed;
-  for (const platform::ListedTarget& target : targets) {
-    if (target.m_role == platform::ListedRole::kHost) {
+  for (const keyvalue::ListedTarget& target : targets) {
+    if (target.m_role == keyvalue::ListedRole::kHost) {
       continue;
     }
     const EndpointId id(target.m_name);
--- a/Source/coordinator/endpoint_table.h
+++ b/Source/coordinator/endpoint_table.h
@@ -15,7 +15,7 @@
 #include "endpoint/orders.h"
 #include "messages_generated.h"
 #include "placement/types.h"
-#include "platform/host_list.h"
+#include "keyvalue/host_list.h"
 
 namespace hickoryloft::coordinator {
 
@@ -34,7 +34,7 @@
 class EndpointTable {
  public:
   // Takes the host list. Returns the endpoints that changed, or vanished.
-  EndpointSet TakeList(const std::vector<platform::ListedTarget>& targets);
+  EndpointSet TakeList(const std::vector<keyvalue::ListedTarget>& targets);
   // Takes news from another host; what is older than known is dropped. Returns
   // the endpoints that changed or vanished.
   EndpointSet TakeUpdate(const wire::EndpointUpdateT& update);
--- a/Source/coordinator/keys.h
+++ b/Source/coordinator/keys.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "base/ids.h"
-#include "platform/key_value_service.h"
+#include "keyvalue/key_value_service.h"
 
 namespace hickoryloft::coordinator {
 
@@ -27,7 +27,7 @@
 
 // Named by the long lease: a host whose long lease lapsed is no longer the
 // successor that it was.
-inline std::string StandingKey(const HostId& host, platform::LeaseId lease) {
+inline std::string StandingKey(const HostId& host, keyvalue::LeaseId lease) {
   return kStandingPrefix + host.value() + "/" + std::to_string(lease);
 }
 
--- a/Source/coordinator/lease_keeper.cc
+++ b/Source/coordinator/lease_keeper.cc
@@ -18,7 +18,7 @@
 }  // namespace
 
 LeaseKeeper::LeaseKeeper(EventLoop& loop,
-                         platform::KeyValueService& key_values,
+                         keyvalue::KeyValueService& key_values,
                          Member self,
                          LeaseSettings settings,
                          Callbacks callbacks)
@@ -40,7 +40,7 @@
   const std::weak_ptr<bool> alive = m_alive;
   m_key_values.GetPrefix(
       kStandingPrefix + m_self.m_host.value() + "/",
-      [this, alive](const Result<platform::ReadReply>& result) {
+      [this, alive](const Result<keyvalue::ReadReply>& result) {
         if (alive.expired()) {
           return;
         }
@@ -49,13 +49,13 @@
               m_loop.After(kRetryInterval, [this] { DeleteEarlierRuns(); });
           return;
         }
-        for (const platform::KeyValue& standing : result.value().m_items) {
+        for (const keyvalue::KeyValue& standing : result.value().m_items) {
           DeleteIfEarlier(standing);
         }
       });
 }
 
-void LeaseKeeper::DeleteIfEarlier(const platform::KeyValue& standing) {
+void LeaseKeeper::DeleteIfEarlier(const keyvalue::KeyValue& standing) {
   const auto value =
       nlohmann::json::parse(standing.m_value, nullptr, /*exceptions=*/false);
   const auto own = nlohmann::json::parse(StandingValue());
@@ -71,7 +71,7 @@
   m_key_values.Swap({.m_key = standing.m_key,
                      .m_expected_revision = standing.m_mod_revision,
                      .m_value = std::nullopt},
-                    [](const Result<platform::SwapReply>&) {});
+                    [](const Result<keyvalue::SwapReply>&) {});
 }
 
 void LeaseKeeper::SetLeaving() {
@@ -146,7 +146,7 @@
   const MonotonicTime sent_at = m_loop.Now();
   const std::weak_ptr<bool> alive = m_alive;
   m_key_values.GrantLease(ttl, [this, alive, &holding, sent_at](
-                                   const Result<platform::LeaseReply>& result) {
+                                   const Result<keyvalue::LeaseReply>& result) {
     if (alive.expired()) {
       return;
     }
@@ -168,12 +168,12 @@
 void LeaseKeeper::Register(
     Holding& holding,
     const std::string& value,
-    const std::function<void(platform::LeaseId, MonotonicTime)>& registered) {
+    const std::function<void(keyvalue::LeaseId, MonotonicTime)>& registered) {
   holding.m_busy = true;
   const std::weak_ptr<bool> alive = m_alive;
   m_key_values.Swap({holding.m_key, holding.m_revision, value, holding.m_lease},
                     [this, alive, &holding, value,
-                     &registered](const Result<platform::SwapReply>& result) {
+                     &registered](const Result<keyvalue::SwapReply>& result) {
                       if (alive.expired()) {
                         return;
                       }
@@ -185,8 +185,8 @@
 void LeaseKeeper::OnRegistered(
     Holding& holding,
     const std::string& value,
-    const Result<platform::SwapReply>& result,
-    const std::function<void(platform::LeaseId, MonotonicTime)>& registered) {
+    const Result<keyvalue::SwapReply>& result,
+    const std::function<void(keyvalue::LeaseId, MonotonicTime)>& registered) {
   if (!result) {
     m_log.Warn("A key cannot be bound to its lease.",
                {{"key", holding.m_key}, {"reason", result.error().what()}});
@@ -196,7 +196,7 @@
     }
     return;
   }
-  const platform::SwapReply& reply = result.value();
+  const keyvalue::SwapReply& reply = result.value();
   if (reply.m_swapped) {
     holding.m_revision = reply.m_revision;
     holding.m_value = value;
@@ -215,14 +215,14 @@
 void LeaseKeeper::Renew(
     Holding& holding,
     Duration interval,
-    const std::function<void(platform::LeaseId, MonotonicTime)>& renewed,
+    const std::function<void(keyvalue::LeaseId, MonotonicTime)>& renewed,
     const std::function<void()>& lost) {
   holding.m_busy = true;
   const MonotonicTime sent_at = m_loop.Now();
   const std::weak_ptr<bool> alive = m_alive;
   m_key_values.KeepAlive(
       holding.m_lease, [this, alive, &holding, interval, sent_at, &renewed,
-                        &lost](const Result<platform::LeaseReply>& result) {
+                        &lost](const Result<keyvalue::LeaseReply>& result) {
         if (alive.expired()) {
           return;
         }
--- a/Source/coordinator/lease_keeper.h
+++ b/Source/coordinator/lease_keeper.h
@@ -11,7 +11,7 @@
 #include "base/event_loop.h"
 #include "base/log.h"
 #include "coordinator/member_record.h"
-#include "platform/key_value_service.h"
+#include "keyvalue/key_value_service.h"
 
 namespace hickoryloft::coordinator {
 
@@ -27,14 +27,14 @@
  public:
   struct Callbacks {
     // A lease runs, its key is bound to it, and the call was sent then.
-    std::function<void(platform::LeaseId, MonotonicTime sent_at)> m_short;
-    std::function<void(platform::LeaseId, MonotonicTime sent_at)> m_long;
+    std::function<void(keyvalue::LeaseId, MonotonicTime sent_at)> m_short;
+    std::function<void(keyvalue::LeaseId, MonotonicTime sent_at)> m_long;
     std::function<void()> m_short_lost;
     std::function<void()> m_long_lost;
   };
 
   LeaseKeeper(EventLoop& loop,
-              platform::KeyValueService& key_values,
+              keyvalue::KeyValueService& key_values,
               Member self,
               LeaseSettings settings,
               Callbacks callbacks);
@@ -48,12 +48,12 @@
   // Ends both leases; calls `done` once, also when the service is out.
   void Revoke(std::function<void()> done);
 
-  platform::LeaseId short_lease() const { return m_short.m_lease; }
+  keyvalue::LeaseId short_lease() const { return m_short.m_lease; }
 
  private:
   // A lease and the key bound to it.
   struct Holding {
-    platform::LeaseId m_lease = 0;
+    keyvalue::LeaseId m_lease = 0;
     MonotonicTime m_granted_at{};
     bool m_registered = false;
     bool m_busy = false;
@@ -66,30 +66,30 @@
   void Step();
   // Reads the standing keys of this host and deletes those of dead runs.
   void DeleteEarlierRuns();
-  void DeleteIfEarlier(const platform::KeyValue& standing);
+  void DeleteIfEarlier(const keyvalue::KeyValue& standing);
   void StepLong(MonotonicTime now);
   void StepShort(MonotonicTime now);
   void Grant(Holding& holding, Duration ttl);
   void Register(
       Holding& holding,
       const std::string& value,
-      const std::function<void(platform::LeaseId, MonotonicTime)>& registered);
+      const std::function<void(keyvalue::LeaseId, MonotonicTime)>& registered);
   void Renew(
       Holding& holding,
       Duration ttl,
-      const std::function<void(platform::LeaseId, MonotonicTime)>& renewed,
+      const std::function<void(keyvalue::LeaseId, MonotonicTime)>& renewed,
       const std::function<void()>& lost);
   void Drop(Holding& holding, const std::function<void()>& lost);
   void OnRegistered(
       Holding& holding,
       const std::string& value,
-      const Result<platform::SwapReply>& result,
-      const std::function<void(platform::LeaseId, MonotonicTime)>& registered);
+      const Result<keyvalue::SwapReply>& result,
+      const std::function<void(keyvalue::LeaseId, MonotonicTime)>& registered);
   std::string MemberValue() const;
   std::string StandingValue() const;
 
   EventLoop& m_loop;
-  platform::KeyValueService& m_key_values;
+  keyvalue::KeyValueService& m_key_values;
   Member m_self;
   LeaseSettings m_settings;
   Callbacks m_callbacks;
--- a/Source/coordinator/manifest_writer.cc
+++ b/Source/coordinator/manifest_writer.cc
@@ -12,13 +12,13 @@
 
 // One running entry; keeps itself alive through the callbacks.
 struct Entering : std::enable_shared_from_this<Entering> {
-  platform::KeyValueService& m_key_values;
+  keyvalue::KeyValueService& m_key_values;
   ServiceId m_service;
   documents::ManifestEntry m_entry;
   std::function<void(Result<StoredManifest>)> m_done;
   int m_tries = 0;
 
-  Entering(platform::KeyValueService& key_values,
+  Entering(keyvalue::KeyValueService& key_values,
            ServiceId service,
            documents::ManifestEntry entry,
            std::function<void(Result<StoredManifest>)> done)
@@ -34,7 +34,7 @@
       return;
     }
     m_key_values.Get(kManifestKey, [self = shared_from_this()](
-                                       const Result<platform::ReadReply>& r) {
+                                       const Result<keyvalue::ReadReply>& r) {
       if (!r) {
         self->m_done(r.error());
         return;
@@ -43,7 +43,7 @@
     });
   }
 
-  void Write(const platform::ReadReply& reply) {
+  void Write(const keyvalue::ReadReply& reply) {
     StoredManifest stored;
     try {
       stored = ReadManifest(reply);
@@ -58,13 +58,13 @@
     m_key_values.Swap({kManifestKey, stored.m_revision,
                        documents::FormatManifest(stored.m_manifest), 0},
                       [self = shared_from_this(),
-                       stored](const Result<platform::SwapReply>& result) {
+                       stored](const Result<keyvalue::SwapReply>& result) {
                         self->OnWritten(stored, result);
                       });
   }
 
   void OnWritten(StoredManifest stored,
-                 const Result<platform::SwapReply>& result) {
+                 const Result<keyvalue::SwapReply>& result) {
     if (!result && result.error().code() == ErrorCode::kUnavailable) {
       m_done(result.error());
       return;
@@ -81,15 +81,15 @@
 
 }  // namespace
 
-StoredManifest ReadManifest(const platform::ReadReply& reply) {
+StoredManifest ReadManifest(const keyvalue::ReadReply& reply) {
   if (reply.m_items.empty()) {
     return {};
   }
-  const platform::KeyValue& item = reply.m_items.front();
+  const keyvalue::KeyValue& item = reply.m_items.front();
   return {documents::ParseManifest(item.m_value), item.m_mod_revision};
 }
 
-void EnterInManifest(platform::KeyValueService& key_values,
+void EnterInManifest(keyvalue::KeyValueService& key_values,
                      const ServiceId& service,
                      const documents::ManifestEntry& entry,
                      std::function<void(Result<StoredManifest>)> done) {
--- a/Source/coordinator/manifest_writer.h
+++ b/Source/coordinator/manifest_writer.h
@@ -7,7 +7,7 @@
 #include <memory>
 
 #include "documents/manifest.h"
-#include "platform/key_value_service.h"
+#include "keyvalue/key_value_service.h"
 
 namespace hickoryloft::coordinator {
 
@@ -19,13 +19,13 @@
 
 // Returns the manifest in a read of its key. Thread-safe. Throws
 // Error(kProtocol).
-StoredManifest ReadManifest(const platform::ReadReply& reply);
+StoredManifest ReadManifest(const keyvalue::ReadReply& reply);
 
 // Enters `entry` for `service` by compare-and-swap, trying again while others
 // write too. `done` gets a manifest that lists the entry or a newer one, or the
 // failure of the service; kOutcomeUnknown and kTimedOut leave open whether the
 // entry was made. `key_values` must outlive the call.
-void EnterInManifest(platform::KeyValueService& key_values,
+void EnterInManifest(keyvalue::KeyValueService& key_values,
                      const ServiceId& service,
                      const documents::ManifestEntry& entry,
                      std::function<void(Result<StoredManifest>)> done);
--- a/Source/coordinator/member_record.cc
+++ b/Source/coordinator/member_record.cc
@@ -21,7 +21,7 @@
   return json.dump();
 }
 
-MemberRecord ParseMemberRecord(const platform::KeyValue& item) {
+MemberRecord ParseMemberRecord(const keyvalue::KeyValue& item) {
   try {
     const nlohmann::json json = nlohmann::json::parse(item.m_value);
     MemberRecord record{
@@ -35,8 +35,8 @@
                 .m_port = json.at("port").get<std::uint16_t>(),
                 .m_leaving = json.at("leaving").get<bool>(),
             },
-        .m_lease = json.at("lease").get<platform::LeaseId>(),
-        .m_long_lease = json.at("long_lease").get<platform::LeaseId>(),
+        .m_lease = json.at("lease").get<keyvalue::LeaseId>(),
+        .m_long_lease = json.at("long_lease").get<keyvalue::LeaseId>(),
         .m_create_revision = item.m_create_revision,
     };
     return record;
--- a/Source/coordinator/member_record.h
+++ b/Source/coordinator/member_record.h
@@ -12,8 +12,8 @@
 // A live run of a host.
 struct MemberRecord {
   Member m_member;
-  platform::LeaseId m_lease = 0;  // The short lease that the key is bound to.
-  platform::LeaseId m_long_lease = 0;  // That of its standing key.
+  keyvalue::LeaseId m_lease = 0;  // The short lease that the key is bound to.
+  keyvalue::LeaseId m_long_lease = 0;  // That of its standing key.
   Revision m_create_revision = 0;      // Of the key.
 
   friend bool operator==(const MemberRecord&, const MemberRecord&) = default;
@@ -24,7 +24,7 @@
 
 // Returns the record in `item`, a member key. Thread-safe. Throws
 // Error(kProtocol).
-MemberRecord ParseMemberRecord(const platform::KeyValue& item);
+MemberRecord ParseMemberRecord(const keyvalue::KeyValue& item);
 
 wire::MemberStateT ToMemberState(const MemberRecord& record);
 MemberRecord ToMemberRecord(const wire::MemberStateT& state);
--- a/Source/coordinator/membership.cc
+++ b/Source/coordinator/membership.cc
@@ -13,7 +13,7 @@
 }  // namespace
 
 Membership::Membership(EventLoop& loop,
-                       platform::KeyValueService& key_values,
+                       keyvalue::KeyValueService& key_values,
                        HostId self,
                        std::function<void(const MemberChange&)> changed)
     : m_loop(loop),
@@ -55,7 +55,7 @@
   m_retry.reset();
   const std::weak_ptr<bool> alive = m_alive;
   m_key_values.GetPrefix(
-      kMembersPrefix, [this, alive](const Result<platform::ReadReply>& result) {
+      kMembersPrefix, [this, alive](const Result<keyvalue::ReadReply>& result) {
         if (!alive.expired()) {
           m_loading = false;
           OnLoaded(result);
@@ -63,7 +63,7 @@
       });
 }
 
-void Membership::OnLoaded(const Result<platform::ReadReply>& result) {
+void Membership::OnLoaded(const Result<keyvalue::ReadReply>& result) {
   if (!result) {
     m_log.Warn("The members cannot be read.",
                {{"reason", result.error().what()}});
@@ -72,7 +72,7 @@
   }
   MemberChange change{.m_revision = result.value().m_revision, .m_full = true};
   m_by_key.clear();
-  for (const platform::KeyValue& item : result.value().m_items) {
+  for (const keyvalue::KeyValue& item : result.value().m_items) {
     try {
       const MemberRecord record = ParseMemberRecord(item);
       m_by_key[item.m_key] = record;
@@ -83,7 +83,7 @@
   }
   m_watch = m_key_values.WatchPrefix(
       kMembersPrefix, change.m_revision,
-      [this](const platform::WatchBatch& batch) { OnBatch(batch); },
+      [this](const keyvalue::WatchBatch& batch) { OnBatch(batch); },
       [this](const Error& error) {
         m_log.Warn("The watch on the members ended.",
                    {{"reason", error.what()}});
@@ -93,9 +93,9 @@
   Apply(change);
 }
 
-void Membership::OnBatch(const platform::WatchBatch& batch) {
+void Membership::OnBatch(const keyvalue::WatchBatch& batch) {
   MemberChange change{.m_revision = batch.m_revision};
-  for (const platform::WatchEvent& event : batch.m_events) {
+  for (const keyvalue::WatchEvent& event : batch.m_events) {
     const std::string& key = event.m_item.m_key;
     try {
       if (!event.m_deleted) {
--- a/Source/coordinator/membership.h
+++ b/Source/coordinator/membership.h
@@ -10,7 +10,7 @@
 #include "base/event_loop.h"
 #include "base/log.h"
 #include "coordinator/member_view.h"
-#include "platform/key_value_service.h"
+#include "keyvalue/key_value_service.h"
 
 namespace hickoryloft::coordinator {
 
@@ -19,7 +19,7 @@
  public:
   // `changed` is called after each change of the view, with the change.
   Membership(EventLoop& loop,
-             platform::KeyValueService& key_values,
+             keyvalue::KeyValueService& key_values,
              HostId self,
              std::function<void(const MemberChange&)> changed);
 
@@ -36,19 +36,19 @@
   void Apply(const MemberChange& change);
   void ChooseRole();
   void Load();
-  void OnLoaded(const Result<platform::ReadReply>& result);
-  void OnBatch(const platform::WatchBatch& batch);
+  void OnLoaded(const Result<keyvalue::ReadReply>& result);
+  void OnBatch(const keyvalue::WatchBatch& batch);
   void RetryLater();
 
   EventLoop& m_loop;
-  platform::KeyValueService& m_key_values;
+  keyvalue::KeyValueService& m_key_values;
   HostId m_self;
   std::function<void(const MemberChange&)> m_changed;
   Logger m_log{"members"};
   MemberView m_view;
   std::map<std::string, MemberRecord> m_by_key;  // Of the watch.
   bool m_loading = false;
-  std::unique_ptr<platform::Watch> m_watch;
+  std::unique_ptr<keyvalue::Watch> m_watch;
   std::unique_ptr<Timer> m_retry;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/Source/coordinator/metered_key_values.cc
+++ b/Source/coordinator/metered_key_values.cc
@@ -4,50 +4,50 @@
 
 namespace hickoryloft::coordinator {
 
-MeteredKeyValues::MeteredKeyValues(platform::KeyValueService& service,
+MeteredKeyValues::MeteredKeyValues(keyvalue::KeyValueService& service,
                                    metrics::Registry& registry)
     : m_service(service), m_registry(registry) {}
 
 void MeteredKeyValues::Get(const std::string& key,
-                           Callback<platform::ReadReply> callback) {
+                           Callback<keyvalue::ReadReply> callback) {
   CallsOf("get").Add();
   m_service.Get(key, std::move(callback));
 }
 
 void MeteredKeyValues::GetPrefix(const std::string& prefix,
-                                 Callback<platform::ReadReply> callback) {
+                                 Callback<keyvalue::ReadReply> callback) {
   CallsOf("get_prefix").Add();
   m_service.GetPrefix(prefix, std::move(callback));
 }
 
-void MeteredKeyValues::Swap(platform::CompareAndSwap operation,
-                            Callback<platform::SwapReply> callback) {
+void MeteredKeyValues::Swap(keyvalue::CompareAndSwap operation,
+                            Callback<keyvalue::SwapReply> callback) {
   CallsOf("swap").Add();
   m_service.Swap(std::move(operation), std::move(callback));
 }
 
 void MeteredKeyValues::GrantLease(Duration ttl,
-                                  Callback<platform::LeaseReply> callback) {
+                                  Callback<keyvalue::LeaseReply> callback) {
   CallsOf("grant_lease").Add();
   m_service.GrantLease(ttl, std::move(callback));
 }
 
-void MeteredKeyValues::KeepAlive(platform::LeaseId lease,
-                                 Callback<platform::LeaseReply> callback) {
+void MeteredKeyValues::KeepAlive(keyvalue::LeaseId lease,
+                                 Callback<keyvalue::LeaseReply> callback) {
   CallsOf("keep_alive").Add();
   m_service.KeepAlive(lease, std::move(callback));
 }
 
-void MeteredKeyValues::RevokeLease(platform::LeaseId lease,
+void MeteredKeyValues::RevokeLease(keyvalue::LeaseId lease,
                                    Callback<Done> callback) {
   CallsOf("revoke_lease").Add();
   m_service.RevokeLease(lease, std::move(callback));
 }
 
-std::unique_ptr<platform::Watch> MeteredKeyValues::WatchPrefix(
+std::unique_ptr<keyvalue::Watch> MeteredKeyValues::WatchPrefix(
     const std::string& prefix,
     Revision from_revision,
-    std::function<void(platform::WatchBatch)> changed,
+    std::function<void(keyvalue::WatchBatch)> changed,
     std::function<void(Error)> ended) {
   CallsOf("watch").Add();
   return m_service.WatchPrefix(prefix, from_revision, std::move(changed),
--- a/Source/coordinator/metered_key_values.h
+++ b/Source/coordinator/metered_key_values.h
@@ -7,38 +7,38 @@
 #include <string>
 
 #include "metrics/registry.h"
-#include "platform/key_value_service.h"
+#include "keyvalue/key_value_service.h"
 
 namespace hickoryloft::coordinator {
 
 // Passes every call on to another service, which must outlive it. Use on the
 // loop's thread only.
-class MeteredKeyValues : public platform::KeyValueService {
+class MeteredKeyValues : public keyvalue::KeyValueService {
  public:
-  MeteredKeyValues(platform::KeyValueService& service,
+  MeteredKeyValues(keyvalue::KeyValueService& service,
                    metrics::Registry& registry);
 
   void Get(const std::string& key,
-           Callback<platform::ReadReply> callback) override;
+           Callback<keyvalue::ReadReply> callback) override;
   void GetPrefix(const std::string& prefix,
-                 Callback<platform::ReadReply> callback) override;
-  void Swap(platform::CompareAndSwap operation,
-            Callback<platform::SwapReply> callback) override;
+                 Callback<keyvalue::ReadReply> callback) override;
+  void Swap(keyvalue::CompareAndSwap operation,
+            Callback<keyvalue::SwapReply> callback) override;
   void GrantLease(Duration ttl,
-                  Callback<platform::LeaseReply> callback) override;
-  void KeepAlive(platform::LeaseId lease,
-                 Callback<platform::LeaseReply> callback) override;
-  void RevokeLease(platform::LeaseId lease, Callback<Done> callback) override;
-  std::unique_ptr<platform::Watch> WatchPrefix(
+                  Callback<keyvalue::LeaseReply> callback) override;
+  void KeepAlive(keyvalue::LeaseId lease,
+                 Callback<keyvalue::LeaseReply> callback) override;
+  void RevokeLease(keyvalue::LeaseId lease, Callback<Done> callback) override;
+  std::unique_ptr<keyvalue::Watch> WatchPrefix(
       const std::string& prefix,
       Revision from_revision,
-      std::function<void(platform::WatchBatch)> changed,
+      std::function<void(keyvalue::WatchBatch)> changed,
       std::function<void(Error)> ended) override;
 
  private:
   metrics::Counter& CallsOf(const char* kind);
 
-  platform::KeyValueService& m_service;
+  keyvalue::KeyValueService& m_service;
   metrics::Registry& m_registry;
 };
 
--- a/Source/coordinator/module.h
+++ b/Source/coordinator/module.h
@@ -16,7 +16,7 @@
 #include "documents/document.h"
 #include "messages_generated.h"
 #include "metrics/registry.h"
-#include "platform/key_value_service.h"
+#include "keyvalue/key_value_service.h"
 
 namespace hickoryloft::coordinator {
 
@@ -43,7 +43,7 @@
 
   virtual EventLoop& Loop() = 0;
   virtual MonotonicTime Now() const = 0;
-  virtual platform::KeyValueService& KeyValues() = 0;
+  virtual keyvalue::KeyValueService& KeyValues() = 0;
   virtual metrics::Registry& Metrics() = 0;
 
   virtual const Member& Self() const = 0;
--- a/Source/coordinator/modules.h
+++ b/Source/coordinator/modules.h
@@ -8,7 +8,7 @@
 
 #include "coordinator/module.h"
 #include "endpoint/orders.h"
-#include "platform/host_list.h"
+#include "keyvalue/host_list.h"
 #include "settings/setting_table.h"
 
 namespace hickoryloft::coordinator {
@@ -17,7 +17,7 @@
 struct ModuleContext {
   Core& m_core;
   const settings::Settings& m_settings;
-  platform::HostList& m_host_list;
+  keyvalue::HostList& m_host_list;
   endpoint::OrderService& m_orders;
 };
 
--- a/Source/coordinator/placement_effects.cc
+++ b/Source/coordinator/placement_effects.cc
@@ -38,7 +38,7 @@
        .m_expected_revision = effect.m_expected,
        .m_value = std::move(effect.m_value)},
       [this, alive, claim, fence,
-       record = effect.m_record](const Result<platform::SwapReply>& reply) {
+       record = effect.m_record](const Result<keyvalue::SwapReply>& reply) {
         Held* held = alive.expired() ? nullptr : FindHeld(claim, fence);
         if (held == nullptr) {
           return;
@@ -59,7 +59,7 @@
   m_core.KeyValues().Get(
       RecordKey(effect.m_record),
       [this, alive, claim, fence,
-       record = effect.m_record](const Result<platform::ReadReply>& reply) {
+       record = effect.m_record](const Result<keyvalue::ReadReply>& reply) {
         Held* held = alive.expired() ? nullptr : FindHeld(claim, fence);
         if (held == nullptr) {
           return;
@@ -93,7 +93,7 @@
   m_core.KeyValues().GetPrefix(
       RecordPrefix(kRecordKinds[kind]),
       [this, alive, claim, fence, kind,
-       found](const Result<platform::ReadReply>& reply) {
+       found](const Result<keyvalue::ReadReply>& reply) {
         if (alive.expired() || FindHeld(claim, fence) == nullptr) {
           return;
         }
@@ -104,7 +104,7 @@
               });
           return;
         }
-        for (const platform::KeyValue& item : reply.value().m_items) {
+        for (const keyvalue::KeyValue& item : reply.value().m_items) {
           found->push_back(ToRecordReply(kRecordKinds[kind], item));
         }
         ReadNext(claim, fence, kind + 1, found);
--- a/Source/coordinator/placement_module.cc
+++ b/Source/coordinator/placement_module.cc
@@ -56,7 +56,7 @@
 
 PlacementModule::PlacementModule(Core& core,
                                  endpoint::OrderService& orders,
-                                 platform::HostList& host_list)
+                                 keyvalue::HostList& host_list)
     : m_core(core),
       m_orders(orders),
       m_observer(core, orders, host_list, *this) {}
--- a/Source/coordinator/placement_module.h
+++ b/Source/coordinator/placement_module.h
@@ -16,7 +16,7 @@
 #include "coordinator/module.h"
 #include "endpoint/orders.h"
 #include "placement/shard.h"
-#include "platform/host_list.h"
+#include "keyvalue/host_list.h"
 
 namespace hickoryloft::coordinator {
 
@@ -29,7 +29,7 @@
   // All arguments must outlive this.
   PlacementModule(Core& core,
                   endpoint::OrderService& orders,
-                  platform::HostList& host_list);
+                  keyvalue::HostList& host_list);
 
   std::string_view name() const override { return "placement"; }
   std::vector<ClaimName> WantedClaims() const override;
--- a/Source/coordinator/placement_records.cc
+++ b/Source/coordinator/placement_records.cc
@@ -40,7 +40,7 @@
   return RecordPrefix(record.m_kind) + record.m_name;
 }
 
-RecordReply ToRecordReply(RecordKind kind, const platform::KeyValue& item) {
+RecordReply ToRecordReply(RecordKind kind, const keyvalue::KeyValue& item) {
   return {.m_record = {.m_kind = kind,
                        .m_name = item.m_key.substr(RecordPrefix(kind).size())},
           .m_swapped = false,
@@ -49,7 +49,7 @@
 }
 
 RecordReply ToRecordReply(const RecordName& record,
-                          const platform::SwapReply& reply) {
+                          const keyvalue::SwapReply& reply) {
   if (reply.m_swapped) {
     return {
         .m_record = record, .m_swapped = true, .m_revision = reply.m_revision};
@@ -61,7 +61,7 @@
 }
 
 RecordReply ToRecordReply(const RecordName& record,
-                          const platform::ReadReply& reply) {
+                          const keyvalue::ReadReply& reply) {
   if (reply.m_items.empty()) {
     return {.m_record = record};
   }
--- a/Source/coordinator/placement_records.h
+++ b/Source/coordinator/placement_records.h
@@ -9,7 +9,7 @@
 #include "messages_generated.h"
 #include "placement/cas_register.h"
 #include "placement/effects.h"
-#include "platform/key_value_service.h"
+#include "keyvalue/key_value_service.h"
 
 namespace hickoryloft::coordinator {
 
@@ -24,12 +24,12 @@
 // Returns the record that `item` holds. Thread-safe. Precondition: the key
 // starts with the prefix of `kind`.
 placement::RecordReply ToRecordReply(placement::RecordKind kind,
-                                     const platform::KeyValue& item);
+                                     const keyvalue::KeyValue& item);
 // Returns what a write or a read of `record` found. Thread-safe.
 placement::RecordReply ToRecordReply(const placement::RecordName& record,
-                                     const platform::SwapReply& reply);
+                                     const keyvalue::SwapReply& reply);
 placement::RecordReply ToRecordReply(const placement::RecordName& record,
-                                     const platform::ReadReply& reply);
+                                     const keyvalue::ReadReply& reply);
 
 // Returns the answer as a message. Thread-safe.
 wire::DemandReplyT ToDemandReply(const placement::DemandAnswer& answer);
--- a/Source/coordinator/platform_clients.cc
+++ b/Source/coordinator/platform_clients.cc
@@ -4,11 +4,11 @@
 #include <string>
 #include <utility>
 
-#include "platform/etcd_client.h"
-#include "platform/host_list_json.h"
-#include "platform/http_host_list.h"
-#include "platform/memory_key_value_service.h"
-#include "platform/static_host_list.h"
+#include "keyvalue/etcd_client.h"
+#include "keyvalue/host_list_json.h"
+#include "keyvalue/http_host_list.h"
+#include "keyvalue/memory_key_value_service.h"
+#include "keyvalue/static_host_list.h"
 #include "settings/settings_file.h"
 
 namespace hickoryloft::coordinator {
@@ -16,14 +16,14 @@
 namespace {
 
 using KeyValueFactory =
-    std::unique_ptr<platform::KeyValueService> (*)(EventLoop&,
+    std::unique_ptr<keyvalue::KeyValueService> (*)(EventLoop&,
                                                    const settings::Settings&);
 
-std::unique_ptr<platform::KeyValueService> MakeEtcd(
+std::unique_ptr<keyvalue::KeyValueService> MakeEtcd(
     EventLoop& loop,
     const settings::Settings& settings) {
-  return std::make_unique<platform::EtcdClient>(
-      loop, platform::EtcdClientSettings{
+  return std::make_unique<keyvalue::EtcdClient>(
+      loop, keyvalue::EtcdClientSettings{
                 .m_address = settings.String("platform.address"),
                 .m_port = static_cast<std::uint16_t>(
                     settings.Integer("platform.port")),
@@ -32,15 +32,15 @@
             });
 }
 
-std::unique_ptr<platform::KeyValueService> MakeMemory(
+std::unique_ptr<keyvalue::KeyValueService> MakeMemory(
     EventLoop& loop,
     const settings::Settings& /*settings*/) {
-  return std::make_unique<platform::MemoryKeyValueService>(loop);
+  return std::make_unique<keyvalue::MemoryKeyValueService>(loop);
 }
 
 }  // namespace
 
-std::unique_ptr<platform::KeyValueService> MakeKeyValueService(
+std::unique_ptr<keyvalue::KeyValueService> MakeKeyValueService(
     EventLoop& loop,
     const settings::Settings& settings) {
   static const std::map<std::string, KeyValueFactory> kFactories = {
@@ -50,12 +50,12 @@
   return kFactories.at(settings.String("platform.kind"))(loop, settings);
 }
 
-std::unique_ptr<platform::HostList> MakeHostList(
+std::unique_ptr<keyvalue::HostList> MakeHostList(
     EventLoop& loop,
     const settings::Settings& settings) {
   if (!settings.String("host_list.address").empty()) {
-    return std::make_unique<platform::HttpHostList>(
-        loop, platform::HttpHostListSettings{
+    return std::make_unique<keyvalue::HttpHostList>(
+        loop, keyvalue::HttpHostListSettings{
                   .m_address = settings.String("host_list.address"),
                   .m_port = static_cast<std::uint16_t>(
                       settings.Integer("host_list.port")),
@@ -64,12 +64,12 @@
                   .m_timeout = settings.Millis("platform.timeout_ms"),
               });
   }
-  std::vector<platform::ListedTarget> targets;
+  std::vector<keyvalue::ListedTarget> targets;
   const std::string& file = settings.String("host_list.file");
   if (!file.empty()) {
-    targets = platform::ParseHostList(settings::ReadFile(file));
+    targets = keyvalue::ParseHostList(settings::ReadFile(file));
   }
-  return std::make_unique<platform::StaticHostList>(loop, std::move(targets));
+  return std::make_unique<keyvalue::StaticHostList>(loop, std::move(targets));
 }
 
 }  // namespace hickoryloft::coordinator
--- /dev/null
+++ b/Source/endpoint/client_connection.cc
@@ -0,0 +1,339 @@
+#include "endpoint/client_connection.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <charconv>
+#include <utility>
+
+#include "base/socket_address.h"
+#include "base/socket_options.h"
+
+namespace hickoryloft::endpoint {
+
+namespace {
+
+constexpr std::size_t kMaxAnswerHeadBytes = std::size_t{64} * 1024;
+// Answer bytes that may wait in the process while the reader is paused.
+constexpr std::size_t kMaxWaitingInputBytes = std::size_t{256} * 1024;
+// How long an idle connection is kept if the endpoint announces nothing.
+constexpr Duration kDefaultIdleLife = seconds(30);
+// An idle connection is given up this long before the endpoint closes it, so
+// that a request does not cross the close.
+constexpr Duration kIdleMargin = milliseconds(700);
+
+constexpr std::string_view MethodName(HttpMethod method) {
+  switch (method) {
+    case HttpMethod::kGet:
+      return "GET";
+    case HttpMethod::kHead:
+      return "HEAD";
+    case HttpMethod::kPost:
+      return "POST";
+    case HttpMethod::kPut:
+      return "PUT";
+    case HttpMethod::kDelete:
+      return "DELETE";
+    case HttpMethod::kPatch:
+      return "PATCH";
+  }
+  return "GET";
+}
+
+Duration IdleLife(const http::HeaderFields& headers) {
+  const std::string* field = http::FindHeader(headers, "Keep-Alive");
+  if (field == nullptr) {
+    return kDefaultIdleLife;
+  }
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::size_t at = field->find(kTimeout);
+  std::int64_t value = 0;
+  if (at == std::string::npos ||
+      std::from_chars(field->data() + at + kTimeout.size(),
+                      field->data() + field->size(), value)
+              .ec != std::errc{}) {
+    return kDefaultIdleLife;
+  }
+  return seconds(value) - kIdleMargin;
+}
+
+}  // namespace
+
+ClientConnection::ClientConnection(EventLoop& loop,
+                                   EndpointAddress endpoint,
+                                   OwnerEvents owner)
+    : m_loop(loop),
+      m_endpoint(std::move(endpoint)),
+      m_owner(std::move(owner)),
+      m_timer(event_new(loop.base(), -1, 0, &OnTimer, this)),
+      m_parser(http::MessageType::kResponse,
+               kMaxAnswerHeadBytes,
+               {.m_head =
+                    [this](http::MessageHead&& head) {
+                      TakeHead(std::move(head));
+                    },
+                .m_body =
+                    [this](std::string_view bytes) {
+                      if (!m_skipping && !m_mismatch && m_events.m_bytes) {
+                        m_events.m_bytes(bytes);
+                      }
+                    },
+                .m_end = [] {}}) {}
+
+ClientConnection::~ClientConnection() {
+  Release();
+  event_free(m_timer);
+}
+
+bool ClientConnection::usable(MonotonicTime now) const {
+  return m_buffer != nullptr && m_reusable && !m_running && now < m_idle_until;
+}
+
+void ClientConnection::ArmTimer(Duration delay) {
+  const timeval value = ToTimeval(delay);
+  event_add(m_timer, &value);
+}
+
+void ClientConnection::Start(CallRequest request, CallEvents events) {
+  m_request = std::move(request);
+  m_events = std::move(events);
+  m_running = true;
+  m_skipping = false;
+  m_mismatch.reset();
+  if (m_buffer != nullptr) {
+    m_parser.Reset();
+    WriteRequest();
+    return;
+  }
+  if (!Connect()) {
+    m_loop.Post([weak = weak_from_this()] {
+      if (const auto self = weak.lock(); self && self->m_running) {
+        self->Fail(self->Failure(ErrorCode::kUnavailable,
+                                 "the connection could not be started"));
+      }
+    });
+  }
+}
+
+bool ClientConnection::Connect() {
+  const SocketAddress target =
+      ParseSocketAddress(m_endpoint.m_address, m_endpoint.m_port);
+  m_buffer =
+      bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb(m_buffer, &OnReadable, nullptr, &OnEvent, this);
+  bufferevent_setwatermark(m_buffer, EV_READ, 0, kMaxWaitingInputBytes);
+  bufferevent_enable(m_buffer, EV_READ | EV_WRITE);
+  ArmTimer(m_request->m_connect_timeout.value_or(kDefaultConnectTimeout));
+  return bufferevent_socket_connect(m_buffer, target.get(), target.size()) ==
+         0;
+}
+
+void ClientConnection::WriteRequest() {
+  const CallRequest& request = *m_request;
+  std::string text;
+  text.reserve(512 + request.m_body.size());
+  text.append(MethodName(request.m_method)).append(" ");
+  text.append(request.m_target).append(" HTTP/1.1\r\n");
+  if (http::FindHeader(request.m_headers, "Host") == nullptr) {
+    text.append("Host: ").append(m_endpoint.m_address).append(":");
+    text.append(std::to_string(m_endpoint.m_port)).append("\r\n");
+  }
+  for (const HeaderField& field : request.m_headers) {
+    text.append(field.m_name).append(": ").append(field.m_value).append("\r\n");
+  }
+  const bool has_body = request.m_method != HttpMethod::kGet &&
+                        request.m_method != HttpMethod::kHead &&
+                        request.m_method != HttpMethod::kDelete;
+  if (has_body || !request.m_body.empty()) {
+    text.append("Content-Length: ");
+    text.append(std::to_string(request.m_body.size())).append("\r\n");
+  }
+  text.append("\r\n").append(request.m_body);
+  bufferevent_write(m_buffer, text.data(), text.size());
+  ArmTimer(request.m_idle_timeout);
+}
+
+void ClientConnection::OnReadable(bufferevent* /*buffer*/, void* self) {
+  const auto keep = static_cast<ClientConnection*>(self)->shared_from_this();
+  keep->ReadInput();
+}
+
+void ClientConnection::ReadInput() {
+  if (!m_running) {
+    // Bytes without a call belong to nobody.
+    Release();
+    m_owner.m_closed(shared_from_this());
+    return;
+  }
+  ArmTimer(m_request->m_idle_timeout);
+  while (m_running && m_buffer != nullptr) {
+    evbuffer* input = bufferevent_get_input(m_buffer);
+    if (evbuffer_get_length(input) == 0) {
+      return;
+    }
+    evbuffer_iovec piece{};
+    evbuffer_peek(input, -1, nullptr, &piece, 1);
+    const std::string bytes(static_cast<const char*>(piece.iov_base),
+                            piece.iov_len);
+    // Taken out first: the call may be cancelled from its own events.
+    evbuffer_drain(input, bytes.size());
+    const std::size_t taken = m_parser.Feed(bytes);
+    if (m_buffer == nullptr || !m_running) {
+      return;
+    }
+    if (m_parser.error() != http::ParseError::kNone) {
+      Fail(Failure(ErrorCode::kProtocol, "the answer is not HTTP"));
+      return;
+    }
+    if (taken < bytes.size()) {
+      evbuffer_prepend(input, bytes.data() + taken, bytes.size() - taken);
+    }
+    if (m_parser.complete()) {
+      CompleteMessage();
+    }
+  }
+}
+
+void ClientConnection::TakeHead(http::MessageHead&& head) {
+  const HeaderField& echo = m_request->m_echo;
+  m_skipping = false;
+  if (!echo.m_name.empty()) {
+    const std::string* value = http::FindHeader(head.m_headers, echo.m_name);
+    if (value == nullptr && head.m_status / 100 == 2) {
+      m_mismatch =
+          Failure(ErrorCode::kProtocol, "the answer echoes no request id");
+    }
+    m_skipping = value != nullptr && *value != echo.m_value;
+  }
+  m_reusable = m_reusable && head.m_keep_alive && !m_skipping;
+  m_idle_until = m_loop.Now() + IdleLife(head.m_headers);
+  if (!m_skipping && !m_mismatch && m_events.m_head) {
+    m_events.m_head(AnswerHead{.m_status = head.m_status,
+                               .m_headers = std::move(head.m_headers),
+                               .m_content_length = head.m_content_length});
+  }
+}
+
+void ClientConnection::CompleteMessage() {
+  if (m_skipping) {
+    m_parser.Reset();
+    return;
+  }
+  if (m_mismatch) {
+    Fail(*m_mismatch);
+    return;
+  }
+  FinishCall();
+}
+
+void ClientConnection::FinishCall() {
+  event_del(m_timer);
+  m_running = false;
+  const auto keep = shared_from_this();
+  const auto done = std::exchange(m_events, {}).m_done;
+  const bool clean =
+      evbuffer_get_length(bufferevent_get_input(m_buffer)) == 0;
+  if (m_reusable && clean) {
+    m_owner.m_idle(keep);
+  } else {
+    Release();
+    m_owner.m_closed(keep);
+  }
+  if (done) {
+    done();
+  }
+}
+
+void ClientConnection::OnEvent(bufferevent* /*buffer*/,
+                               short what,
+                               void* self) {
+  const auto keep = static_cast<ClientConnection*>(self)->shared_from_this();
+  if ((what & BEV_EVENT_CONNECTED) != 0) {
+    keep->m_connected = true;
+    DisableNagle(bufferevent_getfd(keep->m_buffer));
+    DetectDeadPeer(bufferevent_getfd(keep->m_buffer));
+    keep->WriteRequest();
+    return;
+  }
+  if (!keep->m_running) {
+    keep->Release();
+    keep->m_owner.m_closed(keep);
+    return;
+  }
+  if (!keep->m_connected) {
+    keep->Fail(keep->Failure(ErrorCode::kUnavailable, "connection refused"));
+    return;
+  }
+  const bool ended = (what & BEV_EVENT_EOF) != 0;
+  if (ended && keep->m_parser.FeedEnd() && !keep->m_skipping) {
+    keep->m_reusable = false;
+    keep->CompleteMessage();
+    return;
+  }
+  keep->Fail(keep->Failure(ErrorCode::kOutcomeUnknown,
+                           "the connection ended before the answer did"));
+}
+
+void ClientConnection::OnTimer(int /*fd*/, short /*what*/, void* self) {
+  const auto keep = static_cast<ClientConnection*>(self)->shared_from_this();
+  if (!keep->m_running) {
+    return;
+  }
+  if (!keep->m_connected) {
+    keep->Fail(
+        keep->Failure(ErrorCode::kUnavailable, "no connection in time"));
+    return;
+  }
+  keep->Fail(keep->Failure(ErrorCode::kTimedOut, "silence"));
+}
+
+Error ClientConnection::Failure(ErrorCode code, const std::string& what) const {
+  return {code, m_endpoint.m_id.value() + " at " + m_endpoint.m_address + ":" +
+                    std::to_string(m_endpoint.m_port) + ": " + what};
+}
+
+void ClientConnection::Fail(const Error& error) {
+  m_running = false;
+  const auto keep = shared_from_this();
+  const auto failed = std::exchange(m_events, {}).m_failed;
+  Release();
+  m_owner.m_closed(keep);
+  if (failed) {
+    failed(error);
+  }
+}
+
+void ClientConnection::Cancel() {
+  if (!m_running) {
+    return;
+  }
+  m_running = false;
+  m_events = {};
+  const auto keep = shared_from_this();
+  Release();
+  m_owner.m_closed(keep);
+}
+
+void ClientConnection::Pause() {
+  if (m_buffer != nullptr && m_running) {
+    bufferevent_disable(m_buffer, EV_READ);
+    event_del(m_timer);
+  }
+}
+
+void ClientConnection::Resume() {
+  if (m_buffer != nullptr && m_running) {
+    bufferevent_enable(m_buffer, EV_READ);
+    ArmTimer(m_request->m_idle_timeout);
+  }
+}
+
+void ClientConnection::Release() {
+  event_del(m_timer);
+  if (m_buffer != nullptr) {
+    bufferevent_free(std::exchange(m_buffer, nullptr));
+  }
+}
+
+}  // namespace hickoryloft::endpoint
--- /dev/null
+++ b/Source/endpoint/client_connection.h
@@ -0,0 +1,81 @@
+// One connection to an endpoint, which carries one call at a time.
+
+#ifndef SOURCE_ENDPOINT_CLIENT_CONNECTION_H_
+#define SOURCE_ENDPOINT_CLIENT_CONNECTION_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/event_loop.h"
+#include "endpoint/http_client.h"
+#include "http/message_parser.h"
+
+struct bufferevent;
+struct event;
+
+namespace hickoryloft::endpoint {
+
+// Use on the loop's thread only.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+ public:
+  // What the owner is told. m_idle: the call is over and the connection may
+  // carry another one. m_closed: it may not, and holds no socket any more.
+  struct OwnerEvents {
+    std::function<void(const std::shared_ptr<ClientConnection>&)> m_idle;
+    std::function<void(const std::shared_ptr<ClientConnection>&)> m_closed;
+  };
+
+  ClientConnection(EventLoop& loop, EndpointAddress endpoint, OwnerEvents owner);
+  ~ClientConnection();
+  ClientConnection(const ClientConnection&) = delete;
+  ClientConnection& operator=(const ClientConnection&) = delete;
+
+  // Starts `request`, connecting first if need be. Preconditions: no call is
+  // running, the connection is open or new.
+  void Start(CallRequest request, CallEvents events);
+
+  // Drops the running call without an event and closes the connection.
+  void Cancel();
+  void Pause();
+  void Resume();
+
+  const EndpointAddress& endpoint() const { return m_endpoint; }
+  bool usable(MonotonicTime now) const;
+
+ private:
+  static void OnReadable(bufferevent* buffer, void* self);
+  static void OnEvent(bufferevent* buffer, short what, void* self);
+  static void OnTimer(int fd, short what, void* self);
+
+  bool Connect();
+  void WriteRequest();
+  void ReadInput();
+  void TakeHead(http::MessageHead&& head);
+  void CompleteMessage();
+  void FinishCall();
+  void Fail(const Error& error);
+  void Release();
+  void ArmTimer(Duration delay);
+  Error Failure(ErrorCode code, const std::string& what) const;
+
+  EventLoop& m_loop;
+  EndpointAddress m_endpoint;
+  OwnerEvents m_owner;
+  bufferevent* m_buffer = nullptr;
+  event* m_timer;
+  bool m_connected = false;
+  bool m_running = false;
+  bool m_reusable = true;
+  bool m_skipping = false;  // The current answer belongs to another call.
+  MonotonicTime m_idle_until;
+  std::optional<CallRequest> m_request;
+  CallEvents m_events;
+  http::MessageParser m_parser;
+  std::optional<Error> m_mismatch;
+};
+
+}  // namespace hickoryloft::endpoint
+
+#endif  // SOURCE_ENDPOINT_CLIENT_CONNECTION_H_
--- a/Source/endpoint/http_client.h
+++ b/Source/endpoint/http_client.h
@@ -3,8 +3,10 @@
 #ifndef SOURCE_ENDPOINT_HTTP_CLIENT_H_
 #define SOURCE_ENDPOINT_HTTP_CLIENT_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -12,19 +14,13 @@
 #include "base/error.h"
 #include "base/time.h"
 #include "endpoint/orders.h"
+#include "http/header_fields.h"
 
 namespace hickoryloft::endpoint {
 
-struct HeaderField {
-  std::string m_name;
-  std::string m_value;
-};
-using HeaderFields = std::vector<HeaderField>;
-
-// Returns the value of the first field named `name`, or nullptr. Names are
-// compared without regard to case. Thread-safe.
-const std::string* FindHeader(const HeaderFields& fields,
-                              std::string_view name);
+using http::FindHeader;
+using http::HeaderField;
+using http::HeaderFields;
 
 enum class HttpMethod { kGet, kHead, kPost, kPut, kDelete, kPatch };
 
@@ -43,11 +39,17 @@
   // byte has left. Set it for calls that are not idempotent.
   bool m_fresh_connection = false;
   Duration m_idle_timeout = kDefaultIdleTimeout;
+  std::optional<Duration> m_connect_timeout;  // Absent: the client's own.
+  // Name and value of a field that the endpoint echoes. An answer that carries
+  // another value belongs to an earlier call and is skipped; a success without
+  // the field fails as kProtocol. Empty: answers are not matched.
+  HeaderField m_echo;
 };
 
 struct AnswerHead {
   int m_status = 0;
   HeaderFields m_headers;
+  std::optional<std::uint64_t> m_content_length;
 };
 
 // What becomes of a call, in order: m_head, any number of m_bytes, m_done; or
--- /dev/null
+++ b/Source/endpoint/pooled_http_client.h
@@ -0,0 +1,56 @@
+// HTTP calls to endpoints on bufferevents, with idle connections kept per
+// endpoint.
+
+#ifndef SOURCE_ENDPOINT_POOLED_HTTP_CLIENT_H_
+#define SOURCE_ENDPOINT_POOLED_HTTP_CLIENT_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "base/event_loop.h"
+#include "endpoint/client_connection.h"
+#include "endpoint/http_client.h"
+
+namespace hickoryloft::endpoint {
+
+// Keeps up to kMaxIdleConnections open connections per endpoint. Use on the
+// loop's thread only. Must outlive its calls.
+class PooledHttpClient : public HttpClient {
+ public:
+  static constexpr std::size_t kMaxIdleConnections = 256;
+
+  explicit PooledHttpClient(EventLoop& loop,
+                            Duration connect_timeout = kDefaultConnectTimeout)
+      : m_loop(loop), m_connect_timeout(connect_timeout) {}
+  ~PooledHttpClient() override;
+  PooledHttpClient(const PooledHttpClient&) = delete;
+  PooledHttpClient& operator=(const PooledHttpClient&) = delete;
+
+  std::unique_ptr<Call> Start(CallRequest request, CallEvents events) override;
+
+  // Closes the idle connections to `address`, of an endpoint that has gone.
+  void CloseIdle(const EndpointAddress& endpoint);
+
+  std::uint64_t connections_opened() const { return m_opened; }
+
+ private:
+  using ConnectionPointer = std::shared_ptr<ClientConnection>;
+
+  ConnectionPointer Acquire(const CallRequest& request);
+  void Keep(const ConnectionPointer& connection);
+  void Forget(const ConnectionPointer& connection);
+
+  EventLoop& m_loop;
+  Duration m_connect_timeout;
+  std::uint64_t m_opened = 0;
+  std::unordered_map<std::string, std::vector<ConnectionPointer>> m_idle;
+  std::unordered_set<ConnectionPointer> m_connections;
+};
+
+}  // namespace hickoryloft::endpoint
+
+#endif  // SOURCE_ENDPOINT_POOLED_HTTP_CLIENT_H_
--- a/Source/entry/caller_server.cc
+++ b/Source/entry/caller_server.cc
@@ -14,7 +14,8 @@
 #include <vector>
 
 #include "entry/event_exchange.h"
-#include "wire/socket_address.h"
+#include "base/socket_address.h"
+#include "base/socket_options.h"
 
 namespace hickoryloft::entry {
 
@@ -25,15 +26,6 @@
                                           EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
                                           EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH;
 
-timeval ToTimeval(Duration duration) {
-  constexpr std::int64_t kMicrosPerSecond = 1'000'000;
-  const std::int64_t micros = duration_cast<microseconds>(duration).count();
-  timeval value{};
-  value.tv_sec = micros / kMicrosPerSecond;
-  value.tv_usec = micros % kMicrosPerSecond;
-  return value;
-}
-
 std::uint16_t BoundPort(int socket) {
   sockaddr_storage bound{};
   socklen_t size = sizeof(bound);
@@ -75,8 +67,8 @@
 }
 
 void CallerServer::Listen(const SocketSetting& listen) {
-  const wire::SocketAddress target =
-      wire::ParseSocketAddress(listen.m_address, listen.m_port);
+  const SocketAddress target =
+      ParseSocketAddress(listen.m_address, listen.m_port);
   m_listener = evconnlistener_new_bind(
       m_loop.base(), nullptr, nullptr,
       LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
--- a/Source/entry/entry_daemon.h
+++ b/Source/entry/entry_daemon.h
@@ -6,7 +6,7 @@
 #include <functional>
 #include <memory>
 
-#include "endpoint/event_http_client.h"
+#include "endpoint/pooled_http_client.h"
 #include "entry/caller_server.h"
 #include "entry/coordinator_client.h"
 #include "entry/drain.h"
@@ -63,7 +63,7 @@
   DocumentSet m_documents;
   routing::EndpointTable m_table;
   routing::LoadTracker m_loads;
-  endpoint::EventHttpClient m_client;
+  endpoint::PooledHttpClient m_client;
   CoordinatorClient m_link;
   ServingRight m_serving;
   Gates m_gates;
--- /dev/null
+++ b/Source/fleet/configuration.h
@@ -0,0 +1,97 @@
+// What the operators' configuration says: routes, services, client accounts
+// and limits.
+
+#ifndef SOURCE_FLEET_CONFIGURATION_H_
+#define SOURCE_FLEET_CONFIGURATION_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace hickoryloft::fleet {
+
+// What may be repeated.
+enum class RequestKind {
+  kIdempotent,     // May run more than once.
+  kNonIdempotent,  // May run at most once.
+  kStreaming,      // Answered by events; at most once unless resumable.
+};
+
+// One target of a route and its share of the route's requests.
+struct RouteTarget {
+  ServiceId m_service;
+  double m_weight = 1;
+};
+
+struct Route {
+  std::string m_name;
+  std::string m_host;
+  std::string m_path_prefix;  // Begins and ends with a slash.
+  RequestKind m_kind = RequestKind::kNonIdempotent;
+  Duration m_timeout{};            // Longest wait for the whole answer.
+  Duration m_latency_objective{};  // Until the answer or its first event.
+  Duration m_event_gap_objective{};
+  int m_priority = 0;       // 0 is the most urgent.
+  int m_max_endpoints = 1;  // Endpoints that one request may be sent to.
+  bool m_open = false;      // Needs no key.
+  bool m_resumable = false;
+  std::vector<RouteTarget> m_targets;
+};
+
+struct ModelSpec {
+  double m_megabytes = 0;
+  Duration m_load_from_store{};
+  Duration m_load_from_disk{};
+  Duration m_load_from_memory{};
+  int m_adapters = 0;  // Named a1, a2 and so on.
+};
+
+// The model engines of a service.
+struct EngineSpec {
+  int m_slots = 1;
+  double m_megabytes = 0;  // For weights and adapters of one engine.
+  int m_adapter_slots = 0;
+  double m_loads_per_second = 0;  // Of the weight store, for all engines.
+  std::unordered_map<ModelId, ModelSpec> m_models;
+};
+
+struct ServiceSpec {
+  ServiceId m_id;
+  std::string m_health_path;
+  int m_max_connections = 0;  // Of one endpoint, from all hosts.
+  std::optional<EngineSpec> m_engine;
+};
+
+struct Account {
+  ClientAccountId m_id;
+  std::vector<std::string> m_keys;
+  double m_tokens_per_second = 0;  // 0: no limit.
+  double m_burst_tokens = 0;
+  double m_plain_tokens = 0;  // Of a request that states no token count.
+  std::optional<int> m_priority;  // Goes before the route's.
+};
+
+// What a caller may send, and how long it may take.
+struct CallerLimits {
+  std::size_t m_max_header_bytes = 0;
+  std::size_t m_max_body_bytes = 0;
+  Duration m_header_timeout{};
+  Duration m_idle_timeout{};
+};
+
+struct Configuration {
+  std::int64_t m_version = 0;
+  std::vector<Route> m_routes;
+  std::unordered_map<ServiceId, ServiceSpec> m_services;
+  std::vector<Account> m_accounts;
+  CallerLimits m_limits;
+};
+
+}  // namespace hickoryloft::fleet
+
+#endif  // SOURCE_FLEET_CONFIGURATION_H_
--- /dev/null
+++ b/Source/fleet/endpoint_directory.h
@@ -0,0 +1,57 @@
+// The endpoints that hosts may send requests to.
+
+#ifndef SOURCE_FLEET_ENDPOINT_DIRECTORY_H_
+#define SOURCE_FLEET_ENDPOINT_DIRECTORY_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_set>
+#include <vector>
+
+#include "base/time.h"
+#include "fleet/endpoint_entry.h"
+
+namespace hickoryloft::fleet {
+
+// Applies registrations and their removal. An entry that goes missing while the
+// key-value service was disturbed is kept for a short while, since endpoints
+// that live register again once it is back. Not thread-safe; the times given
+// must not decrease.
+class EndpointDirectory {
+ public:
+  // What a change did to an endpoint.
+  enum class Change { kNone, kAdded, kUpdated, kRestarted, kRemoved, kLapsed };
+
+  // A lapsed entry is kept this long after the service's return: less than the
+  // time for which a leaving endpoint may still be sent requests.
+  static constexpr Duration kLapsedGrace = milliseconds(1800);
+
+  Change Put(EndpointEntry entry);
+  // The registration has been removed. `disturbed`: the key-value service has
+  // not worked without a fault lately, so the removal may be a lapse.
+  Change Remove(const EndpointId& id, bool disturbed, MonotonicTime now);
+  // Treats every entry that `present` does not list as removed.
+  std::vector<EndpointId> RetainOnly(
+      const std::unordered_set<EndpointId>& present,
+      bool disturbed,
+      MonotonicTime now);
+  // Drops lapsed entries whose grace is over, and returns them.
+  std::vector<EndpointId> DropLapsed(MonotonicTime now);
+
+  const EndpointEntry* Find(const EndpointId& id) const;
+  const std::map<EndpointId, EndpointEntry>& entries() const {
+    return m_entries;
+  }
+  // Grows with each change.
+  std::uint64_t version() const { return m_version; }
+
+ private:
+  std::map<EndpointId, EndpointEntry> m_entries;
+  std::map<EndpointId, MonotonicTime> m_lapsed_until;
+  std::uint64_t m_version = 0;
+};
+
+}  // namespace hickoryloft::fleet
+
+#endif  // SOURCE_FLEET_ENDPOINT_DIRECTORY_H_
--- /dev/null
+++ b/Source/fleet/endpoint_entry.h
@@ -0,0 +1,53 @@
+// What an endpoint says of itself.
+
+#ifndef SOURCE_FLEET_ENDPOINT_ENTRY_H_
+#define SOURCE_FLEET_ENDPOINT_ENTRY_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace hickoryloft::fleet {
+
+enum class EndpointState { kReady, kDraining };
+
+// Where the weights of a model can be loaded from, fastest first.
+enum class WeightTier { kHostMemory, kDisk, kStore };
+
+// One endpoint, as its last registration describes it.
+struct EndpointEntry {
+  EndpointId m_id;
+  ServiceId m_service;
+  std::string m_address;  // IP number.
+  std::uint16_t m_port = 0;
+  FailureDomainId m_failure_domain;
+  EndpointState m_state = EndpointState::kReady;
+  int m_slots = 1;
+  // Unix time of the endpoint's start; a change means that it started again
+  // under its id and knows nothing of before.
+  std::int64_t m_started_at_ms = 0;
+  // Set for an endpoint that is taken away at short notice.
+  std::optional<Duration> m_remaining;
+  // Models that are loaded, with the adapters that were present then.
+  std::unordered_map<ModelId, std::unordered_set<AdapterId>> m_models;
+  std::unordered_set<ModelId> m_in_memory;
+  std::unordered_set<ModelId> m_on_disk;
+  bool m_busy = false;
+
+  // Returns from where `model` would be loaded.
+  WeightTier TierOf(const ModelId& model) const {
+    if (m_in_memory.contains(model)) {
+      return WeightTier::kHostMemory;
+    }
+    return m_on_disk.contains(model) ? WeightTier::kDisk : WeightTier::kStore;
+  }
+};
+
+}  // namespace hickoryloft::fleet
+
+#endif  // SOURCE_FLEET_ENDPOINT_ENTRY_H_
--- /dev/null
+++ b/Source/fleet/knowledge_feed.cc
@@ -0,0 +1,205 @@
+#include "fleet/knowledge_feed.h"
+
+#include <unordered_set>
+#include <utility>
+
+#include "base/log.h"
+
+namespace hickoryloft::fleet {
+
+namespace {
+
+constexpr Duration kRetryPause = milliseconds(200);
+constexpr Duration kLapseCheckInterval = milliseconds(200);
+// A quiet view is confirmed about every second; an age beyond this means that
+// the service was away.
+constexpr Duration kDisturbedAge = milliseconds(2200);
+// Endpoints register again within about two seconds of the service's return.
+constexpr Duration kReturnPeriod = seconds(3);
+
+const Logger kLog("knowledge");
+
+}  // namespace
+
+KnowledgeFeed::KnowledgeFeed(EventLoop& loop,
+                             keyvalue::KeyValueService& store,
+                             const FleetDecoder& decoder,
+                             Events events)
+    : m_loop(loop),
+      m_store(store),
+      m_decoder(decoder),
+      m_events(std::move(events)) {}
+
+void KnowledgeFeed::Start() {
+  m_lapse_timer =
+      m_loop.Every(kLapseCheckInterval, [this] { CheckLapsed(); });
+  ReadAll();
+}
+
+void KnowledgeFeed::ReadAll() {
+  m_watch.reset();
+  m_store.GetPrefix("", [this](const Result<keyvalue::ReadReply>& reply) {
+    if (!reply.ok()) {
+      kLog.Warn("read failed, trying again",
+                {{"reason", reply.error().what()}});
+      m_retry = m_loop.After(kRetryPause, [this] { ReadAll(); });
+      return;
+    }
+    TakeAll(reply.value());
+  });
+}
+
+void KnowledgeFeed::TakeAll(const keyvalue::ReadReply& reply) {
+  NoteProof(reply.m_current_as_of);
+  std::unordered_set<EndpointId> present;
+  std::map<std::string, keyvalue::KeyValue> own_keys;
+  for (const keyvalue::KeyValue& item : reply.m_items) {
+    switch (m_decoder.Classify(item.m_key)) {
+      case ItemClass::kConfiguration:
+        TakeConfiguration(item);
+        break;
+      case ItemClass::kEndpoint:
+        present.insert(m_decoder.EndpointOf(item.m_key));
+        TakeEndpoint(item);
+        break;
+      case ItemClass::kOther:
+        own_keys.emplace(item.m_key, item);
+        break;
+    }
+  }
+  for (const EndpointId& id : m_directory.RetainOnly(
+           present, m_complete && Disturbed(), m_loop.Now())) {
+    kLog.Info("endpoint gone", {{"endpoint", id.value()}});
+    m_events.m_endpoint_changed(id);
+  }
+  m_own_keys = std::move(own_keys);
+  m_complete = m_complete || m_configuration != nullptr;
+  kLog.Info("read everything",
+            {{"revision", reply.m_revision},
+             {"endpoints", static_cast<std::uint64_t>(present.size())},
+             {"own_keys", static_cast<std::uint64_t>(m_own_keys.size())}});
+  m_events.m_own_keys_changed();
+  BeginWatch(reply.m_revision);
+}
+
+void KnowledgeFeed::BeginWatch(Revision revision) {
+  m_watch = m_store.WatchPrefix(
+      "", revision,
+      [this](const keyvalue::WatchBatch& batch) { TakeBatch(batch); },
+      [this](const Error& error) {
+        kLog.Warn("watch ended, reading again", {{"reason", error.what()}});
+        m_retry = m_loop.After(Duration{}, [this] { ReadAll(); });
+      });
+}
+
+void KnowledgeFeed::TakeBatch(const keyvalue::WatchBatch& batch) {
+  NoteProof(batch.m_current_as_of);
+  bool own_keys_changed = false;
+  for (const keyvalue::WatchEvent& event : batch.m_events) {
+    own_keys_changed |=
+        m_decoder.Classify(event.m_item.m_key) == ItemClass::kOther;
+    TakeEvent(event);
+  }
+  if (own_keys_changed) {
+    m_events.m_own_keys_changed();
+  }
+}
+
+void KnowledgeFeed::TakeEvent(const keyvalue::WatchEvent& event) {
+  const keyvalue::KeyValue& item = event.m_item;
+  switch (m_decoder.Classify(item.m_key)) {
+    case ItemClass::kConfiguration:
+      if (!event.m_deleted) {
+        TakeConfiguration(item);
+      }
+      break;
+    case ItemClass::kEndpoint: {
+      const EndpointId id = m_decoder.EndpointOf(item.m_key);
+      if (!event.m_deleted) {
+        if (TakeEndpoint(item)) {
+          m_events.m_endpoint_changed(id);
+        }
+        break;
+      }
+      const auto change = m_directory.Remove(id, Disturbed(), m_loop.Now());
+      kLog.Info(change == EndpointDirectory::Change::kLapsed
+                    ? "endpoint lapsed, kept for a while"
+                    : "endpoint gone",
+                {{"endpoint", id.value()}, {"revision", item.m_mod_revision}});
+      m_events.m_endpoint_changed(id);
+      break;
+    }
+    case ItemClass::kOther:
+      if (event.m_deleted) {
+        m_own_keys.erase(item.m_key);
+      } else {
+        m_own_keys.insert_or_assign(item.m_key, item);
+      }
+      break;
+  }
+}
+
+void KnowledgeFeed::TakeConfiguration(const keyvalue::KeyValue& item) {
+  try {
+    Configuration configuration = m_decoder.DecodeConfiguration(item.m_value);
+    if (m_configuration &&
+        configuration.m_version <= m_configuration->version()) {
+      return;
+    }
+    const std::int64_t version = configuration.m_version;
+    m_configuration =
+        std::make_shared<const ConfigurationView>(std::move(configuration));
+    kLog.Info("configuration in force",
+              {{"version", version}, {"revision", item.m_mod_revision}});
+    m_complete = true;
+    m_events.m_configuration_changed();
+  } catch (const Error& error) {
+    kLog.Error("configuration unreadable, the one before stays in force",
+               {{"reason", error.what()}, {"revision", item.m_mod_revision}});
+  }
+}
+
+bool KnowledgeFeed::TakeEndpoint(const keyvalue::KeyValue& item) {
+  try {
+    EndpointEntry entry = m_decoder.DecodeEndpoint(item);
+    const std::string id = entry.m_id.value();
+    const bool draining = entry.m_state == EndpointState::kDraining;
+    const auto change = m_directory.Put(std::move(entry));
+    if (change == EndpointDirectory::Change::kAdded ||
+        change == EndpointDirectory::Change::kRestarted || draining) {
+      kLog.Info(draining ? "endpoint leaving"
+                : change == EndpointDirectory::Change::kAdded
+                    ? "endpoint joined"
+                    : "endpoint restarted",
+                {{"endpoint", id}, {"revision", item.m_mod_revision}});
+    }
+    return true;
+  } catch (const Error& error) {
+    kLog.Warn("endpoint entry unreadable, ignored",
+              {{"reason", error.what()}, {"revision", item.m_mod_revision}});
+    return false;
+  }
+}
+
+void KnowledgeFeed::NoteProof(MonotonicTime as_of) {
+  if (m_complete && m_loop.Now() - m_current_as_of > kDisturbedAge) {
+    kLog.Warn("key-value service back",
+              {{"away_ms", ToMillis(m_loop.Now() - m_current_as_of).count()}});
+    m_recovered_at = m_loop.Now();
+  }
+  m_current_as_of = std::max(m_current_as_of, as_of);
+}
+
+bool KnowledgeFeed::Disturbed() const {
+  return Age() > kDisturbedAge ||
+         m_loop.Now() - m_recovered_at < kReturnPeriod;
+}
+
+void KnowledgeFeed::CheckLapsed() {
+  for (const EndpointId& id : m_directory.DropLapsed(m_loop.Now())) {
+    kLog.Info("lapsed endpoint did not return", {{"endpoint", id.value()}});
+    m_events.m_endpoint_changed(id);
+  }
+}
+
+}  // namespace hickoryloft::fleet
--- /dev/null
+++ b/Source/fleet/protocols.h
@@ -0,0 +1,66 @@
+// Ports to what surrounds the system. A platform's adapter implements them and
+// keeps its wire's names to itself.
+
+#ifndef SOURCE_FLEET_PROTOCOLS_H_
+#define SOURCE_FLEET_PROTOCOLS_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "base/error.h"
+#include "fleet/caller_request.h"
+#include "fleet/configuration.h"
+#include "fleet/engine_orders.h"
+#include "fleet/endpoint_entry.h"
+#include "http/server_exchange.h"
+#include "keyvalue/key_value_service.h"
+
+namespace hickoryloft::fleet {
+
+enum class ItemClass { kConfiguration, kEndpoint, kOther };
+
+// Decodes what the platform writes to its key-value service. Implementations
+// are stateless, so thread-safe.
+class FleetDecoder {
+ public:
+  virtual ~FleetDecoder() = default;
+
+  virtual ItemClass Classify(const std::string& key) const = 0;
+  // Precondition: `key` is of class kEndpoint.
+  virtual EndpointId EndpointOf(const std::string& key) const = 0;
+  // Each throws Error(kProtocol) that names the field at fault.
+  virtual Configuration DecodeConfiguration(const std::string& value) const = 0;
+  virtual EndpointEntry DecodeEndpoint(const keyvalue::KeyValue& item) const = 0;
+};
+
+// Decodes callers' requests and encodes them for endpoints. Implementations
+// are stateless, so thread-safe.
+class CallerProtocol {
+ public:
+  virtual ~CallerProtocol() = default;
+
+  // Throws Error(kProtocol) that names the field at fault.
+  virtual CallerRequest DecodeRequest(
+      const http::ServerRequest& request) const = 0;
+  virtual endpoint::CallRequest EncodeCall(const CallerRequest& request,
+                                           const ForwardedCall& call) const = 0;
+  virtual AnswerFacts DecodeAnswer(const endpoint::AnswerHead& head) const = 0;
+};
+
+// Calls to engines about what they hold. The callbacks come once, on the
+// loop's thread.
+class EngineControl {
+ public:
+  virtual ~EngineControl() = default;
+
+  virtual void SendOrder(const endpoint::EndpointAddress& engine,
+                         const EngineOrder& order,
+                         std::function<void(OrderOutcome)> done) = 0;
+  virtual void ReadReport(const endpoint::EndpointAddress& engine,
+                          std::function<void(Result<EngineReport>)> done) = 0;
+};
+
+}  // namespace hickoryloft::fleet
+
+#endif  // SOURCE_FLEET_PROTOCOLS_H_
--- /dev/null
+++ b/Source/host/event_splitter.cc
@@ -0,0 +1,61 @@
+#include "host/event_splitter.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hickoryloft::host {
+
+namespace {
+
+constexpr std::string_view kEventEnd = "\n\n";
+constexpr std::string_view kEventEndCrLf = "\r\n\r\n";
+constexpr std::string_view kIdField = "id:";
+
+// Returns the length up to the end of the last whole event.
+std::size_t WholeLength(std::string_view text) {
+  const std::size_t plain = text.rfind(kEventEnd);
+  const std::size_t crlf = text.rfind(kEventEndCrLf);
+  const std::size_t plain_end =
+      plain == std::string_view::npos ? 0 : plain + kEventEnd.size();
+  const std::size_t crlf_end =
+      crlf == std::string_view::npos ? 0 : crlf + kEventEndCrLf.size();
+  return std::max(plain_end, crlf_end);
+}
+
+}  // namespace
+
+std::string EventSplitter::Feed(std::string_view bytes) {
+  m_rest.append(bytes);
+  const std::size_t whole = WholeLength(m_rest);
+  if (whole == 0) {
+    return {};
+  }
+  std::string events = m_rest.substr(0, whole);
+  m_rest.erase(0, whole);
+  NoteIds(events);
+  return events;
+}
+
+std::string EventSplitter::TakeRest() {
+  return std::exchange(m_rest, {});
+}
+
+void EventSplitter::NoteIds(std::string_view events) {
+  while (!events.empty()) {
+    const std::size_t end = std::min(events.find('\n'), events.size());
+    std::string_view line = events.substr(0, end);
+    events.remove_prefix(std::min(events.size(), end + 1));
+    if (line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
+    if (line.empty()) {
+      ++m_events;
+    } else if (line.starts_with(kIdField)) {
+      line.remove_prefix(kIdField.size());
+      line.remove_prefix(std::min(line.size(), line.find_first_not_of(' ')));
+      m_last_id = std::string(line);
+    }
+  }
+}
+
+}  // namespace hickoryloft::host
--- /dev/null
+++ b/Source/host/frontend.cc
@@ -0,0 +1,341 @@
+#include "host/frontend.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+#include "host/retry_after.h"
+
+namespace hickoryloft::host {
+
+namespace {
+
+// A route or a key that is not known may be newer than a view of this age.
+constexpr Duration kTrustedAge = milliseconds(2500);
+constexpr Duration kStartingRetryAfter = milliseconds(500);
+constexpr Duration kOutdatedRetryAfter = milliseconds(300);
+// Rejections of an account that has used up its rate, at least.
+constexpr Duration kMinQuotaRetryAfter = milliseconds(50);
+// The most urgent level and the least urgent one.
+constexpr int kMaxUrgency = 9;
+
+const Logger kLog("admission");
+
+}  // namespace
+
+Frontend::Frontend(RequestContext& context) : m_context(context) {
+  context.m_waiting = [this](RequestFlow& flow) { Wait(flow); };
+  context.m_place_freed = [this] { Reconsider(); };
+  context.m_over = [this](RequestFlow& flow) { End(flow); };
+}
+
+void Frontend::Take(std::shared_ptr<http::ServerExchange> exchange) {
+  RequestFlow::Admitted admitted;
+  const auto rejection = Admit(exchange->request(), admitted);
+  if (rejection) {
+    Reject(*exchange, admitted.m_request.m_id, *rejection);
+    return;
+  }
+  const fleet::CallerRequest& request = admitted.m_request;
+  kLog.Info("admitted",
+            {{"id", request.m_id},
+             {"route", admitted.m_route->m_name},
+             {"account", admitted.m_account.value()},
+             {"service", admitted.m_service.value()},
+             {"model", request.m_model.value()},
+             {"adapter", request.m_adapter.value()},
+             {"tokens", admitted.m_tokens},
+             {"deadline_ms",
+              ToMillis(request.m_deadline.value_or(Duration{})).count()},
+             {"configuration", admitted.m_configuration->version()},
+             {"view_age_ms", ToMillis(m_context.m_knowledge.Age()).count()}});
+  m_context.m_retry_budget(admitted.m_service)
+      .CountRequest(m_context.m_loop.Now());
+  auto flow = std::make_unique<RequestFlow>(m_context, std::move(exchange),
+                                            std::move(admitted));
+  RequestFlow& started = *flow;
+  m_flows.emplace(&started, std::move(flow));
+  if (!started.admitted().m_request.m_model.empty()) {
+    ++m_arrivals[DemandKey(started)];
+  }
+  started.Start();
+}
+
+bool Frontend::MayBeOutdated() const {
+  return m_context.m_knowledge.Age() > kTrustedAge;
+}
+
+std::optional<Frontend::Rejection> Frontend::Admit(
+    const http::ServerRequest& received,
+    RequestFlow::Admitted& admitted) {
+  if (!m_context.m_knowledge.complete()) {
+    return Rejection{503, "starting", kStartingRetryAfter};
+  }
+  try {
+    admitted.m_request = m_context.m_protocol.DecodeRequest(received);
+  } catch (const Error& error) {
+    kLog.Warn("request unreadable", {{"reason", error.what()}});
+    return Rejection{400, "malformed", std::nullopt};
+  }
+  admitted.m_request.m_body = received.m_body;
+  admitted.m_configuration = m_context.m_knowledge.configuration();
+  admitted.m_route = admitted.m_configuration->FindRoute(
+      admitted.m_request.m_host, admitted.m_request.m_path);
+  if (admitted.m_route == nullptr) {
+    return MayBeOutdated()
+               ? Rejection{503, "view_outdated", kOutdatedRetryAfter}
+               : Rejection{404, "no_route", std::nullopt};
+  }
+  std::uniform_real_distribution<double> point(0, 1);
+  admitted.m_service =
+      fleet::PickTarget(*admitted.m_route, point(m_context.m_random));
+  admitted.m_urgency = admitted.m_route->m_priority;
+  if (auto rejection = CheckKey(admitted)) {
+    return rejection;
+  }
+  admitted.m_urgency = std::clamp(admitted.m_urgency, 0, kMaxUrgency);
+  if (auto rejection = CheckServable(admitted)) {
+    return rejection;
+  }
+  return TakeQuota(admitted);
+}
+
+std::optional<Frontend::Rejection> Frontend::CheckKey(
+    RequestFlow::Admitted& admitted) {
+  if (admitted.m_route->m_open) {
+    return std::nullopt;
+  }
+  if (!m_context.m_keys_current()) {
+    return Rejection{503, "knowledge_too_old", seconds(1)};
+  }
+  const fleet::Account* account =
+      admitted.m_configuration->FindAccountByKey(admitted.m_request.m_key);
+  if (account == nullptr) {
+    return MayBeOutdated()
+               ? Rejection{503, "view_outdated", kOutdatedRetryAfter}
+               : Rejection{401, "unknown_key", std::nullopt};
+  }
+  admitted.m_account = account->m_id;
+  admitted.m_urgency = account->m_priority.value_or(admitted.m_urgency);
+  const fleet::CallerRequest& request = admitted.m_request;
+  admitted.m_tokens =
+      request.m_prompt_tokens && request.m_output_tokens
+          ? *request.m_prompt_tokens + *request.m_output_tokens
+          : account->m_plain_tokens;
+  return std::nullopt;
+}
+
+std::optional<Frontend::Rejection> Frontend::CheckServable(
+    const RequestFlow::Admitted& admitted) {
+  const fleet::CallerRequest& request = admitted.m_request;
+  if (request.m_model.empty()) {
+    return std::nullopt;
+  }
+  const fleet::ServiceSpec* service =
+      admitted.m_configuration->FindService(admitted.m_service);
+  if (service == nullptr || !service->m_engine ||
+      !service->m_engine->m_models.contains(request.m_model)) {
+    return Rejection{503, "unknown_model", std::nullopt};
+  }
+  // A model that no engine has or can load in time cannot be served.
+  const fleet::ModelSpec& spec =
+      service->m_engine->m_models.at(request.m_model);
+  Duration soonest = spec.m_load_from_store;
+  for (const auto& [id, entry] : m_context.m_knowledge.directory().entries()) {
+    if (entry.m_service != admitted.m_service) {
+      continue;
+    }
+    if (entry.m_models.contains(request.m_model)) {
+      return std::nullopt;
+    }
+    const fleet::WeightTier tier = entry.TierOf(request.m_model);
+    if (tier == fleet::WeightTier::kDisk) {
+      soonest = std::min(soonest, spec.m_load_from_disk);
+    } else if (tier == fleet::WeightTier::kHostMemory) {
+      soonest = std::min(soonest, spec.m_load_from_memory);
+    }
+  }
+  const Duration limit = std::min(
+      admitted.m_route->m_timeout,
+      request.m_deadline.value_or(admitted.m_route->m_timeout));
+  if (soonest > limit) {
+    return Rejection{503, "load_takes_too_long", soonest};
+  }
+  return std::nullopt;
+}
+
+std::optional<Frontend::Rejection> Frontend::TakeQuota(
+    RequestFlow::Admitted& admitted) {
+  if (admitted.m_account.empty()) {
+    return std::nullopt;
+  }
+  const auto quota = m_quotas.find(admitted.m_account);
+  if (quota == m_quotas.end()) {
+    return std::nullopt;
+  }
+  const auto wait =
+      quota->second.Take(admitted.m_tokens, m_context.m_loop.Now());
+  if (!wait) {
+    return std::nullopt;
+  }
+  return Rejection{429, "account_rate_used_up",
+                   std::max(*wait, kMinQuotaRetryAfter)};
+}
+
+void Frontend::Reject(http::ServerExchange& exchange,
+                      const std::string& request_id,
+                      const Rejection& rejection) {
+  kLog.Info("rejected",
+            {{"id", request_id},
+             {"status", rejection.m_status},
+             {"reason", rejection.m_reason},
+             {"retry_after_ms",
+              ToMillis(rejection.m_retry_after.value_or(Duration{})).count()},
+             {"view_age_ms",
+              m_context.m_knowledge.complete()
+                  ? ToMillis(m_context.m_knowledge.Age()).count()
+                  : -1}});
+  m_context.m_metrics.CountRefusal(rejection.m_reason);
+  http::HeaderFields headers = {{"Content-Type", "application/problem+json"}};
+  if (rejection.m_retry_after) {
+    headers.push_back(RetryAfterField(*rejection.m_retry_after));
+  }
+  exchange.Answer(rejection.m_status, headers,
+                  ProblemBody(rejection.m_status, rejection.m_reason));
+}
+
+placement::ModelDemand::Key Frontend::DemandKey(const RequestFlow& flow) const {
+  return {flow.admitted().m_service, flow.admitted().m_request.m_model,
+          AdapterId()};
+}
+
+void Frontend::Wait(RequestFlow& flow) {
+  m_waiting.emplace(
+      std::pair(flow.admitted().m_urgency, flow.received_at()), &flow);
+  kLog.Info("waiting",
+            {{"id", flow.admitted().m_request.m_id},
+             {"model", flow.admitted().m_request.m_model.value()},
+             {"waiting", static_cast<std::uint64_t>(m_waiting.size())}});
+}
+
+void Frontend::End(RequestFlow& flow) {
+  std::erase_if(m_waiting,
+                [&](const auto& entry) { return entry.second == &flow; });
+  if (flow.not_run() && flow.admitted().m_tokens > 0) {
+    const auto quota = m_quotas.find(flow.admitted().m_account);
+    if (quota != m_quotas.end()) {
+      quota->second.PutBack(flow.admitted().m_tokens, m_context.m_loop.Now());
+    }
+  }
+  m_context.m_loop.Post([this, ended = &flow] { m_flows.erase(ended); });
+  Reconsider();
+}
+
+void Frontend::Reconsider() {
+  if (m_soon || m_waiting.empty()) {
+    return;
+  }
+  m_soon = m_context.m_loop.After(Duration{}, [this] {
+    m_soon.reset();
+    std::vector<RequestFlow*> flows;
+    flows.reserve(m_waiting.size());
+    for (const auto& [rank, flow] : m_waiting) {
+      flows.push_back(flow);
+    }
+    for (RequestFlow* flow : flows) {
+      if (flow->waiting() && !flow->TryAgain()) {
+        std::erase_if(m_waiting, [&](const auto& entry) {
+          return entry.second == flow;
+        });
+      }
+    }
+  });
+}
+
+void Frontend::AbortAll() {
+  std::vector<RequestFlow*> flows;
+  for (const auto& [flow, owned] : m_flows) {
+    flows.push_back(flow);
+  }
+  for (RequestFlow* flow : flows) {
+    flow->Abort();
+  }
+}
+
+void Frontend::FollowConfiguration() {
+  const MonotonicTime now = m_context.m_loop.Now();
+  const auto& accounts =
+      m_context.m_knowledge.configuration()->configuration().m_accounts;
+  for (const fleet::Account& account : accounts) {
+    const admission::QuotaLimit limit{
+        .m_tokens_per_second = account.m_tokens_per_second,
+        .m_burst_tokens = account.m_burst_tokens};
+    const auto known = m_quotas.find(account.m_id);
+    if (known == m_quotas.end()) {
+      const auto added = m_quotas.emplace(
+          account.m_id, admission::TokenQuota(limit, now));
+      added.first->second.SetPeers(m_peers, now);
+    } else if (known->second.limit() != limit) {
+      known->second.SetLimit(limit, now);
+    }
+  }
+  Reconsider();
+}
+
+void Frontend::SetPeers(const std::map<HostId, Incarnation>& peers) {
+  m_peers = peers;
+  for (auto& [account, quota] : m_quotas) {
+    quota.SetPeers(peers, m_context.m_loop.Now());
+  }
+}
+
+void Frontend::TakeAccountReport(const HostId& peer,
+                                 Incarnation incarnation,
+                                 const ClientAccountId& account,
+                                 double admitted) {
+  const auto quota = m_quotas.find(account);
+  if (quota != m_quotas.end()) {
+    quota->second.TakeReport(peer, incarnation, admitted,
+                             m_context.m_loop.Now());
+  }
+}
+
+std::vector<placement::ModelWant> Frontend::Wants() const {
+  std::map<placement::ModelDemand::Key, int> waiting;
+  for (const auto& [rank, flow] : m_waiting) {
+    const fleet::CallerRequest& request = flow->admitted().m_request;
+    if (request.m_model.empty()) {
+      continue;
+    }
+    ++waiting[DemandKey(*flow)];
+    if (!request.m_adapter.empty()) {
+      ++waiting[{flow->admitted().m_service, request.m_model,
+                 request.m_adapter}];
+    }
+  }
+  std::vector<placement::ModelWant> wants;
+  for (const auto& [key, arrivals] : m_arrivals) {
+    waiting.try_emplace(key, 0);
+  }
+  for (const auto& [key, count] : waiting) {
+    const auto arrivals = m_arrivals.find(key);
+    wants.push_back(
+        {.m_service = key.m_service,
+         .m_model = key.m_model,
+         .m_adapter = key.m_adapter,
+         .m_waiting = count,
+         .m_arrivals = arrivals == m_arrivals.end() ? 0 : arrivals->second});
+  }
+  return wants;
+}
+
+std::vector<std::pair<ClientAccountId, double>> Frontend::AdmittedTokens()
+    const {
+  std::vector<std::pair<ClientAccountId, double>> admitted;
+  for (const auto& [account, quota] : m_quotas) {
+    admitted.emplace_back(account, quota.admitted());
+  }
+  return admitted;
+}
+
+}  // namespace hickoryloft::host
--- /dev/null
+++ b/Source/host/frontend.h
@@ -0,0 +1,84 @@
+// Admits callers' requests and keeps those that wait for an endpoint.
+
+#ifndef SOURCE_HOST_FRONTEND_H_
+#define SOURCE_HOST_FRONTEND_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "admission/token_quota.h"
+#include "host/request_flow.h"
+#include "placement/model_demand.h"
+
+namespace hickoryloft::host {
+
+// Use on the loop's thread only.
+class Frontend {
+ public:
+  // `context` must outlive the frontend, which fills in its callbacks.
+  explicit Frontend(RequestContext& context);
+
+  // Takes a request that has been read whole.
+  void Take(std::shared_ptr<http::ServerExchange> exchange);
+
+  // Something has changed that waiting requests may depend on.
+  void Reconsider();
+  // Ends all requests, since the host stops.
+  void AbortAll();
+
+  // Applies the accounts of the configuration in force.
+  void FollowConfiguration();
+  void SetPeers(const std::map<HostId, Incarnation>& peers);
+  void TakeAccountReport(const HostId& peer,
+                         Incarnation incarnation,
+                         const ClientAccountId& account,
+                         double admitted);
+
+  std::size_t open() const { return m_flows.size(); }
+  std::size_t waiting() const { return m_waiting.size(); }
+  // For this host's report.
+  std::vector<placement::ModelWant> Wants() const;
+  std::vector<std::pair<ClientAccountId, double>> AdmittedTokens() const;
+
+ private:
+  struct Rejection {
+    int m_status = 0;
+    std::string m_reason;
+    std::optional<Duration> m_retry_after;
+  };
+
+  // Returns the rejection if the request is not admitted.
+  std::optional<Rejection> Admit(const http::ServerRequest& received,
+                                 RequestFlow::Admitted& admitted);
+  std::optional<Rejection> CheckKey(RequestFlow::Admitted& admitted);
+  std::optional<Rejection> TakeQuota(RequestFlow::Admitted& admitted);
+  std::optional<Rejection> CheckServable(const RequestFlow::Admitted& admitted);
+  // Whether an unknown route or key may merely be newer than this host's view.
+  bool MayBeOutdated() const;
+  void Reject(http::ServerExchange& exchange,
+              const std::string& request_id,
+              const Rejection& rejection);
+  void Wait(RequestFlow& flow);
+  void End(RequestFlow& flow);
+  placement::ModelDemand::Key DemandKey(const RequestFlow& flow) const;
+  void RefuseHopeless();
+
+  RequestContext& m_context;
+  std::unordered_map<RequestFlow*, std::unique_ptr<RequestFlow>> m_flows;
+  // In order of urgency, then of arrival.
+  std::multimap<std::pair<int, MonotonicTime>, RequestFlow*> m_waiting;
+  bool m_reconsidering = false;
+  std::unordered_map<ClientAccountId, admission::TokenQuota> m_quotas;
+  std::map<HostId, Incarnation> m_peers;
+  // Requests for each model since the host's start.
+  std::map<placement::ModelDemand::Key, std::uint64_t> m_arrivals;
+  std::unique_ptr<Timer> m_soon;
+};
+
+}  // namespace hickoryloft::host
+
+#endif  // SOURCE_HOST_FRONTEND_H_
--- /dev/null
+++ b/Source/host/host_daemon.h
@@ -0,0 +1,89 @@
+// One host of the system on a platform: serves callers, exchanges reports with
+// the other hosts, and gives the engines their orders while it holds the right.
+
+#ifndef SOURCE_HOST_HOST_DAEMON_H_
+#define SOURCE_HOST_HOST_DAEMON_H_
+
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+#include "host/frontend.h"
+#include "host/order_desk.h"
+#include "host/replica_map.h"
+#include "host/report_exchange.h"
+#include "http/server.h"
+#include "membership/holder_lease.h"
+#include "membership/registration.h"
+
+namespace hickoryloft::host {
+
+// The adapter of the platform that the host runs on.
+struct PlatformPorts {
+  keyvalue::KeyValueService& m_store;
+  const fleet::FleetDecoder& m_decoder;
+  const fleet::CallerProtocol& m_protocol;
+  fleet::EngineControl& m_engines;
+  endpoint::HttpClient& m_client;
+};
+
+// Use on the loop's thread only.
+class HostDaemon {
+ public:
+  // Throws Error(kIo) if an address cannot be bound.
+  HostDaemon(EventLoop& loop, HostSettings settings, PlatformPorts ports);
+
+  // Takes new bounds; the addresses are those of the start.
+  void Reload(const HostSettings& settings);
+  // Begins a planned stop: no request is cut that can end in time.
+  void BeginStop();
+
+ private:
+  HostSettings m_settings;
+  EventLoop& m_loop;
+  PlatformPorts m_ports;
+  Incarnation m_incarnation;
+  RandomEngine m_random;
+  HostMetrics m_metrics;
+  fleet::KnowledgeFeed m_knowledge;
+  routing::FleetLoad m_load;
+  routing::EndpointHealth m_health;
+  ReplicaMap m_replicas;
+  placement::ModelDemand m_demand;
+  std::unordered_map<ServiceId, admission::RetryBudget> m_retry_budgets;
+  // Endpoints that other hosts avoid, by host.
+  std::map<HostId, std::set<EndpointId>> m_avoided_by_peers;
+  RequestContext m_context;
+  Frontend m_frontend;
+  ReportExchange m_reports;
+  membership::Registration m_registration;
+  membership::HolderLease m_holder_lease;
+  OrderDesk m_orders;
+  http::Server m_callers;
+  http::Server m_readiness;
+  http::Server m_metrics_server;
+  std::unique_ptr<Timer> m_tick;
+  std::unique_ptr<Timer> m_stop_tick;
+  MonotonicTime m_tick_due;
+  MonotonicTime m_stop_began;
+  bool m_stopping = false;
+  bool m_was_ready = false;
+
+  RequestContext MakeContext();
+  void OnConfiguration();
+  void OnEndpoint(const EndpointId& id);
+  void OnOwnKeys();
+  HostId Holder() const;
+  wire::HostReportT MakeReport();
+  void TakeReport(const wire::HostReportT& report);
+  void AnnounceReplicas();
+  bool Ready();
+  bool KeysCurrent() const;
+  bool AvoidedForPlacement(const EndpointId& id) const;
+  void Tick();
+  void ContinueStop();
+};
+
+}  // namespace hickoryloft::host
+
+#endif  // SOURCE_HOST_HOST_DAEMON_H_
--- /dev/null
+++ b/Source/host/host_settings.h
@@ -0,0 +1,51 @@
+// What a host is told when it starts.
+
+#ifndef SOURCE_HOST_HOST_SETTINGS_H_
+#define SOURCE_HOST_HOST_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace hickoryloft::host {
+
+struct SocketName {
+  std::string m_address;  // IP number.
+  std::uint16_t m_port = 0;
+};
+
+// The platform's bounds that decisions depend on. The defaults hold where the
+// platform states none.
+struct FleetBounds {
+  // A withdrawn key must have stopped working this long after its withdrawal.
+  Duration m_key_withdrawal = seconds(5);
+  bool m_strict_withdrawal = true;
+  // A leaving endpoint may be sent requests for this long.
+  Duration m_drain = seconds(2);
+  // Time from SIGTERM to SIGKILL.
+  Duration m_stop_grace = seconds(8);
+  double m_retry_ratio = 0.2;  // Second sends per request of a window.
+  Duration m_retry_window = seconds(10);
+  double m_retry_extra = 50;  // Second sends of a window besides the ratio.
+  // Orders of two holders must lie this far apart.
+  Duration m_holder_gap = seconds(3);
+};
+
+struct HostSettings {
+  HostId m_host;
+  FailureDomainId m_failure_domain;
+  std::string m_address;  // IP number, for other hosts.
+  SocketName m_callers;
+  SocketName m_readiness;
+  SocketName m_metrics;
+  std::uint16_t m_peer_port = 0;
+  SocketName m_key_value_service;
+  Duration m_min_lease{};
+  FleetBounds m_bounds;
+};
+
+}  // namespace hickoryloft::host
+
+#endif  // SOURCE_HOST_HOST_SETTINGS_H_
--- /dev/null
+++ b/Source/host/order_desk.cc
@@ -0,0 +1,163 @@
+#include "host/order_desk.h"
+
+#include <array>
+#include <utility>
+
+#include "base/log.h"
+
+namespace hickoryloft::host {
+
+namespace {
+
+const Logger kLog("orders");
+
+const char* ToText(fleet::OrderOperation operation) {
+  return operation == fleet::OrderOperation::kLoad ? "load" : "unload";
+}
+
+const char* ToText(fleet::OrderOutcome outcome) {
+  static constexpr std::array<const char*, 6> kNames = {
+      "accepted", "already_holds", "conflict",
+      "refused",  "unreachable",   "unknown"};
+  return kNames.at(static_cast<std::size_t>(outcome));
+}
+
+}  // namespace
+
+OrderDesk::OrderDesk(EventLoop& loop,
+                     fleet::EngineControl& engines,
+                     Inputs inputs,
+                     std::function<void()> changed)
+    : m_loop(loop),
+      m_engines(engines),
+      m_inputs(std::move(inputs)),
+      m_changed(std::move(changed)) {
+  m_tick = loop.Every(placement::EnginePlanner::kTick, [this] { Plan(); });
+}
+
+void OrderDesk::Plan() {
+  if (!m_inputs.m_lease.valid() || !m_inputs.m_knowledge.complete()) {
+    return;
+  }
+  if (m_planned_fence != m_inputs.m_lease.fence()) {
+    m_planned_fence = m_inputs.m_lease.fence();
+    for (const auto& [service, planner] : m_planners) {
+      planner->Restart();
+    }
+  }
+  const auto configuration = m_inputs.m_knowledge.configuration();
+  for (const auto& [id, service] :
+       configuration->configuration().m_services) {
+    if (service.m_engine) {
+      PlanService(service);
+    }
+  }
+}
+
+void OrderDesk::PlanService(const fleet::ServiceSpec& service) {
+  auto& planner = m_planners[service.m_id];
+  if (!planner) {
+    planner = std::make_unique<placement::EnginePlanner>(service.m_id);
+  }
+  const placement::PlanningView view{
+      .m_directory = m_inputs.m_knowledge.directory(),
+      .m_spec = *service.m_engine,
+      .m_demand = m_inputs.m_demand,
+      .m_running = m_inputs.m_running,
+      .m_avoided = m_inputs.m_avoided};
+  const placement::PlannedActions actions =
+      planner->Plan(view, m_loop.Now());
+  for (const EndpointId& engine : actions.m_reports) {
+    AskReport(service.m_id, engine);
+  }
+  for (const placement::PlannedOrder& order : actions.m_orders) {
+    GiveOrder(service.m_id, order);
+  }
+  if (!actions.m_orders.empty()) {
+    m_changed();
+  }
+}
+
+std::optional<endpoint::EndpointAddress> OrderDesk::AddressOf(
+    const EndpointId& engine) const {
+  const fleet::EndpointEntry* entry =
+      m_inputs.m_knowledge.directory().Find(engine);
+  if (entry == nullptr) {
+    return std::nullopt;
+  }
+  return endpoint::EndpointAddress{engine, entry->m_address, entry->m_port};
+}
+
+void OrderDesk::GiveOrder(const ServiceId& service,
+                          const placement::PlannedOrder& planned) {
+  const auto address = AddressOf(planned.m_engine);
+  if (!address) {
+    m_planners[service]->TakeOutcome(
+        planned.m_engine, fleet::OrderOutcome::kUnreachable, m_loop.Now());
+    return;
+  }
+  fleet::EngineOrder order = planned.m_order;
+  order.m_holder = m_inputs.m_host;
+  order.m_fence = m_inputs.m_lease.fence();
+  kLog.Info("order given",
+            {{"engine", planned.m_engine.value()},
+             {"operation", ToText(order.m_operation)},
+             {"model", order.m_model.value()},
+             {"adapter", order.m_adapter.value()},
+             {"expected_orders", order.m_expected_orders},
+             {"fence", order.m_fence},
+             {"reason", planned.m_reason}});
+  m_engines.SendOrder(
+      *address, order,
+      [this, service, engine = planned.m_engine, order,
+       sent = m_loop.Now()](fleet::OrderOutcome outcome) {
+        kLog.Info("order answered",
+                  {{"engine", engine.value()},
+                   {"operation", ToText(order.m_operation)},
+                   {"model", order.m_model.value()},
+                   {"adapter", order.m_adapter.value()},
+                   {"outcome", ToText(outcome)},
+                   {"after_ms", ToMillis(m_loop.Now() - sent).count()}});
+        if (order.m_fence != m_planned_fence) {
+          return;
+        }
+        m_planners[service]->TakeOutcome(engine, outcome, m_loop.Now());
+        if (!order.m_adapter.empty()) {
+          // The adapter is there shortly; it is not announced by the engine.
+          m_soon = m_loop.After(milliseconds(16), [this] {
+            Plan();
+            m_changed();
+          });
+        }
+      });
+}
+
+void OrderDesk::AskReport(const ServiceId& service, const EndpointId& engine) {
+  const auto address = AddressOf(engine);
+  if (!address) {
+    return;
+  }
+  m_engines.ReadReport(
+      *address, [this, service, engine, fence = m_planned_fence](
+                    const Result<fleet::EngineReport>& report) {
+        if (!report.ok()) {
+          kLog.Warn("report not read", {{"engine", engine.value()},
+                                        {"reason", report.error().what()}});
+        }
+        if (fence != m_planned_fence) {
+          return;
+        }
+        m_planners[service]->TakeReport(engine, report, m_loop.Now());
+        Plan();
+      });
+}
+
+void OrderDesk::TouchAdapter(const EndpointId& engine,
+                             const ModelId& model,
+                             const AdapterId& adapter) {
+  for (const auto& [service, planner] : m_planners) {
+    planner->TouchAdapter(engine, model, adapter, m_loop.Now());
+  }
+}
+
+}  // namespace hickoryloft::host
--- /dev/null
+++ b/Source/host/request_context.h
@@ -0,0 +1,54 @@
+// What the requests of one host share.
+
+#ifndef SOURCE_HOST_REQUEST_CONTEXT_H_
+#define SOURCE_HOST_REQUEST_CONTEXT_H_
+
+#include <functional>
+#include <memory>
+
+#include "admission/retry_budget.h"
+#include "base/event_loop.h"
+#include "base/random.h"
+#include "endpoint/pooled_http_client.h"
+#include "fleet/knowledge_feed.h"
+#include "fleet/protocols.h"
+#include "host/host_metrics.h"
+#include "host/host_settings.h"
+#include "routing/endpoint_health.h"
+#include "routing/fleet_load.h"
+
+namespace hickoryloft::host {
+
+class RequestFlow;
+class ReplicaMap;
+
+// Refers to parts of the daemon, which outlive the requests. Use on the loop's
+// thread only.
+struct RequestContext {
+  EventLoop& m_loop;
+  const HostSettings& m_settings;
+  const fleet::KnowledgeFeed& m_knowledge;
+  const fleet::CallerProtocol& m_protocol;
+  endpoint::HttpClient& m_client;
+  routing::FleetLoad& m_load;
+  routing::EndpointHealth& m_health;
+  ReplicaMap& m_replicas;
+  RandomEngine& m_random;
+  HostMetrics& m_metrics;
+  // The budget for second sends to a service.
+  std::function<admission::RetryBudget&(const ServiceId&)> m_retry_budget;
+  std::function<std::size_t()> m_host_count;
+  // Whether requests with a key may be passed on: the host's knowledge of the
+  // keys is recent enough.
+  std::function<bool()> m_keys_current;
+  // The request waits for an endpoint, or has found one.
+  std::function<void(RequestFlow&)> m_waiting;
+  // A place has become free.
+  std::function<void()> m_place_freed;
+  // The request is over; the flow is destroyed after the current callback.
+  std::function<void(RequestFlow&)> m_over;
+};
+
+}  // namespace hickoryloft::host
+
+#endif  // SOURCE_HOST_REQUEST_CONTEXT_H_
--- /dev/null
+++ b/Source/host/request_flow.cc
@@ -0,0 +1,422 @@
+#include "host/request_flow.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "base/log.h"
+#include "host/replica_map.h"
+#include "host/retry_after.h"
+#include "routing/endpoint_selector.h"
+
+namespace hickoryloft::host {
+
+namespace {
+
+// Sends of one request, counting those that proved not to have run.
+constexpr int kMaxSends = 4;
+// A send with less time than this cannot be answered in time.
+constexpr Duration kLeastSendTime = milliseconds(5);
+// Endpoints are a few milliseconds away; a connection that takes longer goes
+// to one that is gone.
+constexpr Duration kConnectTimeout = milliseconds(250);
+// Answer bytes that wait for a slow caller before the endpoint is held back.
+constexpr std::size_t kMaxPendingBytes = std::size_t{256} * 1024;
+// Until an endpoint that refused is likely to have room again.
+constexpr Duration kRefusedRetryAfter = milliseconds(500);
+
+const Logger kLog("request");
+
+}  // namespace
+
+RequestFlow::RequestFlow(RequestContext& context,
+                         std::shared_ptr<http::ServerExchange> exchange,
+                         Admitted admitted)
+    : m_context(context),
+      m_exchange(std::move(exchange)),
+      m_admitted(std::move(admitted)) {
+  const fleet::CallerRequest& request = m_admitted.m_request;
+  const Duration timeout = m_admitted.m_route->m_timeout;
+  m_deadline = request.m_received_at +
+               std::min(timeout, request.m_deadline.value_or(timeout));
+}
+
+RequestFlow::~RequestFlow() {
+  EndSend();
+}
+
+const char* RequestFlow::KindName() const {
+  switch (m_admitted.m_route->m_kind) {
+    case fleet::RequestKind::kIdempotent:
+      return "idempotent";
+    case fleet::RequestKind::kNonIdempotent:
+      return "non_idempotent";
+    case fleet::RequestKind::kStreaming:
+      return "streaming";
+  }
+  return "unknown";
+}
+
+Duration RequestFlow::Waited() const {
+  return m_context.m_loop.Now() - m_admitted.m_request.m_received_at;
+}
+
+void RequestFlow::Start() {
+  m_exchange->Watch([this] { OnCallerLeft(); },
+                    [this] {
+                      if (m_call) {
+                        m_call->Resume();
+                      }
+                    });
+  m_deadline_timer = m_context.m_loop.After(
+      m_deadline - m_context.m_loop.Now(), [this] { OnDeadline(); });
+  if (!Dispatch()) {
+    m_phase = Phase::kWaiting;
+    m_context.m_waiting(*this);
+  }
+}
+
+bool RequestFlow::TryAgain() {
+  if (Dispatch()) {
+    return false;
+  }
+  return waiting();
+}
+
+const fleet::EndpointEntry* RequestFlow::ChooseEndpoint() const {
+  const MonotonicTime now = m_context.m_loop.Now();
+  const fleet::CallerRequest& request = m_admitted.m_request;
+  std::vector<routing::Candidate> candidates;
+  std::vector<const fleet::EndpointEntry*> entries;
+  for (const auto& [id, entry] : m_context.m_knowledge.directory().entries()) {
+    if (entry.m_service != m_admitted.m_service ||
+        entry.m_state != fleet::EndpointState::kReady ||
+        m_tried.contains(id)) {
+      continue;
+    }
+    if (!request.m_model.empty() &&
+        (!entry.m_models.contains(request.m_model) ||
+         !m_context.m_replicas.Serves(id, request.m_model, request.m_adapter,
+                                      now))) {
+      continue;
+    }
+    candidates.push_back({.m_endpoint = id,
+                          .m_failure_domain = entry.m_failure_domain,
+                          .m_slots = entry.m_slots,
+                          .m_running = m_context.m_load.Total(id),
+                          .m_avoided = m_context.m_health.Avoided(id, now)});
+    entries.push_back(&entry);
+  }
+  const int chosen = routing::SelectEndpoint(
+      candidates, m_context.m_settings.m_failure_domain, {},
+      m_context.m_random);
+  return chosen < 0 ? nullptr : entries[static_cast<std::size_t>(chosen)];
+}
+
+bool RequestFlow::Dispatch() {
+  const MonotonicTime now = m_context.m_loop.Now();
+  if (!m_admitted.m_account.empty() && !m_context.m_keys_current()) {
+    AnswerOwn(503, "refused", "knowledge_too_old", seconds(1));
+    return true;
+  }
+  if (m_deadline - now < kLeastSendTime) {
+    AnswerOwn(503, "refused", "deadline_passed_waiting", std::nullopt);
+    return true;
+  }
+  const fleet::EndpointEntry* entry = ChooseEndpoint();
+  if (entry == nullptr) {
+    return false;
+  }
+  Send(*entry);
+  return true;
+}
+
+void RequestFlow::Send(const fleet::EndpointEntry& entry) {
+  const MonotonicTime now = m_context.m_loop.Now();
+  const fleet::CallerRequest& request = m_admitted.m_request;
+  m_endpoint = entry.m_id;
+  m_phase = m_stream_started ? Phase::kStreaming : Phase::kSent;
+  m_sent_at = now;
+  m_head = {};
+  m_facts = {};
+  m_body.clear();
+  m_events.DropRest();
+  if (m_sends++ == 0) {
+    m_context.m_metrics.m_queue_time.Record(Waited());
+  }
+  m_context.m_metrics.CountSend(m_sends > 1);
+  m_tried.insert(m_endpoint);
+  m_context.m_load.Begin(m_endpoint, request.m_model);
+  m_counted = true;
+  kLog.Info("sent", {{"id", request.m_id},
+                     {"endpoint", m_endpoint.value()},
+                     {"send", m_sends},
+                     {"waited_ms", ToMillis(Waited()).count()},
+                     {"running", m_context.m_load.Total(m_endpoint)},
+                     {"left_ms", ToMillis(m_deadline - now).count()}});
+  endpoint::CallRequest call = m_context.m_protocol.EncodeCall(
+      request,
+      {.m_endpoint = {entry.m_id, entry.m_address, entry.m_port},
+       .m_time_left = m_deadline - now,
+       .m_account = m_admitted.m_account,
+       .m_urgency = m_admitted.m_urgency,
+       .m_resume_after = m_events.last_id().empty()
+                             ? request.m_resume_after
+                             : m_events.last_id()});
+  call.m_connect_timeout = kConnectTimeout;
+  // The deadline ends the call; silence before it proves nothing.
+  call.m_idle_timeout = m_deadline - now + seconds(1);
+  m_call = m_context.m_client.Start(
+      std::move(call),
+      {.m_head = [this](const endpoint::AnswerHead& head) { OnHead(head); },
+       .m_bytes = [this](std::string_view bytes) { OnBytes(bytes); },
+       .m_done = [this] { OnDone(); },
+       .m_failed = [this](const Error& error) { OnFailed(error); }});
+}
+
+void RequestFlow::EndSend() {
+  m_call.reset();
+  if (std::exchange(m_counted, false)) {
+    m_context.m_load.End(m_endpoint, m_admitted.m_request.m_model);
+  }
+}
+
+void RequestFlow::OnHead(const endpoint::AnswerHead& head) {
+  m_head = head;
+  m_facts = m_context.m_protocol.DecodeAnswer(head);
+}
+
+void RequestFlow::OnBytes(std::string_view bytes) {
+  const bool streamed = m_facts.m_event_stream && m_head.m_status == 200 &&
+                        m_facts.m_signed && !m_facts.m_encoded;
+  if (!streamed) {
+    m_body.append(bytes);
+    return;
+  }
+  const std::string events = m_events.Feed(bytes);
+  if (!events.empty()) {
+    RelayEvents(events);
+  }
+}
+
+void RequestFlow::RelayEvents(const std::string& events) {
+  const MonotonicTime now = m_context.m_loop.Now();
+  if (!m_stream_started) {
+    m_stream_started = true;
+    m_phase = Phase::kStreaming;
+    m_context.m_metrics.m_first_event.Record(Waited());
+    kLog.Info("first event", {{"id", m_admitted.m_request.m_id},
+                              {"endpoint", m_endpoint.value()},
+                              {"after_ms", ToMillis(Waited()).count()}});
+    m_exchange->StartAnswer(m_head.m_status, m_facts.m_forwarded,
+                            std::nullopt);
+  } else {
+    m_context.m_metrics.m_event_gap.Record(now - m_last_event_at);
+  }
+  m_last_event_at = now;
+  m_exchange->SendBody(events);
+  if (m_exchange->PendingBytes() > kMaxPendingBytes && m_call) {
+    m_call->Pause();
+  }
+}
+
+void RequestFlow::OnDone() {
+  if (m_facts.m_not_executed) {
+    OnNotExecuted(m_head.m_status);
+    return;
+  }
+  m_ran_at.insert(m_endpoint);
+  const bool success = m_head.m_status / 100 == 2;
+  if (success && (!m_facts.m_signed || m_facts.m_encoded)) {
+    m_context.m_health.RecordFailure(m_endpoint, m_context.m_loop.Now());
+    Recover(/*may_have_run=*/true, "answer_not_the_endpoints");
+    return;
+  }
+  if (m_head.m_status >= 500) {
+    m_context.m_health.RecordFailure(m_endpoint, m_context.m_loop.Now());
+    if (MayRepeat() && m_sends < kMaxSends) {
+      Recover(/*may_have_run=*/true, "endpoint_failed");
+      return;
+    }
+  } else {
+    m_context.m_health.RecordSuccess(m_endpoint);
+  }
+  if (m_stream_started) {
+    const std::string rest = m_events.TakeRest();
+    m_exchange->SendBody(rest);
+    m_exchange->FinishAnswer();
+    Finish("answered", "");
+    return;
+  }
+  RelayWhole();
+}
+
+void RequestFlow::RelayWhole() {
+  m_body.insert(0, m_events.TakeRest());
+  m_exchange->Answer(m_head.m_status, m_facts.m_forwarded, m_body);
+  Finish(m_head.m_status < 400 ? "answered" : "endpoint_failed",
+         "status_" + std::to_string(m_head.m_status));
+}
+
+void RequestFlow::OnNotExecuted(int status) {
+  const MonotonicTime now = m_context.m_loop.Now();
+  const fleet::CallerRequest& request = m_admitted.m_request;
+  kLog.Info("not run by endpoint", {{"id", request.m_id},
+                                    {"endpoint", m_endpoint.value()},
+                                    {"status", status},
+                                    {"model", request.m_model.value()}});
+  if (!request.m_model.empty()) {
+    m_context.m_replicas.NoteLack(m_endpoint, request.m_model,
+                                  request.m_adapter, now);
+  } else {
+    m_context.m_health.RecordFailure(m_endpoint, now);
+  }
+  Recover(/*may_have_run=*/false, "endpoint_refused");
+}
+
+void RequestFlow::OnFailed(const Error& error) {
+  const bool may_have_run = error.code() != ErrorCode::kUnavailable;
+  if (may_have_run) {
+    m_ran_at.insert(m_endpoint);
+  }
+  m_context.m_health.RecordFailure(m_endpoint, m_context.m_loop.Now());
+  kLog.Warn("send failed", {{"id", m_admitted.m_request.m_id},
+                            {"endpoint", m_endpoint.value()},
+                            {"may_have_run", may_have_run ? 1 : 0},
+                            {"events", m_events.events()},
+                            {"reason", error.what()}});
+  Recover(may_have_run, "connection_failed");
+}
+
+bool RequestFlow::MayRepeat() const {
+  const fleet::Route& route = *m_admitted.m_route;
+  const bool repeatable =
+      route.m_kind == fleet::RequestKind::kIdempotent ||
+      (route.m_kind == fleet::RequestKind::kStreaming && route.m_resumable);
+  return repeatable &&
+         static_cast<int>(m_ran_at.size()) < route.m_max_endpoints;
+}
+
+bool RequestFlow::TakeRetry() {
+  return m_context.m_retry_budget(m_admitted.m_service)
+      .TakeRetry(m_context.m_host_count(), m_context.m_loop.Now());
+}
+
+void RequestFlow::Recover(bool may_have_run, const std::string& reason) {
+  EndSend();
+  const bool repeat = not_run() || MayRepeat();
+  // A send that never left took no place at an endpoint, so it is free.
+  const bool free = !may_have_run && reason == "connection_failed";
+  if (repeat && m_sends < kMaxSends && (free || TakeRetry())) {
+    kLog.Info("sending again", {{"id", m_admitted.m_request.m_id},
+                                {"reason", reason},
+                                {"sends", m_sends}});
+    if (!may_have_run && !m_admitted.m_request.m_model.empty()) {
+      // The model may come back to the endpoint that lacks it.
+      m_tried.erase(m_endpoint);
+    }
+    if (!Dispatch()) {
+      m_phase = Phase::kWaiting;
+      m_context.m_waiting(*this);
+    }
+    return;
+  }
+  if (m_stream_started) {
+    m_exchange->Abort();
+    Finish("broken_off", reason);
+    return;
+  }
+  if (not_run()) {
+    AnswerOwn(503, "refused", reason, kRefusedRetryAfter);
+    return;
+  }
+  AnswerOwn(502, "failed", reason, std::nullopt);
+}
+
+void RequestFlow::Refuse(const std::string& reason, Duration retry_after) {
+  if (m_stream_started) {
+    m_exchange->Abort();
+    Finish("broken_off", reason);
+    return;
+  }
+  AnswerOwn(not_run() ? 503 : 502, not_run() ? "refused" : "failed", reason,
+            retry_after);
+}
+
+void RequestFlow::Abort() {
+  if (over()) {
+    return;
+  }
+  if (waiting() && !m_stream_started) {
+    Refuse("host_stops", seconds(0));
+    return;
+  }
+  EndSend();
+  m_exchange->Abort();
+  Finish("broken_off", "host_stops");
+}
+
+void RequestFlow::OnCallerLeft() {
+  EndSend();
+  Finish("caller_left", "");
+}
+
+void RequestFlow::OnDeadline() {
+  const bool sent = m_phase == Phase::kSent || m_phase == Phase::kStreaming;
+  if (sent) {
+    m_ran_at.insert(m_endpoint);
+    m_context.m_health.RecordFailure(m_endpoint, m_context.m_loop.Now());
+  }
+  EndSend();
+  if (m_stream_started) {
+    m_exchange->Abort();
+    Finish("broken_off", "deadline");
+    return;
+  }
+  if (not_run()) {
+    AnswerOwn(503, "refused", "deadline_passed_waiting", std::nullopt);
+    return;
+  }
+  AnswerOwn(504, "failed", "deadline", std::nullopt);
+}
+
+void RequestFlow::AnswerOwn(int status,
+                            const std::string& outcome,
+                            const std::string& reason,
+                            std::optional<Duration> retry_after) {
+  EndSend();
+  http::HeaderFields headers = {
+      {"Content-Type", "application/problem+json"}};
+  if (retry_after) {
+    headers.push_back(RetryAfterField(*retry_after));
+  }
+  if (outcome == "refused") {
+    m_context.m_metrics.CountRefusal(reason);
+  }
+  m_exchange->Answer(status, headers, ProblemBody(status, reason));
+  Finish(outcome, reason);
+}
+
+void RequestFlow::Finish(const std::string& outcome,
+                         const std::string& reason) {
+  if (over()) {
+    return;
+  }
+  m_phase = Phase::kOver;
+  EndSend();
+  m_deadline_timer.reset();
+  m_exchange->Watch(nullptr, nullptr);
+  if (outcome == "answered") {
+    m_context.m_metrics.m_whole_answer.Record(Waited());
+  }
+  m_context.m_metrics.CountOutcome(KindName(), outcome);
+  kLog.Info("over", {{"id", m_admitted.m_request.m_id},
+                     {"outcome", outcome},
+                     {"reason", reason},
+                     {"sends", m_sends},
+                     {"events", m_events.events()},
+                     {"after_ms", ToMillis(Waited()).count()}});
+  m_context.m_over(*this);
+}
+
+}  // namespace hickoryloft::host
--- /dev/null
+++ b/Source/http/connection_exchange.cc
@@ -0,0 +1,126 @@
+#include "http/connection_exchange.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+#include <array>
+#include <cstdio>
+#include <utility>
+
+#include "http/server_connection.h"
+
+namespace hickoryloft::http {
+
+ConnectionExchange::ConnectionExchange(ServerConnection& connection,
+                                       ServerRequest request,
+                                       bool keep_alive)
+    : m_connection(&connection),
+      m_request(std::move(request)),
+      m_keep_alive(keep_alive) {}
+
+void ConnectionExchange::WriteHead(int status,
+                                   const HeaderFields& headers,
+                                   std::optional<std::uint64_t> length) {
+  m_keep_alive = m_keep_alive && !m_connection->m_server.draining();
+  std::string head = "HTTP/1.1 " + std::to_string(status) + ' ';
+  head.append(ReasonPhrase(status)).append("\r\n");
+  for (const HeaderField& field : headers) {
+    head.append(field.m_name).append(": ").append(field.m_value).append("\r\n");
+  }
+  if (length) {
+    head.append("Content-Length: ").append(std::to_string(*length));
+  } else {
+    head.append("Transfer-Encoding: chunked");
+  }
+  head.append(m_keep_alive ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n");
+  m_connection->Write(head);
+}
+
+void ConnectionExchange::Answer(int status,
+                                const HeaderFields& headers,
+                                std::string_view body) {
+  if (m_connection == nullptr) {
+    return;
+  }
+  WriteHead(status, headers, body.size());
+  if (m_request.m_method != "HEAD") {
+    m_connection->Write(body);
+  }
+  m_connection->FinishAnswer(m_keep_alive);
+}
+
+void ConnectionExchange::StartAnswer(int status,
+                                     const HeaderFields& headers,
+                                     std::optional<std::uint64_t> length) {
+  if (m_connection == nullptr) {
+    return;
+  }
+  m_chunked = !length.has_value();
+  WriteHead(status, headers, length);
+}
+
+void ConnectionExchange::SendBody(std::string_view bytes) {
+  if (m_connection == nullptr || bytes.empty()) {
+    return;
+  }
+  if (!m_chunked) {
+    m_connection->Write(bytes);
+    return;
+  }
+  std::array<char, 24> size{};
+  const int digits =
+      std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+  std::string chunk;
+  chunk.reserve(bytes.size() + static_cast<std::size_t>(digits) + 2);
+  chunk.append(size.data(), static_cast<std::size_t>(digits));
+  chunk.append(bytes).append("\r\n");
+  m_connection->Write(chunk);
+}
+
+void ConnectionExchange::FinishAnswer() {
+  if (m_connection == nullptr) {
+    return;
+  }
+  if (m_chunked) {
+    m_connection->Write("0\r\n\r\n");
+  }
+  m_connection->FinishAnswer(m_keep_alive);
+}
+
+void ConnectionExchange::Abort() {
+  if (m_connection != nullptr) {
+    m_left = nullptr;
+    m_connection->Reset();
+  }
+}
+
+std::size_t ConnectionExchange::PendingBytes() const {
+  return m_connection == nullptr
+             ? 0
+             : evbuffer_get_length(
+                   bufferevent_get_output(m_connection->m_buffer));
+}
+
+void ConnectionExchange::Watch(std::function<void()> left,
+                               std::function<void()> drained) {
+  m_left = std::move(left);
+  m_drained = std::move(drained);
+}
+
+void ConnectionExchange::Detach(bool left) {
+  m_connection = nullptr;
+  m_drained = nullptr;
+  const auto notify = std::exchange(m_left, nullptr);
+  if (left && notify) {
+    notify();
+  }
+}
+
+void ConnectionExchange::NotifyDrained() {
+  if (m_drained) {
+    const auto drained = m_drained;
+    drained();
+  }
+}
+
+}  // namespace hickoryloft::http
--- /dev/null
+++ b/Source/http/connection_exchange.h
@@ -0,0 +1,57 @@
+// ServerExchange on a ServerConnection.
+
+#ifndef SOURCE_HTTP_CONNECTION_EXCHANGE_H_
+#define SOURCE_HTTP_CONNECTION_EXCHANGE_H_
+
+#include <functional>
+#include <optional>
+
+#include "http/server_exchange.h"
+
+namespace hickoryloft::http {
+
+class ServerConnection;
+
+// Use on the loop's thread only.
+class ConnectionExchange : public ServerExchange {
+ public:
+  // `connection` must call Detach() before it goes.
+  ConnectionExchange(ServerConnection& connection,
+                     ServerRequest request,
+                     bool keep_alive);
+
+  const ServerRequest& request() const override { return m_request; }
+  void Answer(int status,
+              const HeaderFields& headers,
+              std::string_view body) override;
+  void StartAnswer(int status,
+                   const HeaderFields& headers,
+                   std::optional<std::uint64_t> length) override;
+  void SendBody(std::string_view bytes) override;
+  void FinishAnswer() override;
+  void Abort() override;
+  std::size_t PendingBytes() const override;
+  bool open() const override { return m_connection != nullptr; }
+  void Watch(std::function<void()> left,
+             std::function<void()> drained) override;
+
+  // The connection is gone; reports it to the handler if it `left`.
+  void Detach(bool left);
+  void NotifyDrained();
+
+ private:
+  void WriteHead(int status,
+                 const HeaderFields& headers,
+                 std::optional<std::uint64_t> length);
+
+  ServerConnection* m_connection;
+  ServerRequest m_request;
+  bool m_keep_alive;
+  bool m_chunked = false;
+  std::function<void()> m_left;
+  std::function<void()> m_drained;
+};
+
+}  // namespace hickoryloft::http
+
+#endif  // SOURCE_HTTP_CONNECTION_EXCHANGE_H_
--- /dev/null
+++ b/Source/http/message_parser.h
@@ -0,0 +1,91 @@
+// Incremental parser of HTTP/1.1 messages: one message at a time, so that bytes
+// after its end stay visible to the caller.
+
+#ifndef SOURCE_HTTP_MESSAGE_PARSER_H_
+#define SOURCE_HTTP_MESSAGE_PARSER_H_
+
+#include <http_parser.h>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "http/header_fields.h"
+
+namespace hickoryloft::http {
+
+enum class MessageType { kRequest, kResponse };
+
+struct MessageHead {
+  std::string m_method;  // Requests only.
+  std::string m_target;  // Requests only: as received.
+  int m_status = 0;      // Responses only.
+  HeaderFields m_headers;
+  bool m_keep_alive = false;
+  bool m_chunked = false;
+  std::optional<std::uint64_t> m_content_length;
+};
+
+// What a parser has found, in order: m_head, any number of m_body, m_end.
+struct ParserEvents {
+  std::function<void(MessageHead&&)> m_head;
+  std::function<void(std::string_view)> m_body;
+  std::function<void()> m_end;
+};
+
+enum class ParseError { kNone, kMalformed, kHeadTooLarge };
+
+// Not thread-safe. The events may not destroy the parser.
+class MessageParser {
+ public:
+  MessageParser(MessageType type, std::size_t max_head_bytes, ParserEvents events);
+  MessageParser(const MessageParser&) = delete;
+  MessageParser& operator=(const MessageParser&) = delete;
+
+  // Parses up to the end of the message and returns the number of bytes taken.
+  // Takes nothing after an error or the message's end.
+  std::size_t Feed(std::string_view bytes);
+
+  // Reports the end of the input. Returns whether the message is complete:
+  // only a response without framing ends this way.
+  bool FeedEnd();
+
+  // Starts over for the next message. Precondition: complete().
+  void Reset();
+
+  bool complete() const { return m_complete; }
+  bool head_done() const { return m_head_done; }
+  // Whether any byte of the message has been taken.
+  bool started() const { return m_started; }
+  ParseError error() const { return m_error; }
+
+ private:
+  static int OnUrl(http_parser* parser, const char* at, std::size_t length);
+  static int OnField(http_parser* parser, const char* at, std::size_t length);
+  static int OnValue(http_parser* parser, const char* at, std::size_t length);
+  static int OnHeadersComplete(http_parser* parser);
+  static int OnBody(http_parser* parser, const char* at, std::size_t length);
+  static int OnMessageComplete(http_parser* parser);
+  static const http_parser_settings& Callbacks();
+
+  bool Count(std::size_t bytes);
+  bool FramingIsSound() const;
+
+  MessageType m_type;
+  std::size_t m_max_head_bytes;
+  ParserEvents m_events;
+  http_parser m_parser{};
+  MessageHead m_head;
+  std::size_t m_head_bytes = 0;
+  bool m_in_value = false;
+  bool m_started = false;
+  bool m_head_done = false;
+  bool m_complete = false;
+  ParseError m_error = ParseError::kNone;
+};
+
+}  // namespace hickoryloft::http
+
+#endif  // SOURCE_HTTP_MESSAGE_PARSER_H_
--- /dev/null
+++ b/Source/http/server.cc
@@ -0,0 +1,75 @@
+#include "http/server.h"
+
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <utility>
+#include <vector>
+
+#include "base/error.h"
+#include "http/server_connection.h"
+#include "base/socket_address.h"
+
+namespace hickoryloft::http {
+
+Server::Server(EventLoop& loop,
+               const std::string& address,
+               std::uint16_t port,
+               Handler handler)
+    : m_loop(loop), m_handler(std::move(handler)) {
+  const SocketAddress target = ParseSocketAddress(address, port);
+  constexpr int kBacklog = 1024;
+  m_listener = evconnlistener_new_bind(
+      loop.base(), &OnAccept, this,
+      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+      kBacklog, target.get(), target.size());
+  if (m_listener == nullptr) {
+    throw Error(ErrorCode::kIo, "cannot listen on " + address + ":" +
+                                    std::to_string(port) +
+                                    "; is another program using the port?");
+  }
+  sockaddr_in bound{};
+  socklen_t size = sizeof(bound);
+  getsockname(evconnlistener_get_fd(m_listener),
+              reinterpret_cast<sockaddr*>(&bound), &size);
+  m_port = ntohs(bound.sin_port);
+}
+
+Server::~Server() {
+  evconnlistener_free(m_listener);
+  const auto connections = std::move(m_connections);
+  m_connections.clear();
+  for (const auto& connection : connections) {
+    connection->Close();
+  }
+}
+
+void Server::OnAccept(evconnlistener* /*listener*/,
+                      int socket,
+                      sockaddr* /*peer*/,
+                      int /*peer_size*/,
+                      void* self) {
+  auto* server = static_cast<Server*>(self);
+  const auto connection = std::make_shared<ServerConnection>(*server, socket);
+  server->m_connections.insert(connection);
+  connection->Start();
+}
+
+void Server::Forget(const std::shared_ptr<ServerConnection>& connection) {
+  m_connections.erase(connection);
+}
+
+void Server::CloseIdle() {
+  std::vector<std::shared_ptr<ServerConnection>> idle;
+  for (const auto& connection : m_connections) {
+    if (connection->idle()) {
+      idle.push_back(connection);
+    }
+  }
+  for (const auto& connection : idle) {
+    connection->Close();
+  }
+}
+
+}  // namespace hickoryloft::http
--- /dev/null
+++ b/Source/http/server.h
@@ -0,0 +1,82 @@
+// HTTP/1.1 server on bufferevents. Unlike evhttp it tells the caller's leaving
+// while a request runs, streams answers, and can cut an answer so that it does
+// not look complete.
+
+#ifndef SOURCE_HTTP_SERVER_H_
+#define SOURCE_HTTP_SERVER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_set>
+
+#include "base/event_loop.h"
+#include "http/server_exchange.h"
+
+struct evconnlistener;
+struct sockaddr;
+
+namespace hickoryloft::http {
+
+class ServerConnection;
+
+// What a caller may send, and how long it may take.
+struct ServerLimits {
+  std::size_t m_max_head_bytes = std::size_t{32} * 1024;
+  std::size_t m_max_body_bytes = std::size_t{4} * 1024 * 1024;
+  Duration m_head_timeout = seconds(10);
+  Duration m_idle_timeout = seconds(60);
+};
+
+// Use on the loop's thread only.
+class Server {
+ public:
+  using Handler = std::function<void(std::shared_ptr<ServerExchange>)>;
+
+  // Port 0 picks a free port. Throws Error(kInvalidArgument) for a bad
+  // address, Error(kIo) if it cannot be bound.
+  Server(EventLoop& loop,
+         const std::string& address,
+         std::uint16_t port,
+         Handler handler);
+  ~Server();
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  std::uint16_t port() const { return m_port; }
+
+  // Applies to requests that have not been started.
+  void SetLimits(const ServerLimits& limits) { m_limits = limits; }
+  const ServerLimits& limits() const { return m_limits; }
+
+  // From now on every answer closes its connection.
+  void BeginDrain() { m_draining = true; }
+  bool draining() const { return m_draining; }
+  // Closes the connections on which no request is being read or answered.
+  void CloseIdle();
+
+  std::size_t connections() const { return m_connections.size(); }
+
+ private:
+  friend class ServerConnection;
+
+  static void OnAccept(evconnlistener* listener,
+                       int socket,
+                       sockaddr* peer,
+                       int peer_size,
+                       void* self);
+  void Forget(const std::shared_ptr<ServerConnection>& connection);
+
+  EventLoop& m_loop;
+  Handler m_handler;
+  ServerLimits m_limits;
+  bool m_draining = false;
+  evconnlistener* m_listener = nullptr;
+  std::uint16_t m_port = 0;
+  std::unordered_set<std::shared_ptr<ServerConnection>> m_connections;
+};
+
+}  // namespace hickoryloft::http
+
+#endif  // SOURCE_HTTP_SERVER_H_
--- /dev/null
+++ b/Source/http/server_connection.cc
@@ -0,0 +1,237 @@
+#include "http/server_connection.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <utility>
+
+#include "http/connection_exchange.h"
+#include "base/socket_options.h"
+
+namespace hickoryloft::http {
+
+namespace {
+
+// Input that may wait behind the request being answered, per connection.
+constexpr std::size_t kMaxWaitingInputBytes = std::size_t{64} * 1024;
+// Time for the peer to read the last answer before the connection is closed.
+constexpr Duration kLingerTimeout = seconds(1);
+
+}  // namespace
+
+ServerConnection::ServerConnection(Server& server, int socket)
+    : m_server(server),
+      m_buffer(bufferevent_socket_new(server.m_loop.base(), socket,
+                                      BEV_OPT_CLOSE_ON_FREE)),
+      m_timer(event_new(server.m_loop.base(), -1, 0, &OnTimer, this)),
+      m_parser(MessageType::kRequest,
+               server.m_limits.m_max_head_bytes,
+               {.m_head =
+                    [this](MessageHead&& head) {
+                      m_head = std::move(head);
+                      const std::size_t limit =
+                          m_server.m_limits.m_max_body_bytes;
+                      m_body_too_large =
+                          m_head.m_content_length.value_or(0) > limit;
+                      if (!m_body_too_large) {
+                        m_body.reserve(m_head.m_content_length.value_or(0));
+                        ContinueIfAsked(m_head.m_headers);
+                      }
+                    },
+                .m_body =
+                    [this](std::string_view bytes) {
+                      const std::size_t limit =
+                          m_server.m_limits.m_max_body_bytes;
+                      if (m_body.size() + bytes.size() > limit) {
+                        m_body_too_large = true;
+                      }
+                      if (!m_body_too_large) {
+                        m_body.append(bytes);
+                      }
+                    },
+                .m_end = [] {}}) {
+  DisableNagle(socket);
+  DetectDeadPeer(socket);
+}
+
+ServerConnection::~ServerConnection() {
+  Release();
+  event_free(m_timer);
+}
+
+void ServerConnection::Start() {
+  bufferevent_setcb(m_buffer, &OnReadable, &OnDrained, &OnEvent, this);
+  bufferevent_setwatermark(m_buffer, EV_READ, 0, kMaxWaitingInputBytes);
+  bufferevent_enable(m_buffer, EV_READ | EV_WRITE);
+  ArmTimer(m_server.m_limits.m_idle_timeout);
+}
+
+bool ServerConnection::idle() const {
+  return m_phase == Phase::kReading && !m_parser.started();
+}
+
+void ServerConnection::ArmTimer(Duration delay) {
+  const timeval value = ToTimeval(delay);
+  event_add(m_timer, &value);
+}
+
+void ServerConnection::Write(std::string_view bytes) {
+  if (m_buffer != nullptr && !bytes.empty()) {
+    bufferevent_write(m_buffer, bytes.data(), bytes.size());
+  }
+}
+
+void ServerConnection::ContinueIfAsked(const HeaderFields& headers) {
+  const std::string* expectation = FindHeader(headers, "Expect");
+  if (expectation != nullptr && SameName(*expectation, "100-continue")) {
+    Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void ServerConnection::OnReadable(bufferevent* /*buffer*/, void* self) {
+  // The connection may end in here.
+  const auto keep = static_cast<ServerConnection*>(self)->shared_from_this();
+  keep->ReadInput();
+}
+
+void ServerConnection::ReadInput() {
+  evbuffer* input =
+      m_buffer == nullptr ? nullptr : bufferevent_get_input(m_buffer);
+  while (m_phase == Phase::kReading && evbuffer_get_length(input) > 0) {
+    const bool started = m_parser.started();
+    evbuffer_iovec piece{};
+    evbuffer_peek(input, -1, nullptr, &piece, 1);
+    const std::size_t taken = m_parser.Feed(
+        {static_cast<const char*>(piece.iov_base), piece.iov_len});
+    evbuffer_drain(input, taken);
+    if (!started) {
+      ArmTimer(m_server.m_limits.m_head_timeout);
+    } else if (m_parser.head_done()) {
+      ArmTimer(m_server.m_limits.m_idle_timeout);
+    }
+    if (m_parser.error() != ParseError::kNone || m_body_too_large) {
+      RejectInput();
+    } else if (m_parser.complete()) {
+      DispatchRequest();
+    }
+  }
+  if (m_phase == Phase::kLingering) {
+    evbuffer_drain(input, evbuffer_get_length(input));
+  }
+}
+
+void ServerConnection::RejectInput() {
+  if (m_body_too_large) {
+    RejectWith(413);
+  } else if (m_parser.error() == ParseError::kHeadTooLarge) {
+    RejectWith(431);
+  } else {
+    RejectWith(400);
+  }
+}
+
+void ServerConnection::RejectWith(int status) {
+  std::string answer = "HTTP/1.1 " + std::to_string(status) + ' ';
+  answer.append(ReasonPhrase(status));
+  answer.append("\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+  Write(answer);
+  BeginLinger();
+}
+
+void ServerConnection::DispatchRequest() {
+  event_del(m_timer);
+  m_phase = Phase::kAnswering;
+  ServerRequest request{.m_method = std::move(m_head.m_method),
+                        .m_target = std::move(m_head.m_target),
+                        .m_headers = std::move(m_head.m_headers),
+                        .m_body = std::exchange(m_body, {}),
+                        .m_received_at = m_server.m_loop.Now()};
+  m_exchange = std::make_shared<ConnectionExchange>(*this, std::move(request),
+                                                    m_head.m_keep_alive);
+  m_server.m_handler(m_exchange);
+}
+
+void ServerConnection::FinishAnswer(bool keep_alive) {
+  const auto exchange = std::exchange(m_exchange, nullptr);
+  exchange->Detach(/*left=*/false);
+  if (!keep_alive) {
+    BeginLinger();
+    return;
+  }
+  m_parser.Reset();
+  m_phase = Phase::kReading;
+  ArmTimer(m_server.m_limits.m_idle_timeout);
+  if (evbuffer_get_length(bufferevent_get_input(m_buffer)) > 0) {
+    // Reads a pipelined request from the loop, not from within its answer.
+    bufferevent_trigger(m_buffer, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+  }
+}
+
+void ServerConnection::BeginLinger() {
+  m_phase = Phase::kLingering;
+  ArmTimer(kLingerTimeout);
+  if (evbuffer_get_length(bufferevent_get_output(m_buffer)) == 0) {
+    shutdown(bufferevent_getfd(m_buffer), SHUT_WR);
+  }
+}
+
+void ServerConnection::OnDrained(bufferevent* buffer, void* self) {
+  const auto keep = static_cast<ServerConnection*>(self)->shared_from_this();
+  if (keep->m_phase == Phase::kLingering) {
+    shutdown(bufferevent_getfd(buffer), SHUT_WR);
+  } else if (const auto exchange = keep->m_exchange) {
+    exchange->NotifyDrained();
+  }
+}
+
+void ServerConnection::OnEvent(bufferevent* /*buffer*/,
+                               short what,
+                               void* self) {
+  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+    const auto keep = static_cast<ServerConnection*>(self)->shared_from_this();
+    keep->Close();
+  }
+}
+
+void ServerConnection::OnTimer(int /*fd*/, short /*what*/, void* self) {
+  const auto keep = static_cast<ServerConnection*>(self)->shared_from_this();
+  if (keep->m_phase == Phase::kReading && keep->m_parser.started()) {
+    keep->RejectWith(408);
+    return;
+  }
+  keep->Close();
+}
+
+void ServerConnection::Close() {
+  if (m_phase == Phase::kClosed) {
+    return;
+  }
+  m_phase = Phase::kClosed;
+  Release();
+  const auto keep = shared_from_this();
+  m_server.Forget(keep);
+  if (const auto exchange = std::exchange(m_exchange, nullptr)) {
+    exchange->Detach(/*left=*/true);
+  }
+}
+
+void ServerConnection::Reset() {
+  // An immediate reset discards what has not been sent.
+  const linger off{.l_onoff = 1, .l_linger = 0};
+  setsockopt(bufferevent_getfd(m_buffer), SOL_SOCKET, SO_LINGER, &off,
+             sizeof(off));
+  Close();
+}
+
+void ServerConnection::Release() {
+  event_del(m_timer);
+  if (m_buffer != nullptr) {
+    bufferevent_free(std::exchange(m_buffer, nullptr));
+  }
+}
+
+}  // namespace hickoryloft::http
--- a/Source/platform/base64.cc
+++ b/Source/keyvalue/base64.cc
@@ -1,10 +1,10 @@
-#include "platform/base64.h"
+#include "keyvalue/base64.h"
 
 #include <openssl/evp.h>
 
 #include "base/error.h"
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 
 namespace {
 
@@ -46,4 +46,4 @@
   return bytes;
 }
 
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
--- a/Source/platform/base64.h
+++ b/Source/keyvalue/base64.h
@@ -1,12 +1,12 @@
 // Base64 as the key-value service's JSON interface uses it.
 
-#ifndef SOURCE_PLATFORM_BASE64_H_
-#define SOURCE_PLATFORM_BASE64_H_
+#ifndef SOURCE_KEYVALUE_BASE64_H_
+#define SOURCE_KEYVALUE_BASE64_H_
 
 #include <string>
 #include <string_view>
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 
 // Returns `bytes` in padded base64. Thread-safe.
 std::string EncodeBase64(std::string_view bytes);
@@ -15,6 +15,6 @@
 // Error(kProtocol) if it is not padded base64.
 std::string DecodeBase64(std::string_view text);
 
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
 
-#endif  // SOURCE_PLATFORM_BASE64_H_
+#endif  // SOURCE_KEYVALUE_BASE64_H_
--- a/Source/platform/etcd_client.cc
+++ b/Source/keyvalue/etcd_client.cc
@@ -1,14 +1,14 @@
-#include "platform/etcd_client.h"
+#include "keyvalue/etcd_client.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "platform/base64.h"
-#include "platform/etcd_json.h"
-#include "platform/etcd_watch.h"
-#include "platform/memory_store.h"
+#include "keyvalue/base64.h"
+#include "keyvalue/etcd_json.h"
+#include "keyvalue/etcd_watch.h"
+#include "keyvalue/memory_store.h"
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 
 namespace {
 
@@ -201,4 +201,4 @@
   return watch;
 }
 
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
--- a/Source/platform/etcd_client.h
+++ b/Source/keyvalue/etcd_client.h
@@ -1,7 +1,7 @@
 // Client of the key-value service over the etcd v3 JSON gateway.
 
-#ifndef SOURCE_PLATFORM_ETCD_CLIENT_H_
-#define SOURCE_PLATFORM_ETCD_CLIENT_H_
+#ifndef SOURCE_KEYVALUE_ETCD_CLIENT_H_
+#define SOURCE_KEYVALUE_ETCD_CLIENT_H_
 
 #include <cstdint>
 #include <memory>
@@ -11,10 +11,10 @@
 #include "base/event_loop.h"
 #include "base/ids.h"
 #include "base/time.h"
-#include "platform/http_client.h"
-#include "platform/key_value_service.h"
+#include "keyvalue/http_client.h"
+#include "keyvalue/key_value_service.h"
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 
 struct EtcdClientSettings {
   std::string m_address;  // An IP number.
@@ -59,6 +59,6 @@
   Duration m_watch_idle_timeout;
 };
 
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
 
-#endif  // SOURCE_PLATFORM_ETCD_CLIENT_H_
+#endif  // SOURCE_KEYVALUE_ETCD_CLIENT_H_
--- a/Source/platform/etcd_json.cc
+++ b/Source/keyvalue/etcd_json.cc
@@ -1,11 +1,11 @@
-#include "platform/etcd_json.h"
+#include "keyvalue/etcd_json.h"
 
 #include <charconv>
 
 #include "base/error.h"
-#include "platform/base64.h"
+#include "keyvalue/base64.h"
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 
 namespace {
 
@@ -124,4 +124,4 @@
             {"mod_revision", std::to_string(event.m_item.m_mod_revision)}}}};
 }
 
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
--- a/Source/platform/etcd_json.h
+++ b/Source/keyvalue/etcd_json.h
@@ -1,16 +1,16 @@
 // JSON of the etcd v3 gateway: 64-bit integers are strings, keys and values are
 // base64.
 
-#ifndef SOURCE_PLATFORM_ETCD_JSON_H_
-#define SOURCE_PLATFORM_ETCD_JSON_H_
+#ifndef SOURCE_KEYVALUE_ETCD_JSON_H_
+#define SOURCE_KEYVALUE_ETCD_JSON_H_
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
 
-#include "platform/key_value_service.h"
+#include "keyvalue/key_value_service.h"
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 
 // Returns the JSON object in `text`. Thread-safe. Throws Error(kProtocol).
 nlohmann::json ParseEtcdObject(const std::string& text);
@@ -45,6 +45,6 @@
 WatchEvent ParseEtcdEvent(const nlohmann::json& object);
 nlohmann::json ToEtcdJson(const WatchEvent& event);
 
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
 
-#endif  // SOURCE_PLATFORM_ETCD_JSON_H_
+#endif  // SOURCE_KEYVALUE_ETCD_JSON_H_
--- a/Source/platform/etcd_watch.cc
+++ b/Source/keyvalue/etcd_watch.cc
@@ -1,11 +1,11 @@
-#include "platform/etcd_watch.h"
+#include "keyvalue/etcd_watch.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "platform/etcd_json.h"
+#include "keyvalue/etcd_json.h"
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 
 void EtcdWatch::Feed(std::string_view bytes) {
   m_partial.append(bytes);
@@ -72,4 +72,4 @@
   return batch;
 }
 
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
--- a/Source/platform/etcd_watch.h
+++ b/Source/keyvalue/etcd_watch.h
@@ -1,7 +1,7 @@
 // Decodes the answer stream of an etcd watch.
 
-#ifndef SOURCE_PLATFORM_ETCD_WATCH_H_
-#define SOURCE_PLATFORM_ETCD_WATCH_H_
+#ifndef SOURCE_KEYVALUE_ETCD_WATCH_H_
+#define SOURCE_KEYVALUE_ETCD_WATCH_H_
 
 #include <functional>
 #include <memory>
@@ -9,10 +9,10 @@
 #include <string_view>
 
 #include "base/error.h"
-#include "platform/http_client.h"
-#include "platform/key_value_service.h"
+#include "keyvalue/http_client.h"
+#include "keyvalue/key_value_service.h"
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 
 // Feeds on the bytes of a stream of JSON lines. Use on the loop's thread only.
 class EtcdWatch : public Watch {
@@ -49,6 +49,6 @@
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
 
-#endif  // SOURCE_PLATFORM_ETCD_WATCH_H_
+#endif  // SOURCE_KEYVALUE_ETCD_WATCH_H_
--- a/Source/platform/evhttp_connection_holder.cc
+++ b/Source/keyvalue/evhttp_connection_holder.cc
@@ -1,4 +1,4 @@
-#include "platform/evhttp_connection_holder.h"
+#include "keyvalue/evhttp_connection_holder.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -10,9 +10,9 @@
 
 #include "base/error.h"
 #include "base/event_loop.h"
-#include "platform/http_client.h"
+#include "keyvalue/http_client.h"
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 
 namespace {
 
@@ -90,4 +90,4 @@
   return bytes;
 }
 
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
--- a/Source/platform/evhttp_connection_holder.h
+++ b/Source/keyvalue/evhttp_connection_holder.h
@@ -1,7 +1,7 @@
 // Ownership of one outgoing evhttp connection.
 
-#ifndef SOURCE_PLATFORM_EVHTTP_CONNECTION_HOLDER_H_
-#define SOURCE_PLATFORM_EVHTTP_CONNECTION_HOLDER_H_
+#ifndef SOURCE_KEYVALUE_EVHTTP_CONNECTION_HOLDER_H_
+#define SOURCE_KEYVALUE_EVHTTP_CONNECTION_HOLDER_H_
 
 #include <cstdint>
 #include <memory>
@@ -14,7 +14,7 @@
 class EventLoop;
 }
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 
 struct HttpRequest;
 
@@ -44,6 +44,6 @@
 // Returns and consumes the bytes that have arrived for `raw`.
 std::string DrainInput(evhttp_request* raw);
 
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
 
-#endif  // SOURCE_PLATFORM_EVHTTP_CONNECTION_HOLDER_H_
+#endif  // SOURCE_KEYVALUE_EVHTTP_CONNECTION_HOLDER_H_
--- a/Source/platform/host_list.h
+++ b/Source/keyvalue/host_list.h
@@ -1,8 +1,8 @@
 // Port to the platform's host list: which hosts exist and which are leaving. It
 // lags behind the truth.
 
-#ifndef SOURCE_PLATFORM_HOST_LIST_H_
-#define SOURCE_PLATFORM_HOST_LIST_H_
+#ifndef SOURCE_KEYVALUE_HOST_LIST_H_
+#define SOURCE_KEYVALUE_HOST_LIST_H_
 
 #include <cstdint>
 #include <functional>
@@ -12,7 +12,7 @@
 #include "base/error.h"
 #include "base/ids.h"
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 
 enum class ListedRole { kHost, kEngine, kService };
 
@@ -38,6 +38,6 @@
       std::function<void(Result<std::vector<ListedTarget>>)> callback) = 0;
 };
 
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
 
-#endif  // SOURCE_PLATFORM_HOST_LIST_H_
+#endif  // SOURCE_KEYVALUE_HOST_LIST_H_
--- a/Source/platform/host_list_json.cc
+++ b/Source/keyvalue/host_list_json.cc
@@ -1,4 +1,4 @@
-#include "platform/host_list_json.h"
+#include "keyvalue/host_list_json.h"
 
 #include <charconv>
 #include <map>
@@ -8,7 +8,7 @@
 
 #include "base/error.h"
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 
 namespace {
 
@@ -108,4 +108,4 @@
                     ErrorCode::kInvalidSettings);
 }
 
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
--- a/Source/platform/host_list_json.h
+++ b/Source/keyvalue/host_list_json.h
@@ -1,14 +1,14 @@
 // The Prometheus HTTP service-discovery format of the host list.
 
-#ifndef SOURCE_PLATFORM_HOST_LIST_JSON_H_
-#define SOURCE_PLATFORM_HOST_LIST_JSON_H_
+#ifndef SOURCE_KEYVALUE_HOST_LIST_JSON_H_
+#define SOURCE_KEYVALUE_HOST_LIST_JSON_H_
 
 #include <string>
 #include <vector>
 
-#include "platform/host_list.h"
+#include "keyvalue/host_list.h"
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 
 // Returns the targets in `text`, [{"targets": ["ip:port"], "labels": {...}}].
 // Thread-safe. Throws Error(kProtocol) if the text is not of that format, a
@@ -21,6 +21,6 @@
 // Throws Error(kInvalidSettings).
 ListedTarget ParseTargetSetting(const std::string& text);
 
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
 
-#endif  // SOURCE_PLATFORM_HOST_LIST_JSON_H_
+#endif  // SOURCE_KEYVALUE_HOST_LIST_JSON_H_
--- a/Source/platform/http_client.cc
+++ b/Source/keyvalue/http_client.cc
@@ -1,4 +1,4 @@
-#include "platform/http_client.h"
+#include "keyvalue/http_client.h"
 
 #include <event2/http.h>
 #include <event2/http_struct.h>
@@ -7,9 +7,9 @@
 
 #include <optional>
 
-#include "platform/evhttp_connection_holder.h"
+#include "keyvalue/evhttp_connection_holder.h"
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 
 namespace {
 
@@ -287,4 +287,4 @@
   }
 }
 
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
--- a/Source/platform/http_client.h
+++ b/Source/keyvalue/http_client.h
@@ -1,8 +1,8 @@
 // HTTP client for the platform's services: keep-alive connections to one
 // server, a bounded pool, one time limit per call.
 
-#ifndef SOURCE_PLATFORM_HTTP_CLIENT_H_
-#define SOURCE_PLATFORM_HTTP_CLIENT_H_
+#ifndef SOURCE_KEYVALUE_HTTP_CLIENT_H_
+#define SOURCE_KEYVALUE_HTTP_CLIENT_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -17,7 +17,7 @@
 #include "base/event_loop.h"
 #include "base/time.h"
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 
 enum class HttpMethod { kGet, kPost, kPut, kDelete };
 
@@ -98,6 +98,6 @@
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
 
-#endif  // SOURCE_PLATFORM_HTTP_CLIENT_H_
+#endif  // SOURCE_KEYVALUE_HTTP_CLIENT_H_
--- a/Source/platform/http_host_list.cc
+++ b/Source/keyvalue/http_host_list.cc
@@ -1,10 +1,10 @@
-#include "platform/http_host_list.h"
+#include "keyvalue/http_host_list.h"
 
 #include <utility>
 
-#include "platform/host_list_json.h"
+#include "keyvalue/host_list_json.h"
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 
 namespace {
 
@@ -48,4 +48,4 @@
               });
 }
 
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
--- a/Source/platform/http_host_list.h
+++ b/Source/keyvalue/http_host_list.h
@@ -1,7 +1,7 @@
 // Reads the host list over HTTP.
 
-#ifndef SOURCE_PLATFORM_HTTP_HOST_LIST_H_
-#define SOURCE_PLATFORM_HTTP_HOST_LIST_H_
+#ifndef SOURCE_KEYVALUE_HTTP_HOST_LIST_H_
+#define SOURCE_KEYVALUE_HTTP_HOST_LIST_H_
 
 #include <cstdint>
 #include <functional>
@@ -10,10 +10,10 @@
 #include "base/event_loop.h"
 #include "base/ids.h"
 #include "base/time.h"
-#include "platform/host_list.h"
-#include "platform/http_client.h"
+#include "keyvalue/host_list.h"
+#include "keyvalue/http_client.h"
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 
 struct HttpHostListSettings {
   std::string m_address;  // An IP number.
@@ -38,6 +38,6 @@
   std::string m_path;
 };
 
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
 
-#endif  // SOURCE_PLATFORM_HTTP_HOST_LIST_H_
+#endif  // SOURCE_KEYVALUE_HTTP_HOST_LIST_H_
--- a/Source/platform/key_value_service.h
+++ b/Source/keyvalue/key_value_service.h
@@ -1,8 +1,8 @@
 // Port to the platform's key-value service: compare-and-swap on one key, leases
 // and watches.
 
-#ifndef SOURCE_PLATFORM_KEY_VALUE_SERVICE_H_
-#define SOURCE_PLATFORM_KEY_VALUE_SERVICE_H_
+#ifndef SOURCE_KEYVALUE_KEY_VALUE_SERVICE_H_
+#define SOURCE_KEYVALUE_KEY_VALUE_SERVICE_H_
 
 #include <cstdint>
 #include <functional>
@@ -15,7 +15,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 
 using LeaseId = std::int64_t;
 
@@ -31,6 +31,7 @@
 struct ReadReply {
   std::vector<KeyValue> m_items;
   Revision m_revision = 0;
+  MonotonicTime m_current_as_of;  // As in WatchBatch.
 };
 
 // A write to one key, made only if the key's modification revision is
@@ -65,6 +66,9 @@
 struct WatchBatch {
   std::vector<WatchEvent> m_events;
   Revision m_revision = 0;
+  // No change up to this time is missing from the batches so far. The epoch if
+  // the service gives no such proof.
+  MonotonicTime m_current_as_of;
 };
 
 // A running watch. Destroying it ends the watch.
@@ -111,6 +115,6 @@
       std::function<void(Error)> ended) = 0;
 };
 
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
 
-#endif  // SOURCE_PLATFORM_KEY_VALUE_SERVICE_H_
+#endif  // SOURCE_KEYVALUE_KEY_VALUE_SERVICE_H_
--- a/Source/platform/memory_key_value_service.cc
+++ b/Source/keyvalue/memory_key_value_service.cc
@@ -1,9 +1,9 @@
-#include "platform/memory_key_value_service.h"
+#include "keyvalue/memory_key_value_service.h"
 
 #include <utility>
 #include <vector>
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 
 // Ends its watch when it is destroyed.
 class MemoryKeyValueService::WatchHandle : public Watch {
@@ -168,4 +168,4 @@
   });
 }
 
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
--- a/Source/platform/memory_key_value_service.h
+++ b/Source/keyvalue/memory_key_value_service.h
@@ -1,8 +1,8 @@
 // Key-value service inside the process, for a host that runs alone and for
 // tests.
 
-#ifndef SOURCE_PLATFORM_MEMORY_KEY_VALUE_SERVICE_H_
-#define SOURCE_PLATFORM_MEMORY_KEY_VALUE_SERVICE_H_
+#ifndef SOURCE_KEYVALUE_MEMORY_KEY_VALUE_SERVICE_H_
+#define SOURCE_KEYVALUE_MEMORY_KEY_VALUE_SERVICE_H_
 
 #include <functional>
 #include <map>
@@ -10,10 +10,10 @@
 #include <string>
 
 #include "base/event_loop.h"
-#include "platform/key_value_service.h"
-#include "platform/memory_store.h"
+#include "keyvalue/key_value_service.h"
+#include "keyvalue/memory_store.h"
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 
 // Keeps everything in memory; nothing outlives the process. It is never
 // unavailable. Callbacks do not come after the service is destroyed. Use on the
@@ -63,6 +63,6 @@
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
 
-#endif  // SOURCE_PLATFORM_MEMORY_KEY_VALUE_SERVICE_H_
+#endif  // SOURCE_KEYVALUE_MEMORY_KEY_VALUE_SERVICE_H_
--- a/Source/platform/memory_store.cc
+++ b/Source/keyvalue/memory_store.cc
@@ -1,4 +1,4 @@
-#include "platform/memory_store.h"
+#include "keyvalue/memory_store.h"
 
 #include <algorithm>
 #include <iterator>
@@ -6,7 +6,7 @@
 
 #include "base/error.h"
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 
 namespace {
 
@@ -191,4 +191,4 @@
   return end;
 }
 
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
--- a/Source/platform/memory_store.h
+++ b/Source/keyvalue/memory_store.h
@@ -1,8 +1,8 @@
 // The state of a small key-value service: revisions, leases and the history of
 // changes, as a data structure without clock or socket.
 
-#ifndef SOURCE_PLATFORM_MEMORY_STORE_H_
-#define SOURCE_PLATFORM_MEMORY_STORE_H_
+#ifndef SOURCE_KEYVALUE_MEMORY_STORE_H_
+#define SOURCE_KEYVALUE_MEMORY_STORE_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -15,9 +15,9 @@
 
 #include "base/ids.h"
 #include "base/time.h"
-#include "platform/key_value_service.h"
+#include "keyvalue/key_value_service.h"
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 
 // Keys in order, with one revision counter for all of them. Time is an
 // argument; the caller calls Expire() before each operation. Not thread-safe.
@@ -91,6 +91,6 @@
 // empty if it has no upper bound. Thread-safe.
 std::string PrefixEnd(const std::string& prefix);
 
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
 
-#endif  // SOURCE_PLATFORM_MEMORY_STORE_H_
+#endif  // SOURCE_KEYVALUE_MEMORY_STORE_H_
--- a/Source/platform/static_host_list.cc
+++ b/Source/keyvalue/static_host_list.cc
@@ -1,8 +1,8 @@
-#include "platform/static_host_list.h"
+#include "keyvalue/static_host_list.h"
 
 #include <utility>
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 
 StaticHostList::StaticHostList(EventLoop& loop,
                                std::vector<ListedTarget> targets)
@@ -20,4 +20,4 @@
       });
 }
 
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
--- a/Source/platform/static_host_list.h
+++ b/Source/keyvalue/static_host_list.h
@@ -1,7 +1,7 @@
 // A host list that is fixed by the settings.
 
-#ifndef SOURCE_PLATFORM_STATIC_HOST_LIST_H_
-#define SOURCE_PLATFORM_STATIC_HOST_LIST_H_
+#ifndef SOURCE_KEYVALUE_STATIC_HOST_LIST_H_
+#define SOURCE_KEYVALUE_STATIC_HOST_LIST_H_
 
 #include <functional>
 #include <memory>
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "base/event_loop.h"
-#include "platform/host_list.h"
+#include "keyvalue/host_list.h"
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 
 // Callbacks do not come after the list is destroyed. Use on the loop's thread
 // only.
@@ -28,6 +28,6 @@
   std::shared_ptr<const std::vector<ListedTarget>> m_targets;
 };
 
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
 
-#endif  // SOURCE_PLATFORM_STATIC_HOST_LIST_H_
+#endif  // SOURCE_KEYVALUE_STATIC_HOST_LIST_H_
--- /dev/null
+++ b/Source/membership/holder_lease.cc
@@ -0,0 +1,133 @@
+#include "membership/holder_lease.h"
+
+#include <utility>
+
+#include "base/log.h"
+
+namespace hickoryloft::membership {
+
+namespace {
+
+// Renewals per life of the lease, so that two may be lost.
+constexpr int kRenewalsPerLife = 4;
+
+const Logger kLog("holder");
+
+}  // namespace
+
+HolderLease::HolderLease(EventLoop& loop,
+                         keyvalue::KeyValueService& store,
+                         std::string key,
+                         HostId host,
+                         HolderTiming timing)
+    : m_loop(loop),
+      m_store(store),
+      m_key(std::move(key)),
+      m_host(std::move(host)),
+      m_timing(timing) {}
+
+void HolderLease::Observe(bool key_exists, Duration patience) {
+  if (key_exists) {
+    m_attempt.reset();
+    return;
+  }
+  if (m_ended || m_trying || held() || m_attempt) {
+    return;
+  }
+  m_attempt = m_loop.After(patience, [this] {
+    m_attempt.reset();
+    Grant();
+  });
+}
+
+bool HolderLease::valid() const {
+  const MonotonicTime now = m_loop.Now();
+  return held() && now >= m_valid_from && now < m_valid_until;
+}
+
+void HolderLease::Grant() {
+  m_trying = true;
+  const MonotonicTime sent = m_loop.Now();
+  m_store.GrantLease(
+      m_timing.m_ttl, [this, sent, alive = std::weak_ptr<int>(m_alive)](
+                          const Result<keyvalue::LeaseReply>& reply) {
+        if (alive.expired()) {
+          return;
+        }
+        if (!reply.ok() || m_ended) {
+          m_trying = false;
+          return;
+        }
+        TakeKey(reply.value().m_lease, sent);
+      });
+}
+
+void HolderLease::TakeKey(keyvalue::LeaseId lease, MonotonicTime sent) {
+  m_store.Swap(
+      {.m_key = m_key,
+       .m_expected_revision = 0,
+       .m_value = m_host.value(),
+       .m_lease = lease},
+      [this, lease, sent, alive = std::weak_ptr<int>(m_alive)](
+          const Result<keyvalue::SwapReply>& reply) {
+        if (alive.expired()) {
+          return;
+        }
+        m_trying = false;
+        if (!reply.ok() || !reply.value().m_swapped || m_ended) {
+          // Also after a lost reply: the lease ends the key, if it was
+          // written, before another attempt can succeed.
+          m_store.RevokeLease(lease, [](const Result<Done>& /*ended*/) {});
+          return;
+        }
+        m_lease = lease;
+        m_fence = reply.value().m_revision;
+        m_valid_from = m_loop.Now() + m_timing.m_gap;
+        m_valid_until = sent + m_timing.m_ttl - m_timing.m_margin;
+        kLog.Info("placement lease won",
+                  {{"fence", m_fence}, {"lease", m_lease}});
+        m_renewal = m_loop.Every(m_timing.m_ttl / kRenewalsPerLife,
+                                 [this] { Renew(); });
+      });
+}
+
+void HolderLease::Renew() {
+  const MonotonicTime sent = m_loop.Now();
+  if (sent >= m_valid_until) {
+    Lose("no renewal in time");
+    return;
+  }
+  m_store.KeepAlive(
+      m_lease,
+      [this, sent, fence = m_fence, alive = std::weak_ptr<int>(m_alive)](
+          const Result<keyvalue::LeaseReply>& reply) {
+        if (alive.expired() || fence != m_fence) {
+          return;
+        }
+        if (reply.ok()) {
+          m_valid_until = std::max(
+              m_valid_until, sent + m_timing.m_ttl - m_timing.m_margin);
+        } else if (reply.error().code() == ErrorCode::kNotFound) {
+          Lose("the lease has ended");
+        }
+      });
+}
+
+void HolderLease::Lose(const std::string& reason) {
+  kLog.Warn("placement lease lost", {{"fence", m_fence}, {"reason", reason}});
+  m_fence = 0;
+  m_renewal.reset();
+  // The key may still stand; ending the lease lets another host take over.
+  m_store.RevokeLease(std::exchange(m_lease, 0),
+                      [](const Result<Done>& /*ended*/) {});
+}
+
+void HolderLease::End() {
+  m_ended = true;
+  m_attempt.reset();
+  if (held()) {
+    Lose("this host stops");
+  }
+}
+
+}  // namespace hickoryloft::membership
--- /dev/null
+++ b/Source/membership/registration.cc
@@ -0,0 +1,121 @@
+#include "membership/registration.h"
+
+#include <utility>
+
+#include "base/log.h"
+
+namespace hickoryloft::membership {
+
+namespace {
+
+constexpr Duration kRetryPause = milliseconds(300);
+// Renewals per life of the lease, so that one may be lost.
+constexpr int kRenewalsPerLife = 3;
+
+const Logger kLog("membership");
+
+}  // namespace
+
+Registration::Registration(EventLoop& loop,
+                           keyvalue::KeyValueService& store,
+                           std::string key,
+                           std::string value,
+                           Duration ttl)
+    : m_loop(loop),
+      m_store(store),
+      m_key(std::move(key)),
+      m_value(std::move(value)),
+      m_ttl(ttl) {}
+
+void Registration::Start() {
+  Grant();
+}
+
+void Registration::Grant() {
+  if (m_ended) {
+    return;
+  }
+  m_store.GrantLease(
+      m_ttl, [this, alive = std::weak_ptr<int>(m_alive)](
+                 const Result<keyvalue::LeaseReply>& reply) {
+        if (alive.expired() || m_ended) {
+          return;
+        }
+        if (!reply.ok()) {
+          RetryGrant(reply.error());
+          return;
+        }
+        m_lease = reply.value().m_lease;
+        Write();
+      });
+}
+
+void Registration::Write() {
+  m_store.Swap(
+      {.m_key = m_key,
+       .m_expected_revision = 0,
+       .m_value = m_value,
+       .m_lease = m_lease},
+      [this, alive = std::weak_ptr<int>(m_alive)](
+          const Result<keyvalue::SwapReply>& reply) {
+        if (alive.expired() || m_ended) {
+          return;
+        }
+        if (!reply.ok()) {
+          // A lost reply leaves the key behind; it ends with this lease.
+          RetryGrant(reply.error());
+          return;
+        }
+        if (!reply.value().m_swapped) {
+          const auto& current = reply.value().m_current;
+          if (!current || current->m_lease != m_lease) {
+            // The key of a lapsing lease is still there.
+            RetryGrant(Error(ErrorCode::kConflict, "the key is still bound"));
+            return;
+          }
+        }
+        kLog.Info("host registered",
+                  {{"key", m_key}, {"lease", m_lease}});
+        m_timer = m_loop.Every(m_ttl / kRenewalsPerLife, [this] { Renew(); });
+      });
+}
+
+void Registration::Renew() {
+  m_store.KeepAlive(
+      m_lease, [this, alive = std::weak_ptr<int>(m_alive)](
+                   const Result<keyvalue::LeaseReply>& reply) {
+        if (alive.expired() || m_ended || reply.ok() ||
+            reply.error().code() != ErrorCode::kNotFound) {
+          return;
+        }
+        kLog.Warn("host registration lapsed, registering again",
+                  {{"key", m_key}, {"lease", m_lease}});
+        m_timer.reset();
+        Grant();
+      });
+}
+
+void Registration::RetryGrant(const Error& error) {
+  kLog.Warn("host registration failed, trying again",
+            {{"key", m_key}, {"reason", error.what()}});
+  m_timer = m_loop.After(kRetryPause, [this] { Grant(); });
+}
+
+void Registration::End(std::function<void()> done) {
+  m_ended = true;
+  m_timer.reset();
+  if (m_lease == 0) {
+    done();
+    return;
+  }
+  m_store.RevokeLease(m_lease, [done = std::move(done)](
+                                   const Result<Done>& reply) {
+    if (!reply.ok()) {
+      kLog.Warn("lease not ended, it lapses by itself",
+                {{"reason", reply.error().what()}});
+    }
+    done();
+  });
+}
+
+}  // namespace hickoryloft::membership
--- /dev/null
+++ b/Source/membership/registration.h
@@ -0,0 +1,50 @@
+// A host's entry in the key-value service, bound to a lease.
+
+#ifndef SOURCE_MEMBERSHIP_REGISTRATION_H_
+#define SOURCE_MEMBERSHIP_REGISTRATION_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/event_loop.h"
+#include "keyvalue/key_value_service.h"
+
+namespace hickoryloft::membership {
+
+// Keeps one key bound to a lease of its own, and writes it again whenever the
+// lease has lapsed. Use on the loop's thread only.
+class Registration {
+ public:
+  // `store` must outlive the registration. `value` is written as it is.
+  Registration(EventLoop& loop,
+               keyvalue::KeyValueService& store,
+               std::string key,
+               std::string value,
+               Duration ttl);
+
+  void Start();
+  // Ends the lease, which removes the key, and calls `done`.
+  void End(std::function<void()> done);
+
+ private:
+  void Grant();
+  void Write();
+  void Renew();
+  void RetryGrant(const Error& error);
+
+  EventLoop& m_loop;
+  keyvalue::KeyValueService& m_store;
+  std::string m_key;
+  std::string m_value;
+  Duration m_ttl;
+  keyvalue::LeaseId m_lease = 0;
+  bool m_ended = false;
+  std::unique_ptr<Timer> m_timer;
+  // Tells callbacks that the registration still exists.
+  std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+};
+
+}  // namespace hickoryloft::membership
+
+#endif  // SOURCE_MEMBERSHIP_REGISTRATION_H_
