--- /dev/null
+++ b/Source/placement/engine_ledger.cc
@@ -0,0 +1,49 @@
+#include "placement/engine_ledger.h"
+
+namespace hickoryloft::placement {
+
+namespace {
+
+// Set aside for each adapter place: the largest adapters need 66 MB.
+constexpr double kAdapterPlaceMegabytes = 80;
+
+double ModelMegabytes(const ModelId& model, const fleet::EngineSpec& spec) {
+  const auto known = spec.m_models.find(model);
+  return known == spec.m_models.end() ? spec.m_megabytes
+                                      : known->second.m_megabytes;
+}
+
+}  // namespace
+
+int EngineLedger::AdapterCount() const {
+  std::size_t count = 0;
+  for (const auto& [model, adapters] : m_adapters) {
+    count += adapters.size();
+  }
+  return static_cast<int>(count);
+}
+
+double UsedMegabytes(const fleet::EndpointEntry& entry,
+                     const EngineLedger& ledger,
+                     const fleet::EngineSpec& spec,
+                     MonotonicTime now) {
+  std::unordered_set<ModelId> models;
+  for (const auto& [model, adapters] : entry.m_models) {
+    models.insert(model);
+  }
+  if (now - ledger.m_reported_at < kRegistrationLag) {
+    models.insert(ledger.m_reported_models.begin(),
+                  ledger.m_reported_models.end());
+  }
+  if (ledger.m_open && ledger.m_open->m_adapter.empty() &&
+      ledger.m_open->m_operation == fleet::OrderOperation::kLoad) {
+    models.insert(ledger.m_open->m_model);
+  }
+  double used = kAdapterPlaceMegabytes * spec.m_adapter_slots;
+  for (const ModelId& model : models) {
+    used += ModelMegabytes(model, spec);
+  }
+  return used;
+}
+
+}  // namespace hickoryloft::placement
--- /dev/null
+++ b/Source/placement/engine_ledger.h
@@ -0,0 +1,69 @@
+// What the giver of orders knows of one engine beyond its registration.
+
+#ifndef SOURCE_PLACEMENT_ENGINE_LEDGER_H_
+#define SOURCE_PLACEMENT_ENGINE_LEDGER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_set>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "fleet/configuration.h"
+#include "fleet/endpoint_entry.h"
+#include "fleet/engine_orders.h"
+
+namespace hickoryloft::placement {
+
+enum class OrderPhase {
+  kSending,     // No answer yet.
+  kUnanswered,  // May have been accepted; is sent again with the same number.
+  kRunning,     // Accepted, its effect has not shown.
+};
+
+// The one order that an engine has been given and that has not come to an end.
+struct OpenOrder {
+  fleet::OrderOperation m_operation = fleet::OrderOperation::kLoad;
+  ModelId m_model;
+  AdapterId m_adapter;
+  fleet::WeightTier m_tier = fleet::WeightTier::kStore;  // Of loads.
+  OrderPhase m_phase = OrderPhase::kSending;
+  MonotonicTime m_since;     // Of the phase.
+  bool m_resent = false;     // An earlier copy may have been accepted.
+};
+
+// Not thread-safe.
+struct EngineLedger {
+  std::int64_t m_started_at_ms = 0;  // Of the incarnation this is about.
+  // Orders accepted so far; unknown until the engine has reported.
+  std::optional<std::int64_t> m_accepted_orders;
+  bool m_report_asked = false;
+  // What the last report listed: it may be ahead of the registration.
+  std::unordered_set<ModelId> m_reported_models;
+  MonotonicTime m_reported_at;
+  std::optional<OpenOrder> m_open;
+  // The model that the next orders make room for.
+  ModelId m_target;
+  // No orders before this time, after a failure.
+  MonotonicTime m_paused_until;
+  // Adapters present, with the time of their last use.
+  std::map<ModelId, std::map<AdapterId, MonotonicTime>> m_adapters;
+
+  int AdapterCount() const;
+};
+
+// A registration is renewed within this time of a change.
+constexpr Duration kRegistrationLag = seconds(3);
+
+// Returns the memory that `entry`'s models need, those of a recent report and
+// the one that the open order may still add. Models that `spec` does not know count as the
+// whole engine. Thread-safe.
+double UsedMegabytes(const fleet::EndpointEntry& entry,
+                     const EngineLedger& ledger,
+                     const fleet::EngineSpec& spec,
+                     MonotonicTime now);
+
+}  // namespace hickoryloft::placement
+
+#endif  // SOURCE_PLACEMENT_ENGINE_LEDGER_H_
--- /dev/null
+++ b/Source/placement/engine_planner.h
@@ -0,0 +1,142 @@
+// Decides which models and adapters the engines of one service hold.
+
+#ifndef SOURCE_PLACEMENT_ENGINE_PLANNER_H_
+#define SOURCE_PLACEMENT_ENGINE_PLANNER_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/error.h"
+#include "fleet/endpoint_directory.h"
+#include "placement/engine_ledger.h"
+#include "placement/model_demand.h"
+
+namespace hickoryloft::placement {
+
+// What a planner asks its owner to do.
+struct PlannedOrder {
+  EndpointId m_engine;
+  fleet::EngineOrder m_order;  // Without holder and fence.
+  std::string m_reason;        // For the log.
+};
+struct PlannedActions {
+  std::vector<PlannedOrder> m_orders;
+  std::vector<EndpointId> m_reports;  // Engines to be asked for their report.
+};
+
+// The view that a plan is made from.
+struct PlanningView {
+  const fleet::EndpointDirectory& m_directory;
+  const fleet::EngineSpec& m_spec;
+  const ModelDemand& m_demand;
+  // Requests that run at an engine for a model, over all hosts.
+  std::function<int(const EndpointId&, const ModelId&)> m_running;
+  std::function<bool(const EndpointId&)> m_avoided;
+};
+
+// A model that callers wait for goes to the engine that can have it soonest,
+// counting the model that must make way and the engine's load; a model in use
+// is never moved away. One order is open at an engine at a time; it keeps its
+// memory reserved until the engine's own count of orders proves what became of
+// it. Not thread-safe; the times given must not decrease.
+class EnginePlanner {
+ public:
+  explicit EnginePlanner(ServiceId service);
+
+  // Returns what to do now. Call after each change, and every kTick.
+  PlannedActions Plan(const PlanningView& view, MonotonicTime now);
+  static constexpr Duration kTick = milliseconds(100);
+
+  // What became of a planned order.
+  void TakeOutcome(const EndpointId& engine,
+                   fleet::OrderOutcome outcome,
+                   MonotonicTime now);
+  // What became of a planned report.
+  void TakeReport(const EndpointId& engine,
+                  const Result<fleet::EngineReport>& report,
+                  MonotonicTime now);
+
+  // Forgets what another giver of orders may have changed since.
+  void Restart();
+
+  // Adapters known to be present, by engine and model.
+  std::map<EndpointId, std::map<ModelId, std::set<AdapterId>>> Adapters() const;
+  // Models that are being unloaded, by engine.
+  std::vector<std::pair<EndpointId, ModelId>> Leaving() const;
+  // Marks an adapter as used now.
+  void TouchAdapter(const EndpointId& engine,
+                    const ModelId& model,
+                    const AdapterId& adapter,
+                    MonotonicTime now);
+
+ private:
+  struct Replicas {
+    int m_present = 0;
+    int m_coming = 0;
+    int m_running = 0;
+  };
+  struct Choice {
+    EndpointId m_engine;
+    std::vector<ModelId> m_victims;
+    fleet::WeightTier m_tier = fleet::WeightTier::kStore;
+    double m_cost = 0;
+  };
+
+  bool Usable(const fleet::EndpointEntry& entry) const;
+  void FollowEntries(const PlanningView& view, MonotonicTime now);
+  void FollowOpenOrder(const fleet::EndpointEntry& entry,
+                       EngineLedger& ledger,
+                       MonotonicTime now,
+                       PlannedActions& actions);
+  // Ends the open order, which has had its effect.
+  static void SettleAdapter(EngineLedger& ledger, MonotonicTime now);
+  Replicas CountReplicas(const PlanningView& view, const ModelId& model) const;
+  int WantedReplicas(const PlanningView& view,
+                     const ModelDemand::Want& want,
+                     const Replicas& replicas) const;
+  void PlaceModel(const PlanningView& view,
+                  const ModelDemand::Want& want,
+                  MonotonicTime now,
+                  PlannedActions& actions);
+  void PlaceAdapter(const PlanningView& view,
+                    const ModelDemand::Want& want,
+                    MonotonicTime now,
+                    PlannedActions& actions);
+  std::optional<Choice> ChooseEngine(const PlanningView& view,
+                                     const ModelId& model,
+                                     MonotonicTime now) const;
+  std::optional<Choice> CostAt(const PlanningView& view,
+                               const fleet::EndpointEntry& entry,
+                               const EngineLedger& ledger,
+                               const ModelId& model,
+                               MonotonicTime now) const;
+  // Chooses idle models of `entry` to make `needed` megabytes of room.
+  std::optional<std::vector<ModelId>> ChooseVictims(
+      const PlanningView& view,
+      const fleet::EndpointEntry& entry,
+      double needed,
+      MonotonicTime now,
+      double& lost_rate) const;
+  bool TakeStoreLoad(const fleet::EngineSpec& spec, MonotonicTime now);
+  void Give(const EndpointId& engine,
+            EngineLedger& ledger,
+            OpenOrder order,
+            std::string reason,
+            MonotonicTime now,
+            PlannedActions& actions);
+  ModelDemand::Key KeyOf(const ModelId& model) const;
+
+  ServiceId m_service;
+  std::map<EndpointId, EngineLedger> m_ledgers;
+  double m_store_tokens = 0;
+  MonotonicTime m_store_tokens_at;
+};
+
+}  // namespace hickoryloft::placement
+
+#endif  // SOURCE_PLACEMENT_ENGINE_PLANNER_H_
--- /dev/null
+++ b/Source/placement/model_demand.h
@@ -0,0 +1,76 @@
+// What callers want of models, over all hosts.
+
+#ifndef SOURCE_PLACEMENT_MODEL_DEMAND_H_
+#define SOURCE_PLACEMENT_MODEL_DEMAND_H_
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace hickoryloft::placement {
+
+// One host's demand for a model or an adapter of it.
+struct ModelWant {
+  ServiceId m_service;
+  ModelId m_model;
+  AdapterId m_adapter;  // Empty: the model itself.
+  int m_waiting = 0;    // Requests that no endpoint can take now.
+  std::uint64_t m_arrivals = 0;  // Since the host's start.
+};
+
+// Sums the hosts' reports and keeps the rate of arrivals. Not thread-safe; the
+// times given must not decrease.
+class ModelDemand {
+ public:
+  // The memory of the rate: a few times the pause between requests for a
+  // rarely used model, so that recent use decides which model makes way.
+  static constexpr Duration kRateMemory = seconds(12);
+
+  struct Key {
+    ServiceId m_service;
+    ModelId m_model;
+    AdapterId m_adapter;
+    friend auto operator<=>(const Key&, const Key&) = default;
+  };
+  struct Want {
+    Key m_key;
+    int m_waiting = 0;
+  };
+
+  void TakeReport(const HostId& host,
+                  Incarnation incarnation,
+                  const std::vector<ModelWant>& wants,
+                  MonotonicTime now);
+  void ForgetHost(const HostId& host) { m_hosts.erase(host); }
+
+  // Requests that wait, over all hosts.
+  int Waiting(const Key& key) const;
+  // Arrivals a second, lately.
+  double Rate(const Key& key, MonotonicTime now) const;
+  // All keys for which requests wait.
+  std::vector<Want> Waiting() const;
+
+ private:
+  struct Counted {
+    int m_waiting = 0;
+    std::uint64_t m_arrivals = 0;
+  };
+  struct Host {
+    Incarnation m_incarnation = 0;
+    std::map<Key, Counted> m_counts;
+  };
+  struct DecayingRate {
+    double m_per_second = 0;
+    MonotonicTime m_at;
+  };
+
+  std::map<HostId, Host> m_hosts;
+  std::map<Key, DecayingRate> m_rates;
+};
+
+}  // namespace hickoryloft::placement
+
+#endif  // SOURCE_PLACEMENT_MODEL_DEMAND_H_
--- /dev/null
+++ b/Source/routing/endpoint_health.cc
@@ -0,0 +1,35 @@
+#include "routing/endpoint_health.h"
+
+#include <algorithm>
+
+namespace hickoryloft::routing {
+
+void EndpointHealth::RecordSuccess(const EndpointId& endpoint) {
+  const auto known = m_records.find(endpoint);
+  if (known == m_records.end()) {
+    return;
+  }
+  known->second.m_failures_in_row = 0;
+  known->second.m_failed_part *= 1 - 1 / kMemory;
+}
+
+void EndpointHealth::RecordFailure(const EndpointId& endpoint,
+                                   MonotonicTime now) {
+  constexpr int kMostDoublings = 5;
+  Record& record = m_records[endpoint];
+  record.m_failed_part += (1 - record.m_failed_part) / kMemory;
+  const int doublings = std::min(record.m_failures_in_row++, kMostDoublings);
+  Duration pause = std::min(kLongestPause, kFirstPause * (1 << doublings));
+  if (record.m_failed_part > kFailingPart) {
+    pause = kLongestPause;
+  }
+  record.m_avoid_until = std::max(record.m_avoid_until, now + pause);
+}
+
+bool EndpointHealth::Avoided(const EndpointId& endpoint,
+                             MonotonicTime now) const {
+  const auto known = m_records.find(endpoint);
+  return known != m_records.end() && now < known->second.m_avoid_until;
+}
+
+}  // namespace hickoryloft::routing
--- /dev/null
+++ b/Source/routing/endpoint_health.h
@@ -0,0 +1,46 @@
+// Which endpoints have failed lately, by the requests sent to them: an
+// endpoint's own health check may say nothing of it.
+
+#ifndef SOURCE_ROUTING_ENDPOINT_HEALTH_H_
+#define SOURCE_ROUTING_ENDPOINT_HEALTH_H_
+
+#include <unordered_map>
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace hickoryloft::routing {
+
+// Avoids an endpoint after failures in a row, for longer each time, and one
+// that keeps failing a part of its requests. Not thread-safe; the times given
+// must not decrease.
+class EndpointHealth {
+ public:
+  // Avoided for this long after one failure; doubled for each further one.
+  static constexpr Duration kFirstPause = milliseconds(500);
+  static constexpr Duration kLongestPause = seconds(6);
+  // Part of failed requests from which an endpoint is avoided, and the number
+  // of requests over which it is taken, about.
+  static constexpr double kFailingPart = 0.2;
+  static constexpr double kMemory = 12;
+
+  void RecordSuccess(const EndpointId& endpoint);
+  void RecordFailure(const EndpointId& endpoint, MonotonicTime now);
+  void Forget(const EndpointId& endpoint) { m_records.erase(endpoint); }
+
+  // Whether the endpoint should be used only if there is no other.
+  bool Avoided(const EndpointId& endpoint, MonotonicTime now) const;
+
+ private:
+  struct Record {
+    int m_failures_in_row = 0;
+    double m_failed_part = 0;
+    MonotonicTime m_avoid_until;
+  };
+
+  std::unordered_map<EndpointId, Record> m_records;
+};
+
+}  // namespace hickoryloft::routing
+
+#endif  // SOURCE_ROUTING_ENDPOINT_HEALTH_H_
--- a/Source/tools/common/blocking_http.cc
+++ b/Source/tools/common/blocking_http.cc
@@ -28,16 +28,16 @@
               "'" + text + "' is not an address of the form ip:port");
 }
 
-platform::HttpReply CallAndWait(const HostPort& target,
-                                platform::HttpRequest request,
+keyvalue::HttpReply CallAndWait(const HostPort& target,
+                                keyvalue::HttpRequest request,
                                 Duration timeout) {
   EventLoop loop;
-  platform::HttpClient client(loop, {.m_address = target.m_address,
+  keyvalue::HttpClient client(loop, {.m_address = target.m_address,
                                      .m_port = target.m_port,
                                      .m_user_agent = "loftctl",
                                      .m_timeout = timeout});
-  std::optional<Result<platform::HttpReply>> result;
-  client.Send(std::move(request), [&](Result<platform::HttpReply> reply) {
+  std::optional<Result<keyvalue::HttpReply>> result;
+  client.Send(std::move(request), [&](Result<keyvalue::HttpReply> reply) {
     result.emplace(std::move(reply));
     loop.Stop();
   });
--- a/Source/tools/common/blocking_http.h
+++ b/Source/tools/common/blocking_http.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "base/time.h"
-#include "platform/http_client.h"
+#include "keyvalue/http_client.h"
 
 namespace hickoryloft::tools {
 
@@ -22,9 +22,9 @@
 HostPort ParseHostPort(const std::string& text);
 
 // Sends `request` to `target` and waits for the answer. Throws the Error of the
-// call: see platform::HttpClient.
-platform::HttpReply CallAndWait(const HostPort& target,
-                                platform::HttpRequest request,
+// call: see keyvalue::HttpClient.
+keyvalue::HttpReply CallAndWait(const HostPort& target,
+                                keyvalue::HttpRequest request,
                                 Duration timeout);
 
 }  // namespace hickoryloft::tools
--- a/Source/tools/ctl/admin_client.cc
+++ b/Source/tools/ctl/admin_client.cc
@@ -52,14 +52,14 @@
   }
 }
 
-void RequireSuccess(const platform::HttpReply& reply) {
+void RequireSuccess(const keyvalue::HttpReply& reply) {
   if (reply.m_status != kHttpOk && reply.m_status != kHttpCreated) {
     throw Error(CodeForStatus(reply.m_status), ProblemText(reply.m_body));
   }
 }
 
 // Reads the revision from an ETag such as "42" in quotes.
-Revision RevisionOf(const platform::HttpReply& reply) {
+Revision RevisionOf(const keyvalue::HttpReply& reply) {
   const std::string tag = reply.Header("ETag");
   constexpr std::size_t kQuotes = 2;
   if (tag.size() <= kQuotes || tag.front() != '"') {
@@ -80,7 +80,7 @@
 std::optional<StoredDocument> AdminClient::GetDocument(
     const ServiceId& service) {
   const auto reply =
-      Call(platform::HttpMethod::kGet, DocumentPath(service), "", std::nullopt);
+      Call(keyvalue::HttpMethod::kGet, DocumentPath(service), "", std::nullopt);
   if (reply.m_status == kHttpNotFound) {
     return std::nullopt;
   }
@@ -92,7 +92,7 @@
 Revision AdminClient::PutDocument(const ServiceId& service,
                                   const std::string& text,
                                   Revision expected_revision) {
-  const auto reply = Call(platform::HttpMethod::kPut, DocumentPath(service),
+  const auto reply = Call(keyvalue::HttpMethod::kPut, DocumentPath(service),
                           text, expected_revision);
   RequireSuccess(reply);
   return RevisionOf(reply);
@@ -100,23 +100,23 @@
 
 void AdminClient::DeleteDocument(const ServiceId& service,
                                  Revision expected_revision) {
-  RequireSuccess(Call(platform::HttpMethod::kDelete, DocumentPath(service), "",
+  RequireSuccess(Call(keyvalue::HttpMethod::kDelete, DocumentPath(service), "",
                       expected_revision));
 }
 
 std::string AdminClient::GetJson(const std::string& page) {
   const auto reply =
-      Call(platform::HttpMethod::kGet, "/admin/" + page, "", std::nullopt);
+      Call(keyvalue::HttpMethod::kGet, "/admin/" + page, "", std::nullopt);
   RequireSuccess(reply);
   return reply.m_body;
 }
 
-platform::HttpReply AdminClient::Call(
-    platform::HttpMethod method,
+keyvalue::HttpReply AdminClient::Call(
+    keyvalue::HttpMethod method,
     const std::string& path,
     const std::string& body,
     std::optional<Revision> expected_revision) {
-  platform::HttpRequest request{
+  keyvalue::HttpRequest request{
       .m_method = method,
       .m_path = path,
       .m_body = body,
--- a/Source/tools/ctl/admin_client.h
+++ b/Source/tools/ctl/admin_client.h
@@ -41,7 +41,7 @@
   std::string GetJson(const std::string& page);
 
  private:
-  platform::HttpReply Call(platform::HttpMethod method,
+  keyvalue::HttpReply Call(keyvalue::HttpMethod method,
                            const std::string& path,
                            const std::string& body,
                            std::optional<Revision> expected_revision);
--- a/Source/tools/load/main.cc
+++ b/Source/tools/load/main.cc
@@ -5,7 +5,7 @@
 #include <iostream>
 
 #include "base/error.h"
-#include "endpoint/event_http_client.h"
+#include "endpoint/pooled_http_client.h"
 #include "tools/load/idle_connections.h"
 #include "tools/load/load_run.h"
 
@@ -88,7 +88,7 @@
 void RunLoad(const CommandLine& line) {
   const tools::Scenario scenario = ScenarioOf(line);
   EventLoop loop;
-  endpoint::EventHttpClient client(loop);
+  endpoint::PooledHttpClient client(loop);
   tools::LoadRun run(loop, client, scenario, line.m_options);
   tools::IdleConnections idle(loop);
   loop.Post([&] {
--- a/Source/tools/report/main.cc
+++ b/Source/tools/report/main.cc
@@ -50,7 +50,7 @@
     try {
       const auto reply = tools::CallAndWait(
           tools::ParseHostPort(entry),
-          {.m_method = hickoryloft::platform::HttpMethod::kGet,
+          {.m_method = hickoryloft::keyvalue::HttpMethod::kGet,
            .m_path = "/metrics.json"},
           kTimeout);
       report::AppendToFile(options.m_history,
--- a/Source/wire/connection.cc
+++ b/Source/wire/connection.cc
@@ -13,19 +13,11 @@
 #include <utility>
 #include <vector>
 
-#include "wire/socket_address.h"
+#include "base/socket_address.h"
+#include "base/socket_options.h"
 
 namespace hickoryloft::wire {
 
-namespace {
-
-void DisableNagle(int socket) {
-  const int on = 1;
-  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-}
-
-}  // namespace
-
 Connection::Connection(EventLoop& loop,
                        bufferevent* buffer,
                        Callbacks callbacks)
--- a/Source/wire/listener.cc
+++ b/Source/wire/listener.cc
@@ -9,7 +9,7 @@
 #include <utility>
 
 #include "base/error.h"
-#include "wire/socket_address.h"
+#include "base/socket_address.h"
 
 namespace hickoryloft::wire {
 
--- a/StandIns/engine_stand_in.cc
+++ b/StandIns/engine_stand_in.cc
@@ -61,8 +61,8 @@
   if (settings.m_store) {
     constexpr seconds kStoreTimeout(600);
     constexpr std::size_t kStoreConnections = 64;
-    m_store = std::make_unique<platform::HttpClient>(
-        loop, platform::HttpClientSettings{
+    m_store = std::make_unique<keyvalue::HttpClient>(
+        loop, keyvalue::HttpClientSettings{
                   .m_address = settings.m_store->m_address,
                   .m_port = settings.m_store->m_port,
                   .m_user_agent = "engine/" + settings.m_name,
@@ -245,7 +245,7 @@
                      {"bytes", order.m_bytes},
                      {"adapter", order.m_artifact.is_adapter()}};
   m_store->Send({.m_path = "/fetch", .m_body = body.dump()},
-                [this, order](const Result<platform::HttpReply>& reply) {
+                [this, order](const Result<keyvalue::HttpReply>& reply) {
                   if (reply.ok() && reply.value().m_status == kOk) {
                     FinishLoad(order);
                     return;
--- a/StandIns/engine_stand_in.h
+++ b/StandIns/engine_stand_in.h
@@ -15,7 +15,7 @@
 #include "StandIns/engine_memory.h"
 #include "StandIns/request_log.h"
 #include "StandIns/stand_in.h"
-#include "platform/http_client.h"
+#include "keyvalue/http_client.h"
 
 namespace hickoryloft::standins {
 
@@ -75,7 +75,7 @@
   EngineSettings m_settings;
   EngineMemory m_memory;
   DecodeBatch m_batch;
-  std::unique_ptr<platform::HttpClient> m_store;
+  std::unique_ptr<keyvalue::HttpClient> m_store;
   std::map<std::string, Cached> m_cached;  // By served name.
   std::map<std::uint64_t, std::unique_ptr<Timer>> m_load_timers;  // By order.
   RequestLog m_requests;
--- a/StandIns/etcd_gateway.cc
+++ b/StandIns/etcd_gateway.cc
@@ -4,17 +4,17 @@
 #include <optional>
 
 #include "base/error.h"
-#include "platform/etcd_json.h"
+#include "keyvalue/etcd_json.h"
 
 namespace hickoryloft::standins {
 
 namespace {
 
-using platform::EtcdBytes;
-using platform::EtcdInteger;
-using platform::EtcdMember;
-using platform::KeyValue;
-using platform::MemoryStore;
+using keyvalue::EtcdBytes;
+using keyvalue::EtcdInteger;
+using keyvalue::EtcdMember;
+using keyvalue::KeyValue;
+using keyvalue::MemoryStore;
 
 using Json = nlohmann::json;
 
@@ -27,13 +27,13 @@
   const std::string key = EtcdBytes(body, "key");
   std::vector<KeyValue> items;
   if (body.contains("range_end")) {
-    items = store.GetRange(key, platform::EtcdRangeEnd(body));
+    items = store.GetRange(key, keyvalue::EtcdRangeEnd(body));
   } else if (const auto item = store.Get(key)) {
     items.push_back(*item);
   }
   Json answer = WithHeader(store);
   for (const KeyValue& item : items) {
-    Json object = platform::ToEtcdJson(item);
+    Json object = keyvalue::ToEtcdJson(item);
     object["version"] = std::to_string(store.VersionOf(item.m_key));
     answer["kvs"].push_back(std::move(object));
   }
@@ -110,7 +110,7 @@
   return answer;
 }
 
-Json LeaseAnswer(const MemoryStore& store, const platform::LeaseReply& reply) {
+Json LeaseAnswer(const MemoryStore& store, const keyvalue::LeaseReply& reply) {
   return WithHeader(
       store,
       {{"ID", std::to_string(reply.m_lease)},
@@ -123,7 +123,7 @@
 }
 
 Json KeepAlive(MemoryStore& store, const Json& body, MonotonicTime now) {
-  const platform::LeaseId lease = EtcdInteger(body, "ID");
+  const keyvalue::LeaseId lease = EtcdInteger(body, "ID");
   try {
     return {{"result", LeaseAnswer(store, store.KeepAlive(lease, now))}};
   } catch (const Error&) {
--- a/StandIns/etcd_gateway.h
+++ b/StandIns/etcd_gateway.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "base/time.h"
-#include "platform/memory_store.h"
+#include "keyvalue/memory_store.h"
 
 namespace hickoryloft::standins {
 
@@ -28,13 +28,13 @@
 
 // Carries out the call. Throws Error(kNotFound) for a missing lease and
 // Error(kProtocol) for a body outside the gateway's interface.
-nlohmann::json CallGateway(platform::MemoryStore& store,
+nlohmann::json CallGateway(keyvalue::MemoryStore& store,
                            const std::string& path,
                            const nlohmann::json& body,
                            MonotonicTime now);
 
 // Returns the header that every answer carries.
-nlohmann::json GatewayHeader(const platform::MemoryStore& store);
+nlohmann::json GatewayHeader(const keyvalue::MemoryStore& store);
 
 }  // namespace hickoryloft::standins
 
--- a/StandIns/platform_stand_in.cc
+++ b/StandIns/platform_stand_in.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "base/error.h"
-#include "platform/etcd_json.h"
+#include "keyvalue/etcd_json.h"
 
 namespace hickoryloft::standins {
 
@@ -159,16 +159,16 @@
                                  const std::string& host,
                                  const Json& body) {
   const Json request =
-      body.is_object() ? platform::EtcdMember(body, "create_request") : Json();
+      body.is_object() ? keyvalue::EtcdMember(body, "create_request") : Json();
   if (!request.is_object()) {
     call->Send(kBadRequest, {{"error", "create_request is missing"}});
     return;
   }
-  const Revision start = platform::EtcdInteger(request, "start_revision");
+  const Revision start = keyvalue::EtcdInteger(request, "start_revision");
   m_watches.push_back({.m_call = call,
                        .m_host = host,
-                       .m_first = platform::EtcdBytes(request, "key"),
-                       .m_end = platform::EtcdRangeEnd(request),
+                       .m_first = keyvalue::EtcdBytes(request, "key"),
+                       .m_end = keyvalue::EtcdRangeEnd(request),
                        .m_sent = start > 0 ? start - 1 : m_store.revision()});
   m_most_watches = std::max(m_most_watches, m_watches.size());
   const auto position = std::prev(m_watches.end());
@@ -225,7 +225,7 @@
       --m_dropped_events;
       continue;
     }
-    events.push_back(platform::ToEtcdJson(event));
+    events.push_back(keyvalue::ToEtcdJson(event));
   }
   watch.m_sent = m_store.revision();
   if (!events.empty()) {
--- a/StandIns/platform_stand_in.h
+++ b/StandIns/platform_stand_in.h
@@ -12,7 +12,7 @@
 
 #include "StandIns/etcd_gateway.h"
 #include "StandIns/stand_in.h"
-#include "platform/memory_store.h"
+#include "keyvalue/memory_store.h"
 
 namespace hickoryloft::standins {
 
@@ -53,7 +53,7 @@
   void SendProgress();
   void ApplyOutage(const nlohmann::json& value);
 
-  platform::MemoryStore m_store;
+  keyvalue::MemoryStore m_store;
   nlohmann::json m_hosts = nlohmann::json::array();
   Counts m_calls_by_kind;
   std::map<std::string, Counts> m_calls_by_host;
--- a/Tests/claims/claim_world.cc
+++ b/Tests/claims/claim_world.cc
@@ -14,7 +14,7 @@
   return "members/" + host.value() + "/" + std::to_string(incarnation);
 }
 
-std::string StandingKey(const HostId& host, platform::LeaseId lease) {
+std::string StandingKey(const HostId& host, keyvalue::LeaseId lease) {
   return "standing/" + host.value() + "/" + std::to_string(lease);
 }
 
@@ -147,14 +147,14 @@
   host.m_calling = true;
   const MonotonicTime sent_at = LocalTime(host);
   struct Outcome {
-    platform::LeaseId m_short = 0;
-    platform::LeaseId m_long = 0;
+    keyvalue::LeaseId m_short = 0;
+    keyvalue::LeaseId m_long = 0;
     bool m_short_lost = false;
     bool m_long_lost = false;
   };
   const auto outcome = std::make_shared<Outcome>();
-  const auto renew = [this](platform::LeaseId lease, Duration ttl,
-                            bool& lost) -> platform::LeaseId {
+  const auto renew = [this](keyvalue::LeaseId lease, Duration ttl,
+                            bool& lost) -> keyvalue::LeaseId {
     try {
       if (lease != 0) {
         return m_store.KeepAlive(lease, m_now).m_lease;
@@ -166,8 +166,8 @@
   };
   const HostId id = host.m_id;
   const Incarnation incarnation = host.m_incarnation;
-  const platform::LeaseId old_short = host.m_short;
-  const platform::LeaseId old_long = host.m_long;
+  const keyvalue::LeaseId old_short = host.m_short;
+  const keyvalue::LeaseId old_long = host.m_long;
   m_calls.push_back(
       {.m_host = index,
        .m_incarnation = incarnation,
@@ -373,7 +373,7 @@
 }
 
 void ClaimWorld::Run(std::size_t index, const WriteClaim& effect) {
-  const auto reply = std::make_shared<platform::SwapReply>();
+  const auto reply = std::make_shared<keyvalue::SwapReply>();
   const auto answer = [=, this](WriteOutcome outcome) {
     Host& host = m_hosts[index];
     host.m_table->OnWrite(effect.m_claim, effect.m_nonce, outcome,
--- a/Tests/claims/claim_world.h
+++ b/Tests/claims/claim_world.h
@@ -13,7 +13,7 @@
 
 #include "base/random.h"
 #include "claims/claim_table.h"
-#include "platform/memory_store.h"
+#include "keyvalue/memory_store.h"
 
 namespace hickoryloft::claims {
 
@@ -64,8 +64,8 @@
     bool m_cut_from_service = false;
     bool m_cut_from_peers = false;
     std::unique_ptr<ClaimTable> m_table;
-    platform::LeaseId m_short = 0;
-    platform::LeaseId m_long = 0;
+    keyvalue::LeaseId m_short = 0;
+    keyvalue::LeaseId m_long = 0;
     Revision m_member_revision = 0;
     bool m_calling = false;
     MonotonicTime m_renew_at{};
@@ -106,7 +106,7 @@
   bool m_acts_in_outage;
   ClaimSettings m_settings;
   MonotonicTime m_now{std::chrono::hours(1)};
-  platform::MemoryStore m_store;
+  keyvalue::MemoryStore m_store;
   bool m_service_up = true;
   std::vector<Host> m_hosts;
   std::list<Call> m_calls;
--- a/Tests/coordinator/coordinator_test.cc
+++ b/Tests/coordinator/coordinator_test.cc
@@ -6,7 +6,7 @@
 #include <catch2/trompeloeil.hpp>
 
 #include "base/hashing.h"
-#include "platform/memory_key_value_service.h"
+#include "keyvalue/memory_key_value_service.h"
 #include "wire/frame.h"
 
 using namespace hickoryloft;
@@ -52,7 +52,7 @@
 class TestHost {
  public:
   TestHost(EventLoop& loop,
-           platform::KeyValueService& key_values,
+           keyvalue::KeyValueService& key_values,
            const std::string& host)
       : m_coordinator(loop, key_values, SettingsOf(host)) {
     auto module = std::make_unique<MockModule>();
@@ -130,7 +130,7 @@
 
 TEST_CASE("One host holds a claim, answers for it and hands it over") {
   EventLoop loop;
-  platform::MemoryKeyValueService key_values(loop);
+  keyvalue::MemoryKeyValueService key_values(loop);
   TestHost a(loop, key_values, "a");
   TestHost b(loop, key_values, "b");
   REQUIRE(RunUntil(loop, [&] {
@@ -162,7 +162,7 @@
 
 TEST_CASE("A document is accepted, conflicts are told, and all hosts have it") {
   EventLoop loop;
-  platform::MemoryKeyValueService key_values(loop);
+  keyvalue::MemoryKeyValueService key_values(loop);
   TestHost a(loop, key_values, "a");
   TestHost b(loop, key_values, "b");
   REQUIRE(RunUntil(loop, [&] {
--- a/Tests/endpoint/event_http_client_test.cc
+++ b/Tests/endpoint/pooled_http_client_test.cc
@@ -1,4 +1,4 @@
-#include "endpoint/event_http_client.h"
+#include "endpoint/pooled_http_client.h"
 
 #include <event2/buffer.h>
 #include <event2/http.h>
@@ -91,7 +91,7 @@
   std::optional<ErrorCode> m_failure;
 };
 
-Outcome RunCall(EventLoop& loop, EventHttpClient& client, CallRequest request) {
+Outcome RunCall(EventLoop& loop, PooledHttpClient& client, CallRequest request) {
   Outcome outcome;
   const auto call = client.Start(
       std::move(request),
@@ -124,7 +124,7 @@
 TEST_CASE("Calls share a connection unless a fresh one is asked for") {
   EventLoop loop;
   TestEndpoint server(loop);
-  EventHttpClient client(loop);
+  PooledHttpClient client(loop);
   for (int i = 0; i < 3; ++i) {
     const Outcome outcome = RunCall(loop, client, Echo(server));
     CHECK(outcome.m_done);
@@ -141,7 +141,7 @@
 
 TEST_CASE("Failures tell whether a byte may have left") {
   EventLoop loop;
-  EventHttpClient client(loop);
+  PooledHttpClient client(loop);
   std::uint16_t closed_port = 0;
   {
     const wire::Listener listener(loop, "127.0.0.1", 0, [](int) {});
@@ -169,7 +169,7 @@
 TEST_CASE("A cancelled call gives no event and a paused one no bytes") {
   EventLoop loop;
   TestEndpoint server(loop);
-  EventHttpClient client(loop);
+  PooledHttpClient client(loop);
   bool any_event = false;
   auto cancelled = client.Start(
       Echo(server), {.m_head = [&](const auto&) { any_event = true; },
--- a/Tests/entry/bad_input_test.cc
+++ b/Tests/entry/bad_input_test.cc
@@ -5,7 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "Tests/entry/entry_world.h"
-#include "wire/socket_address.h"
+#include "base/socket_address.h"
 
 using namespace hickoryloft;
 using namespace hickoryloft::entry;
@@ -30,7 +30,7 @@
         this);
     bufferevent_enable(m_buffer, EV_READ | EV_WRITE);
     const auto target =
-        wire::ParseSocketAddress("127.0.0.1", world.m_daemon->port());
+        ParseSocketAddress("127.0.0.1", world.m_daemon->port());
     bufferevent_socket_connect(m_buffer, target.get(), target.size());
     Write(bytes);
   }
--- a/Tests/entry/entry_world.h
+++ b/Tests/entry/entry_world.h
@@ -15,7 +15,7 @@
 
 #include "StandIns/engine_stand_in.h"
 #include "StandIns/service_stand_in.h"
-#include "endpoint/event_http_client.h"
+#include "endpoint/pooled_http_client.h"
 #include "entry/entry_daemon.h"
 #include "wire/listener.h"
 
@@ -152,7 +152,7 @@
  private:
   Gates MakeGates();
 
-  endpoint::EventHttpClient m_caller;
+  endpoint::PooledHttpClient m_caller;
   std::map<const SeenAnswer*, std::unique_ptr<endpoint::Call>> m_calls;
   std::uint64_t m_last_order = 0;
 };
--- a/Tests/platform/base64_test.cc
+++ b/Tests/keyvalue/base64_test.cc
@@ -1,11 +1,11 @@
-#include "platform/base64.h"
+#include "keyvalue/base64.h"
 
 #include <catch2/catch.hpp>
 
 #include "base/error.h"
 
 using namespace hickoryloft;
-using namespace hickoryloft::platform;
+using namespace hickoryloft::keyvalue;
 
 TEST_CASE("Base64 gives back bytes of every length and value") {
   std::string bytes;
--- a/Tests/platform/etcd_client_test.cc
+++ b/Tests/keyvalue/etcd_client_test.cc
@@ -1,12 +1,12 @@
-#include "platform/etcd_client.h"
+#include "keyvalue/etcd_client.h"
 
 #include <catch2/catch.hpp>
 
 #include "StandIns/platform_stand_in.h"
-#include "Tests/platform/test_loop.h"
+#include "Tests/keyvalue/test_loop.h"
 
 using namespace hickoryloft;
-using namespace hickoryloft::platform;
+using namespace hickoryloft::keyvalue;
 using hickoryloft::standins::PlatformStandIn;
 using nlohmann::json;
 using test::Await;
--- a/Tests/platform/host_list_test.cc
+++ b/Tests/keyvalue/host_list_test.cc
@@ -1,13 +1,13 @@
 #include <catch2/catch.hpp>
 
 #include "StandIns/platform_stand_in.h"
-#include "Tests/platform/test_loop.h"
-#include "platform/host_list_json.h"
-#include "platform/http_host_list.h"
-#include "platform/static_host_list.h"
+#include "Tests/keyvalue/test_loop.h"
+#include "keyvalue/host_list_json.h"
+#include "keyvalue/http_host_list.h"
+#include "keyvalue/static_host_list.h"
 
 using namespace hickoryloft;
-using namespace hickoryloft::platform;
+using namespace hickoryloft::keyvalue;
 using test::Await;
 
 namespace {
--- a/Tests/platform/http_client_test.cc
+++ b/Tests/keyvalue/http_client_test.cc
@@ -1,15 +1,15 @@
-#include "platform/http_client.h"
+#include "keyvalue/http_client.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "StandIns/stand_in.h"
-#include "Tests/platform/test_loop.h"
-#include "platform/etcd_client.h"
-#include "platform/http_host_list.h"
+#include "Tests/keyvalue/test_loop.h"
+#include "keyvalue/etcd_client.h"
+#include "keyvalue/http_host_list.h"
 
 using namespace hickoryloft;
-using namespace hickoryloft::platform;
+using namespace hickoryloft::keyvalue;
 using test::Await;
 using test::RunUntil;
 
--- a/Tests/platform/memory_key_value_service_test.cc
+++ b/Tests/keyvalue/memory_key_value_service_test.cc
@@ -1,11 +1,11 @@
-#include "platform/memory_key_value_service.h"
+#include "keyvalue/memory_key_value_service.h"
 
 #include <catch2/catch.hpp>
 
-#include "Tests/platform/test_loop.h"
+#include "Tests/keyvalue/test_loop.h"
 
 using namespace hickoryloft;
-using namespace hickoryloft::platform;
+using namespace hickoryloft::keyvalue;
 using test::Await;
 using test::RunFor;
 using test::RunUntil;
--- a/Tests/platform/memory_store_test.cc
+++ b/Tests/keyvalue/memory_store_test.cc
@@ -1,4 +1,4 @@
-#include "platform/memory_store.h"
+#include "keyvalue/memory_store.h"
 
 #include <rapidcheck.h>
 #include <rapidcheck/state.h>
@@ -8,7 +8,7 @@
 
 #include "base/error.h"
 
-namespace hickoryloft::platform {
+namespace hickoryloft::keyvalue {
 namespace {
 
 const std::vector<std::string> kKeys = {"a", "a/1", "a/2", "b", "b/1"};
@@ -265,4 +265,4 @@
 }
 
 }  // namespace
-}  // namespace hickoryloft::platform
+}  // namespace hickoryloft::keyvalue
--- a/Tests/load/load_run_test.cc
+++ b/Tests/load/load_run_test.cc
@@ -11,7 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/error.h"
-#include "endpoint/event_http_client.h"
+#include "endpoint/pooled_http_client.h"
 
 namespace hickoryloft::tools {
 namespace {
@@ -59,7 +59,7 @@
                                 .m_models = {"a", "b"},
                                 .m_stream = true});
   }
-  endpoint::EventHttpClient client(loop);
+  endpoint::PooledHttpClient client(loop);
   LoadRun run(loop, client, scenario,
               {.m_duration = seconds(20), .m_max_requests = 100});
   run.Start([&loop] { loop.Stop(); });
--- a/Tests/standins/engine_stand_in_test.cc
+++ b/Tests/standins/engine_stand_in_test.cc
@@ -55,7 +55,7 @@
   }
 };
 
-json Body(const Result<platform::HttpReply>& reply) {
+json Body(const Result<keyvalue::HttpReply>& reply) {
   return json::parse(reply.value().m_body);
 }
 
--- a/Tests/standins/stand_in_client.h
+++ b/Tests/standins/stand_in_client.h
@@ -8,8 +8,8 @@
 #include <utility>
 #include <vector>
 
-#include "Tests/platform/test_loop.h"
-#include "platform/http_client.h"
+#include "Tests/keyvalue/test_loop.h"
+#include "keyvalue/http_client.h"
 
 namespace hickoryloft::test {
 
@@ -25,17 +25,17 @@
 
   using Headers = std::vector<std::pair<std::string, std::string>>;
 
-  Result<platform::HttpReply> Post(const std::string& path,
+  Result<keyvalue::HttpReply> Post(const std::string& path,
                                    const nlohmann::json& body,
                                    const Headers& headers = {}) {
-    return Await<platform::HttpReply>(m_loop, [&](auto done) {
+    return Await<keyvalue::HttpReply>(m_loop, [&](auto done) {
       m_http.Send({.m_path = path, .m_body = body.dump(), .m_headers = headers},
                   done);
     });
   }
   nlohmann::json Get(const std::string& path) {
-    const auto reply = Await<platform::HttpReply>(m_loop, [&](auto done) {
-      m_http.Send({.m_method = platform::HttpMethod::kGet, .m_path = path},
+    const auto reply = Await<keyvalue::HttpReply>(m_loop, [&](auto done) {
+      m_http.Send({.m_method = keyvalue::HttpMethod::kGet, .m_path = path},
                   done);
     });
     return nlohmann::json::parse(reply.value().m_body);
@@ -52,11 +52,11 @@
     }
     throw std::runtime_error("the awaited state did not come");
   }
-  platform::HttpClient& http() { return m_http; }
+  keyvalue::HttpClient& http() { return m_http; }
 
  private:
   EventLoop& m_loop;
-  platform::HttpClient m_http;
+  keyvalue::HttpClient m_http;
 };
 
 }  // namespace hickoryloft::test
--- a/Utilities/check-structure.sh
+++ b/Utilities/check-structure.sh
@@ -10,22 +10,27 @@
 # Each package with the packages that it may include, besides itself.
 declare -A allowed=(
   [base]=""
+  [http]="base"
   [settings]="base"
   [metrics]="base"
   [wire]="base"
-  [platform]="base"
+  [keyvalue]="base"
   [program]="base settings"
-  [endpoint]="base"
+  [endpoint]="base http"
   [claims]="base"
   [documents]="base settings"
   [limits]="base"
   [actions]="base"
-  [placement]="base endpoint"
+  [placement]="base endpoint fleet"
+  [fleet]="base http endpoint keyvalue"
+  [admission]="base"
+  [membership]="base keyvalue"
+  [host]="base http metrics wire keyvalue endpoint fleet admission membership routing placement"
   [routing]="base"
   [report]="base metrics documents"
   [entry]="base program settings metrics wire endpoint documents limits actions routing"
-  [coordinator]="base program settings metrics wire platform endpoint claims documents limits actions placement"
-  [tools]="base settings metrics wire platform endpoint claims documents limits actions placement routing report"
+  [coordinator]="base program settings metrics wire keyvalue endpoint claims documents limits actions placement"
+  [tools]="base settings metrics wire keyvalue endpoint claims documents limits actions placement routing report"
 )
 
 for package in "${!allowed[@]}"; do
