host: a planned stop waits until callers have read their answers

Ruled out: the endpoints' ends (their runs ended well). Change: the stop waits for connections to drain; streams are refused from 2.5 s after SIGTERM, other requests near the end.

--- a/Source/host/frontend.cc
+++ b/Source/host/frontend.cc
@@ -16,6 +16,11 @@
 constexpr Duration kOutdatedRetryAfter = milliseconds(300);
 // Rejections of an account that has used up its rate, at least.
 constexpr Duration kMinQuotaRetryAfter = milliseconds(50);
+// A stopping host takes streams for this long, in which balancers notice that
+// it is not ready; a stream takes a few seconds.
+constexpr Duration kStopStreams = milliseconds(2500);
+// Other requests are taken until this long before the end.
+constexpr Duration kStopLastAnswer = milliseconds(1500);
 // The most urgent level and the least urgent one.
 constexpr int kMaxUrgency = 9;
 
@@ -90,6 +95,9 @@
   admitted.m_service =
       fleet::PickTarget(*admitted.m_route, point(m_context.m_random));
   admitted.m_urgency = admitted.m_route->m_priority;
+  if (auto rejection = CheckStopping(admitted)) {
+    return rejection;
+  }
   if (auto rejection = CheckKey(admitted)) {
     return rejection;
   }
@@ -100,6 +108,26 @@
   return TakeQuota(admitted);
 }
 
+void Frontend::BeginStop(Duration grace) {
+  m_stopping = true;
+  m_stop_began = m_context.m_loop.Now();
+  m_stop_ends = m_stop_began + grace;
+}
+
+std::optional<Frontend::Rejection> Frontend::CheckStopping(
+    const RequestFlow::Admitted& admitted) const {
+  if (!m_stopping) {
+    return std::nullopt;
+  }
+  const MonotonicTime now = m_context.m_loop.Now();
+  const bool stream =
+      admitted.m_route->m_kind == fleet::RequestKind::kStreaming;
+  const bool refused = stream ? now - m_stop_began > kStopStreams
+                              : m_stop_ends - now < kStopLastAnswer;
+  return refused ? std::optional(Rejection{503, "host_stops", Duration{}})
+                 : std::nullopt;
+}
+
 std::optional<Frontend::Rejection> Frontend::CheckKey(
     RequestFlow::Admitted& admitted) {
   if (admitted.m_route->m_open) {
--- a/Source/host/frontend.h
+++ b/Source/host/frontend.h
@@ -27,6 +27,9 @@
 
   // Something has changed that waiting requests may depend on.
   void Reconsider();
+  // The host stops after `grace`. A request that may not end by then is refused
+  // from now on.
+  void BeginStop(Duration grace);
   // Ends all requests, since the host stops.
   void AbortAll();
 
@@ -57,6 +60,8 @@
   std::optional<Rejection> CheckKey(RequestFlow::Admitted& admitted);
   std::optional<Rejection> TakeQuota(RequestFlow::Admitted& admitted);
   std::optional<Rejection> CheckServable(const RequestFlow::Admitted& admitted);
+  std::optional<Rejection> CheckStopping(
+      const RequestFlow::Admitted& admitted) const;
   // Whether an unknown route or key may merely be newer than this host's view.
   bool MayBeOutdated() const;
   void Reject(http::ServerExchange& exchange,
@@ -65,18 +70,19 @@
   void Wait(RequestFlow& flow);
   void End(RequestFlow& flow);
   placement::ModelDemand::Key DemandKey(const RequestFlow& flow) const;
-  void RefuseHopeless();
 
   RequestContext& m_context;
   std::unordered_map<RequestFlow*, std::unique_ptr<RequestFlow>> m_flows;
   // In order of urgency, then of arrival.
   std::multimap<std::pair<int, MonotonicTime>, RequestFlow*> m_waiting;
-  bool m_reconsidering = false;
   std::unordered_map<ClientAccountId, admission::TokenQuota> m_quotas;
   std::map<HostId, Incarnation> m_peers;
   // Requests for each model since the host's start.
   std::map<placement::ModelDemand::Key, std::uint64_t> m_arrivals;
   std::unique_ptr<Timer> m_soon;
+  bool m_stopping = false;
+  MonotonicTime m_stop_began;
+  MonotonicTime m_stop_ends;
 };
 
 }  // namespace hickoryloft::host
--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -448,6 +448,7 @@
   kLog.Info("stopping",
             {{"open", static_cast<std::uint64_t>(m_frontend.open())}});
   m_callers.BeginDrain();
+  m_frontend.BeginStop(m_settings.m_bounds.m_stop_grace - kStopReserve);
   m_holder_lease.End();
   m_stop_tick =
       m_loop.Every(milliseconds(50), [this] { ContinueStop(); });
@@ -460,7 +461,9 @@
   }
   m_callers.CloseIdle();
   const bool late = passed > m_settings.m_bounds.m_stop_grace - kStopReserve;
-  if (m_frontend.open() > 0 && !late) {
+  // A connection stays until its caller has read the last answer.
+  const bool busy = m_frontend.open() > 0 || m_callers.connections() > 0;
+  if (busy && !late) {
     return;
   }
   m_stop_tick.reset();
