--- a/Source/admission/token_quota.cc
+++ b/Source/admission/token_quota.cc
@@ -29,7 +29,9 @@
     const MonotonicTime silent_from =
         std::max(peer.m_heard_at + kReportLife, peer.m_charged_until);
     if (silent_from < now) {
-      m_level -= share * ToSeconds(now - silent_from);
+      const double charge = share * ToSeconds(now - silent_from);
+      m_level -= charge;
+      peer.m_charged += charge;
       peer.m_charged_until = now;
     }
   }
@@ -72,10 +74,12 @@
   if (first) {
     known.m_total = total;
   } else {
+    // The report tells what the charge for the silence only assumed.
     m_level = std::min(m_limit.m_burst_tokens,
-                       m_level - (total - known.m_total));
+                       m_level + known.m_charged - (total - known.m_total));
     known.m_total = total;
   }
+  known.m_charged = 0;
   known.m_heard_at = now;
 }
 
@@ -96,6 +100,11 @@
   }
 }
 
+bool TokenQuota::ReportDue() const {
+  return m_limit.m_tokens_per_second > 0 &&
+         m_admitted - m_reported > kReportPart * m_limit.m_burst_tokens;
+}
+
 double TokenQuota::Level(MonotonicTime now) {
   Refill(now);
   ChargeSilentPeers(now);
--- a/Source/admission/token_quota.h
+++ b/Source/admission/token_quota.h
@@ -25,9 +25,12 @@
 // thread-safe; the times given must not decrease.
 class TokenQuota {
  public:
-  // A report older than this no longer tells what its host admits: several
+  // A report older than this no longer tells what its host admits: a few
   // report intervals, and well below the window in which the rate is judged.
-  static constexpr Duration kReportLife = milliseconds(1500);
+  static constexpr Duration kReportLife = milliseconds(700);
+  // Part of the burst that a host may admit before the others should hear of
+  // it: with ten hosts, less than half a burst is unknown at any time.
+  static constexpr double kReportPart = 0.04;
 
   // Part of the burst that a new copy starts with: it cannot know what the
   // other hosts have admitted lately.
@@ -59,6 +62,12 @@
   double admitted() const { return m_admitted; }
   double Level(MonotonicTime now);
 
+  // Whether the other hosts should be told of what this one has admitted
+  // before the next regular report.
+  bool ReportDue() const;
+  // What has been admitted so far is on its way to the other hosts.
+  void MarkReported() { m_reported = m_admitted; }
+
  private:
   struct Peer {
     Incarnation m_incarnation = 0;
@@ -68,6 +77,7 @@
     double m_total = 0;
     MonotonicTime m_heard_at;
     MonotonicTime m_charged_until;  // For silence, at an equal share.
+    double m_charged = 0;           // For silence, since the last report.
   };
 
   void Refill(MonotonicTime now);
@@ -76,6 +86,7 @@
   QuotaLimit m_limit;
   double m_level;
   double m_admitted = 0;
+  double m_reported = 0;
   MonotonicTime m_at;
   std::map<HostId, Peer> m_peers;
 };
--- a/Source/host/frontend.cc
+++ b/Source/host/frontend.cc
@@ -204,6 +204,9 @@
   const auto wait =
       quota->second.Take(admitted.m_tokens, m_context.m_loop.Now());
   if (!wait) {
+    if (quota->second.ReportDue()) {
+      m_context.m_report_due();
+    }
     return std::nullopt;
   }
   return Rejection{429, "account_rate_used_up",
@@ -360,10 +363,11 @@
   return wants;
 }
 
-std::vector<std::pair<ClientAccountId, double>> Frontend::AdmittedTokens()
-    const {
+std::vector<std::pair<ClientAccountId, double>>
+Frontend::ReportAdmittedTokens() {
   std::vector<std::pair<ClientAccountId, double>> admitted;
-  for (const auto& [account, quota] : m_quotas) {
+  for (auto& [account, quota] : m_quotas) {
+    quota.MarkReported();
     admitted.emplace_back(account, quota.admitted());
   }
   return admitted;
--- a/Source/host/frontend.h
+++ b/Source/host/frontend.h
@@ -45,7 +45,7 @@
   std::size_t waiting() const { return m_waiting.size(); }
   // For this host's report.
   std::vector<placement::ModelWant> Wants() const;
-  std::vector<std::pair<ClientAccountId, double>> AdmittedTokens() const;
+  std::vector<std::pair<ClientAccountId, double>> ReportAdmittedTokens();
 
  private:
   struct Rejection {
--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -178,6 +178,7 @@
       .m_host_count = [this] { return m_reports.peers().size() + 1; },
       .m_keys_current = [this] { return KeysCurrent(); },
       .m_demand_changed = [this] { OnDemand(); },
+      .m_report_due = [this] { m_reports.SendSoon(); },
   };
 }
 
@@ -301,7 +302,7 @@
     row->arrivals = want.m_arrivals;
     report.wants.push_back(std::move(row));
   }
-  for (const auto& [account, admitted] : m_frontend.AdmittedTokens()) {
+  for (const auto& [account, admitted] : m_frontend.ReportAdmittedTokens()) {
     auto row = std::make_unique<wire::AccountUseRowT>();
     row->account = account.value();
     row->admitted_tokens = admitted;
--- a/Source/host/report_exchange.cc
+++ b/Source/host/report_exchange.cc
@@ -1,5 +1,6 @@
 #include "host/report_exchange.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/log.h"
@@ -13,6 +14,8 @@
 constexpr Duration kInterval = milliseconds(250);
 // Urgent reports that come together go out as one.
 constexpr Duration kUrgentDelay = milliseconds(3);
+// At least between urgent reports.
+constexpr Duration kUrgentPause = milliseconds(20);
 // A peer that leaves this much unread is stuck; its connection is renewed.
 constexpr std::size_t kMaxPendingBytes = std::size_t{256} * 1024;
 
@@ -113,6 +116,7 @@
 
 void ReportExchange::SendUrgent() {
   m_soon.reset();
+  m_last_urgent = m_loop.Now();
   const auto urgent = std::exchange(m_urgent, {});
   const wire::EnvelopeT report = wire::MakeEnvelope(m_events.m_make_report());
   for (const HostId& host : urgent) {
@@ -129,7 +133,10 @@
 void ReportExchange::SendSoonTo(const HostId& peer) {
   m_urgent.insert(peer);
   if (!m_soon) {
-    m_soon = m_loop.After(kUrgentDelay, [this] { SendUrgent(); });
+    const MonotonicTime earliest = m_last_urgent + kUrgentPause;
+    const Duration delay =
+        std::max(kUrgentDelay, earliest - m_loop.Now());
+    m_soon = m_loop.After(delay, [this] { SendUrgent(); });
   }
 }
 
--- a/Source/host/report_exchange.h
+++ b/Source/host/report_exchange.h
@@ -64,6 +64,7 @@
   std::map<HostId, std::shared_ptr<wire::Connection>> m_connections;
   std::unordered_set<std::shared_ptr<wire::Connection>> m_accepted;
   std::unordered_set<HostId> m_urgent;
+  MonotonicTime m_last_urgent;
   std::unique_ptr<Timer> m_regular;
   std::unique_ptr<Timer> m_soon;
 };
--- a/Source/host/request_context.h
+++ b/Source/host/request_context.h
@@ -47,6 +47,8 @@
   std::function<void()> m_place_freed;
   // A request waits that did not before.
   std::function<void()> m_demand_changed;
+  // An account has used so much that the other hosts should know.
+  std::function<void()> m_report_due;
   // The request is over; the flow is destroyed after the current callback.
   std::function<void(RequestFlow&)> m_over;
 };
