exchange: reports through group relays; news of loads ahead of registrations

Change: groups of the root of the fleet's size with one relay; the giver of orders announces loads; other hosts read the store lazily; an engine that is busy with an unknown order gets none.

--- a/Source/fleet/knowledge_feed.cc
+++ b/Source/fleet/knowledge_feed.cc
@@ -17,6 +17,10 @@
 // Endpoints register again within about two seconds of the service's return.
 constexpr Duration kReturnPeriod = seconds(3);
 
+// Between batches of changes, so that changes that come together cost one call.
+constexpr Duration kEagerPause = milliseconds(20);
+constexpr Duration kLazyPause = milliseconds(350);
+
 const Logger kLog("knowledge");
 
 }  // namespace
@@ -90,6 +94,14 @@
         kLog.Warn("watch ended, reading again", {{"reason", error.what()}});
         m_retry = m_loop.After(Duration{}, [this] { ReadAll(); });
       });
+  SetEager(m_eager);
+}
+
+void KnowledgeFeed::SetEager(bool eager) {
+  m_eager = eager;
+  if (m_watch) {
+    m_watch->SetBatchPause(eager ? kEagerPause : kLazyPause);
+  }
 }
 
 void KnowledgeFeed::TakeBatch(const keyvalue::WatchBatch& batch) {
--- a/Source/host/frontend.cc
+++ b/Source/host/frontend.cc
@@ -306,9 +306,7 @@
         .m_burst_tokens = account.m_burst_tokens};
     const auto known = m_quotas.find(account.m_id);
     if (known == m_quotas.end()) {
-      const auto added = m_quotas.emplace(
-          account.m_id, admission::TokenQuota(limit, now));
-      added.first->second.SetPeers(m_peers, now);
+      m_quotas.emplace(account.m_id, admission::TokenQuota(limit, now));
     } else if (known->second.limit() != limit) {
       known->second.SetLimit(limit, now);
     }
@@ -316,61 +314,39 @@
   Reconsider();
 }
 
-void Frontend::SetPeers(const std::map<HostId, Incarnation>& peers) {
-  m_peers = peers;
+void Frontend::TakeOthers(const OthersView& others) {
+  const MonotonicTime now = m_context.m_loop.Now();
   for (auto& [account, quota] : m_quotas) {
-    quota.SetPeers(peers, m_context.m_loop.Now());
-  }
-}
-
-void Frontend::TakeAccountReport(const HostId& peer,
-                                 Incarnation incarnation,
-                                 const ClientAccountId& account,
-                                 double admitted) {
-  const auto quota = m_quotas.find(account);
-  if (quota != m_quotas.end()) {
-    quota->second.TakeReport(peer, incarnation, admitted,
-                             m_context.m_loop.Now());
+    const auto admitted = others.m_counts.m_admitted.find(account);
+    quota.TakeOthers(
+        others.m_epoch,
+        admitted == others.m_counts.m_admitted.end() ? 0 : admitted->second,
+        now);
+    quota.SetSilence(others.m_silent_hosts, others.m_hosts, now);
   }
 }
 
-std::vector<placement::ModelWant> Frontend::Wants() const {
-  std::map<placement::ModelDemand::Key, int> waiting;
+void Frontend::AddCounts(membership::FleetCounts& counts) {
   for (const auto& [rank, flow] : m_waiting) {
     const fleet::CallerRequest& request = flow->admitted().m_request;
     if (request.m_model.empty()) {
       continue;
     }
-    ++waiting[DemandKey(*flow)];
+    ++counts.m_wants[DemandKey(*flow)].m_waiting;
     if (!request.m_adapter.empty()) {
-      ++waiting[{flow->admitted().m_service, request.m_model,
-                 request.m_adapter}];
+      ++counts
+            .m_wants[{flow->admitted().m_service, request.m_model,
+                      request.m_adapter}]
+            .m_waiting;
     }
   }
-  std::vector<placement::ModelWant> wants;
   for (const auto& [key, arrivals] : m_arrivals) {
-    waiting.try_emplace(key, 0);
+    counts.m_wants[key].m_arrivals = arrivals;
   }
-  for (const auto& [key, count] : waiting) {
-    const auto arrivals = m_arrivals.find(key);
-    wants.push_back(
-        {.m_service = key.m_service,
-         .m_model = key.m_model,
-         .m_adapter = key.m_adapter,
-         .m_waiting = count,
-         .m_arrivals = arrivals == m_arrivals.end() ? 0 : arrivals->second});
-  }
-  return wants;
-}
-
-std::vector<std::pair<ClientAccountId, double>>
-Frontend::ReportAdmittedTokens() {
-  std::vector<std::pair<ClientAccountId, double>> admitted;
   for (auto& [account, quota] : m_quotas) {
     quota.MarkReported();
-    admitted.emplace_back(account, quota.admitted());
+    counts.m_admitted[account] = quota.admitted();
   }
-  return admitted;
 }
 
 }  // namespace hickoryloft::host
--- a/Source/host/frontend.h
+++ b/Source/host/frontend.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "admission/token_quota.h"
+#include "host/fleet_exchange.h"
 #include "host/request_flow.h"
 #include "placement/model_demand.h"
 
@@ -35,17 +36,13 @@
 
   // Applies the accounts of the configuration in force.
   void FollowConfiguration();
-  void SetPeers(const std::map<HostId, Incarnation>& peers);
-  void TakeAccountReport(const HostId& peer,
-                         Incarnation incarnation,
-                         const ClientAccountId& account,
-                         double admitted);
+  // Takes what the other hosts have admitted.
+  void TakeOthers(const OthersView& others);
 
   std::size_t open() const { return m_flows.size(); }
   std::size_t waiting() const { return m_waiting.size(); }
-  // For this host's report.
-  std::vector<placement::ModelWant> Wants() const;
-  std::vector<std::pair<ClientAccountId, double>> ReportAdmittedTokens();
+  // Adds what this host's report says of requests.
+  void AddCounts(membership::FleetCounts& counts);
 
  private:
   struct Rejection {
@@ -76,7 +73,6 @@
   // In order of urgency, then of arrival.
   std::multimap<std::pair<int, MonotonicTime>, RequestFlow*> m_waiting;
   std::unordered_map<ClientAccountId, admission::TokenQuota> m_quotas;
-  std::map<HostId, Incarnation> m_peers;
   // Requests for each model since the host's start.
   std::map<placement::ModelDemand::Key, std::uint64_t> m_arrivals;
   std::unique_ptr<Timer> m_soon;
--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -21,6 +21,8 @@
 constexpr Duration kTickInterval = milliseconds(250);
 // Candidates for the right to give orders try one after the other.
 constexpr Duration kCandidateStep = milliseconds(150);
+// A host that is no relay tries after all relays of a usual fleet.
+constexpr std::int64_t kLeafHandicap = 12;
 // Part of the bound on withdrawn keys up to which knowledge may age; the rest
 // covers a silent watch and the request's way to the endpoint.
 constexpr double kUsableAgePart = 0.75;
@@ -45,6 +47,8 @@
   try {
     peer = {.m_host = HostId(member.at("host").get<std::string>()),
             .m_incarnation = member.at("incarnation").get<Incarnation>(),
+            .m_failure_domain = FailureDomainId(
+                member.at("failure_domain").get<std::string>()),
             .m_address = member.at("address").get<std::string>(),
             .m_port = member.at("port").get<std::uint16_t>()};
   } catch (const nlohmann::json::exception& error) {
@@ -89,14 +93,22 @@
                    .m_own_keys_changed = [this] { OnOwnKeys(); }}),
       m_context(MakeContext()),
       m_frontend(m_context),
-      m_reports(loop,
-                m_settings.m_address,
-                m_settings.m_peer_port,
-                {.m_make_report = [this] { return MakeReport(); },
-                 .m_report =
-                     [this](const wire::HostReportT& report) {
-                       TakeReport(report);
-                     }}),
+      m_exchange(
+          loop,
+          m_settings.m_host,
+          m_settings.m_failure_domain,
+          m_incarnation,
+          m_settings.m_address,
+          m_settings.m_peer_port,
+          {.m_own_counts = [this] { return OwnCounts(); },
+           .m_own_news = [this] { return OwnNews(); },
+           .m_others = [this](const OthersView& others) { TakeOthers(others); },
+           .m_group =
+               [this](const HostId& relay, std::uint64_t epoch,
+                      const membership::FleetCounts& counts) {
+                 TakeGroup(relay, epoch, counts);
+               },
+           .m_news = [this](const PlacementNews& news) { TakeNews(news); }}),
       m_registration(loop,
                      ports.m_store,
                      kMemberPrefix + m_settings.m_host.value() + "/" +
@@ -122,7 +134,7 @@
                       return AvoidedForPlacement(id);
                     },
                 .m_host = m_settings.m_host},
-               [this] { AnnounceReplicas(); }),
+               [this] { AnnounceNews(); }),
       m_callers(loop,
                 m_settings.m_callers.m_address,
                 m_settings.m_callers.m_port,
@@ -175,10 +187,10 @@
                     .m_window = m_settings.m_bounds.m_retry_window})
             .first->second;
       },
-      .m_host_count = [this] { return m_reports.peers().size() + 1; },
+      .m_host_count = [this] { return m_exchange.peers().size() + 1; },
       .m_keys_current = [this] { return KeysCurrent(); },
       .m_demand_changed = [this] { OnDemand(); },
-      .m_report_due = [this] { m_reports.SendSoon(); },
+      .m_report_due = [this] { m_exchange.SendSoon(); },
   };
 }
 
@@ -237,181 +249,147 @@
 
 void HostDaemon::OnOwnKeys() {
   std::map<HostId, PeerAddress> peers;
-  std::map<HostId, Incarnation> incarnations;
   const auto& keys = m_knowledge.own_keys();
   for (auto item = keys.lower_bound(kMemberPrefix);
        item != keys.end() && item->first.starts_with(kMemberPrefix); ++item) {
     const auto peer = ParseMember(item->second.m_value);
     if (peer && peer->m_host != m_settings.m_host) {
       peers[peer->m_host] = *peer;
-      incarnations[peer->m_host] = peer->m_incarnation;
     }
   }
-  for (const auto& [host, peer] : m_reports.peers()) {
+  for (const auto& [host, peer] : m_exchange.peers()) {
     if (!peers.contains(host)) {
       kLog.Info("host left", {{"host", host.value()}});
-      m_load.ForgetPeer(host);
-      m_demand.ForgetHost(host);
-      m_avoided_by_peers.erase(host);
     }
   }
-  m_reports.SetPeers(peers);
-  m_frontend.SetPeers(incarnations);
+  for (const auto& [host, peer] : peers) {
+    if (!m_exchange.peers().contains(host)) {
+      kLog.Info("host joined", {{"host", host.value()},
+                                {"address", peer.m_address},
+                                {"incarnation", peer.m_incarnation}});
+    }
+  }
+  m_exchange.SetPeers(peers);
+  m_demand.RetainHosts(m_exchange.groups().Relays());
+  m_exchange.SetHolder(Holder());
+  const bool holder_elsewhere =
+      !Holder().empty() && Holder() != m_settings.m_host;
+  m_knowledge.SetEager(!holder_elsewhere);
+  m_holder_lease.Observe(keys.contains(kHolderKey), CandidatePatience());
+}
 
+Duration HostDaemon::CandidatePatience() const {
+  // Relays know the demand of the whole fleet, so they go first.
   std::vector<std::string> names = {m_settings.m_host.value()};
-  for (const auto& [host, peer] : peers) {
-    names.push_back(host.value());
+  for (const HostId& relay : m_exchange.groups().Relays()) {
+    if (relay != m_settings.m_host) {
+      names.push_back(relay.value());
+    }
   }
   const auto order = RendezvousOrder(kHolderKey, names);
-  const auto own = std::find(order.begin(), order.end(), 0U) - order.begin();
-  m_holder_lease.Observe(keys.contains(kHolderKey), kCandidateStep * own);
+  const auto rank = std::find(order.begin(), order.end(), 0U) - order.begin();
+  const bool relay = m_exchange.groups().IsRelay(m_settings.m_host);
+  return kCandidateStep * (relay ? rank : rank + kLeafHandicap);
 }
 
 void HostDaemon::OnDemand() {
-  if (!m_holder_lease.held()) {
-    m_reports.SendSoonTo(Holder());
-    return;
-  }
-  if (!m_plan_soon) {
+  m_exchange.SendSoon();
+  if (m_holder_lease.held() && !m_plan_soon) {
     m_plan_soon = m_loop.After(kPlanDelay, [this] {
       m_plan_soon.reset();
-      m_demand.TakeReport(m_settings.m_host, m_incarnation, m_frontend.Wants(),
-                          m_loop.Now());
       m_orders.Plan();
     });
   }
 }
 
-wire::HostReportT HostDaemon::MakeReport() {
-  wire::HostReportT report;
-  report.host = m_settings.m_host.value();
-  report.incarnation = m_incarnation;
+membership::FleetCounts HostDaemon::OwnCounts() {
+  membership::FleetCounts counts;
   for (const routing::EndpointUse& use : m_load.OwnUses()) {
-    auto row = std::make_unique<wire::EndpointUseRowT>();
-    row->endpoint = use.m_endpoint.value();
-    row->model = use.m_model.value();
-    row->running = static_cast<std::uint32_t>(use.m_running);
-    report.uses.push_back(std::move(row));
-  }
-  for (const placement::ModelWant& want : m_frontend.Wants()) {
-    auto row = std::make_unique<wire::ModelWantRowT>();
-    row->service = want.m_service.value();
-    row->model = want.m_model.value();
-    row->adapter = want.m_adapter.value();
-    row->waiting = static_cast<std::uint32_t>(want.m_waiting);
-    row->arrivals = want.m_arrivals;
-    report.wants.push_back(std::move(row));
-  }
-  for (const auto& [account, admitted] : m_frontend.ReportAdmittedTokens()) {
-    auto row = std::make_unique<wire::AccountUseRowT>();
-    row->account = account.value();
-    row->admitted_tokens = admitted;
-    report.accounts.push_back(std::move(row));
+    counts.m_uses[{use.m_endpoint, use.m_model}] = use.m_running;
   }
   for (const auto& [id, entry] : m_knowledge.directory().entries()) {
     if (m_health.Avoided(id, m_loop.Now())) {
-      report.avoided.push_back(id.value());
+      counts.m_avoided[id] = 1;
     }
   }
-  report.gives_orders = m_holder_lease.valid();
-  if (report.gives_orders) {
-    for (const auto& [service, planner] : m_orders.planners()) {
-      for (const auto& [engine, models] : planner->Adapters()) {
-        for (const auto& [model, adapters] : models) {
-          auto row = std::make_unique<wire::EngineAdapterRowT>();
-          row->endpoint = engine.value();
-          row->model = model.value();
-          for (const AdapterId& adapter : adapters) {
-            row->adapters.push_back(adapter.value());
-          }
-          report.adapters.push_back(std::move(row));
-        }
-      }
-      for (const auto& [engine, model] : planner->Leaving()) {
-        auto row = std::make_unique<wire::EngineModelRowT>();
-        row->endpoint = engine.value();
-        row->model = model.value();
-        report.leaving_models.push_back(std::move(row));
-      }
-    }
-  }
-  return report;
+  m_frontend.AddCounts(counts);
+  return counts;
 }
 
-void HostDaemon::TakeReport(const wire::HostReportT& report) {
-  const HostId host(report.host);
-  const MonotonicTime now = m_loop.Now();
-  std::vector<routing::EndpointUse> uses;
-  for (const auto& row : report.uses) {
-    uses.push_back({.m_endpoint = EndpointId(row->endpoint),
-                    .m_model = ModelId(row->model),
-                    .m_running = static_cast<int>(row->running)});
-  }
-  m_load.TakeReport(host, uses);
-  std::vector<placement::ModelWant> wants;
-  for (const auto& row : report.wants) {
-    wants.push_back({.m_service = ServiceId(row->service),
-                     .m_model = ModelId(row->model),
-                     .m_adapter = AdapterId(row->adapter),
-                     .m_waiting = static_cast<int>(row->waiting),
-                     .m_arrivals = row->arrivals});
-  }
-  m_demand.TakeReport(host, report.incarnation, wants, now);
-  for (const auto& row : report.accounts) {
-    m_frontend.TakeAccountReport(host, report.incarnation,
-                                 ClientAccountId(row->account),
-                                 row->admitted_tokens);
-  }
-  std::set<EndpointId>& avoided = m_avoided_by_peers[host];
-  avoided.clear();
-  for (const std::string& id : report.avoided) {
-    avoided.emplace(id);
-  }
-  if (report.gives_orders && host == Holder()) {
-    std::set<ReplicaMap::Adapter> adapters;
-    std::set<ReplicaMap::Model> leaving;
-    for (const auto& row : report.adapters) {
-      for (const std::string& adapter : row->adapters) {
-        adapters.emplace(EndpointId(row->endpoint), ModelId(row->model),
-                         AdapterId(adapter));
-      }
-    }
-    for (const auto& row : report.leaving_models) {
-      leaving.emplace(EndpointId(row->endpoint), ModelId(row->model));
-    }
-    m_replicas.Set(std::move(adapters), std::move(leaving));
+std::optional<PlacementNews> HostDaemon::OwnNews() {
+  if (!m_holder_lease.valid()) {
+    return std::nullopt;
   }
-  m_frontend.Reconsider();
-  m_orders.Plan();
+  return m_replicas.news();
 }
 
-void HostDaemon::AnnounceReplicas() {
-  std::set<ReplicaMap::Adapter> adapters;
-  std::set<ReplicaMap::Model> leaving;
+void HostDaemon::AnnounceNews() {
+  PlacementNews news{.m_fence = m_holder_lease.fence(),
+                     .m_number = ++m_news_number};
   for (const auto& [service, planner] : m_orders.planners()) {
     for (const auto& [engine, models] : planner->Adapters()) {
       for (const auto& [model, names] : models) {
         for (const AdapterId& adapter : names) {
-          adapters.emplace(engine, model, adapter);
+          news.m_adapters.emplace(engine, model, adapter);
         }
       }
     }
     for (const auto& [engine, model] : planner->Leaving()) {
-      leaving.emplace(engine, model);
+      news.m_leaving.emplace(engine, model);
+    }
+    for (const auto& [key, present] :
+         planner->RecentModels(m_loop.Now() - ReplicaMap::kNewsLife)) {
+      news.m_models[key] = present;
     }
   }
-  m_replicas.Set(std::move(adapters), std::move(leaving));
-  m_reports.SendSoon();
+  m_replicas.Take(news, m_loop.Now());
+  m_exchange.SendSoon();
+  m_frontend.Reconsider();
+}
+
+void HostDaemon::TakeOthers(const OthersView& others) {
+  std::vector<routing::EndpointUse> uses;
+  uses.reserve(others.m_counts.m_uses.size());
+  for (const auto& [key, running] : others.m_counts.m_uses) {
+    uses.push_back({.m_endpoint = key.first,
+                    .m_model = key.second,
+                    .m_running = running});
+  }
+  m_load.TakeReport(HostId("others"), uses);
+  m_avoided_by_others = others.m_counts.m_avoided;
+  m_frontend.TakeOthers(others);
   m_frontend.Reconsider();
 }
 
+void HostDaemon::TakeGroup(const HostId& relay,
+                           std::uint64_t epoch,
+                           const membership::FleetCounts& counts) {
+  std::vector<placement::ModelWant> wants;
+  wants.reserve(counts.m_wants.size());
+  for (const auto& [key, want] : counts.m_wants) {
+    wants.push_back({.m_service = key.m_service,
+                     .m_model = key.m_model,
+                     .m_adapter = key.m_adapter,
+                     .m_waiting = want.m_waiting,
+                     .m_arrivals = want.m_arrivals});
+  }
+  m_demand.TakeReport(relay, epoch, wants, m_loop.Now());
+  m_orders.Plan();
+}
+
+void HostDaemon::TakeNews(const PlacementNews& news) {
+  if (m_replicas.Take(news, m_loop.Now())) {
+    m_frontend.Reconsider();
+  }
+}
+
 bool HostDaemon::AvoidedForPlacement(const EndpointId& id) const {
   // One host's failures may be its own links'.
-  constexpr std::size_t kWitnesses = 2;
-  std::size_t witnesses = m_health.Avoided(id, m_loop.Now()) ? 1 : 0;
-  for (const auto& [host, avoided] : m_avoided_by_peers) {
-    witnesses += avoided.contains(id) ? 1 : 0;
-  }
+  constexpr int kWitnesses = 2;
+  const auto others = m_avoided_by_others.find(id);
+  const int witnesses =
+      (m_health.Avoided(id, m_loop.Now()) ? 1 : 0) +
+      (others == m_avoided_by_others.end() ? 0 : others->second);
   return witnesses >= kWitnesses;
 }
 
@@ -427,8 +405,6 @@
   m_metrics.m_caller_connections.Set(
       static_cast<double>(m_callers.connections()));
   m_metrics.m_holds_lease.Set(m_holder_lease.valid() ? 1 : 0);
-  m_demand.TakeReport(m_settings.m_host, m_incarnation, m_frontend.Wants(),
-                      now);
   m_frontend.Reconsider();
   if (m_knowledge.complete() && !m_stopping) {
     OnOwnKeys();
--- a/Source/host/host_daemon.h
+++ b/Source/host/host_daemon.h
@@ -8,10 +8,10 @@
 #include <memory>
 #include <unordered_map>
 
+#include "host/fleet_exchange.h"
 #include "host/frontend.h"
 #include "host/order_desk.h"
 #include "host/replica_map.h"
-#include "host/report_exchange.h"
 #include "http/server.h"
 #include "membership/holder_lease.h"
 #include "membership/registration.h"
@@ -51,11 +51,12 @@
   ReplicaMap m_replicas;
   placement::ModelDemand m_demand;
   std::unordered_map<ServiceId, admission::RetryBudget> m_retry_budgets;
-  // Endpoints that other hosts avoid, by host.
-  std::map<HostId, std::set<EndpointId>> m_avoided_by_peers;
+  // How many other hosts avoid an endpoint.
+  std::map<EndpointId, int> m_avoided_by_others;
+  std::uint64_t m_news_number = 0;
   RequestContext m_context;
   Frontend m_frontend;
-  ReportExchange m_reports;
+  FleetExchange m_exchange;
   membership::Registration m_registration;
   membership::HolderLease m_holder_lease;
   OrderDesk m_orders;
@@ -75,11 +76,19 @@
   void OnEndpoint(const EndpointId& id);
   void OnOwnKeys();
   HostId Holder() const;
+  // How long this host leaves the right to give orders to others.
+  Duration CandidatePatience() const;
   // A request waits: the giver of orders is told at once.
   void OnDemand();
-  wire::HostReportT MakeReport();
-  void TakeReport(const wire::HostReportT& report);
-  void AnnounceReplicas();
+  membership::FleetCounts OwnCounts();
+  std::optional<PlacementNews> OwnNews();
+  void TakeOthers(const OthersView& others);
+  void TakeGroup(const HostId& relay,
+                 std::uint64_t epoch,
+                 const membership::FleetCounts& counts);
+  void TakeNews(const PlacementNews& news);
+  // The engines hold something else than was announced.
+  void AnnounceNews();
   bool Ready();
   bool KeysCurrent() const;
   bool AvoidedForPlacement(const EndpointId& id) const;
--- a/Source/host/order_desk.cc
+++ b/Source/host/order_desk.cc
@@ -1,5 +1,6 @@
 #include "host/order_desk.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -9,6 +10,9 @@
 
 namespace {
 
+// The planner counts an adapter as present a little sooner.
+constexpr Duration kAdapterLoad = milliseconds(17);
+
 const Logger kLog("orders");
 
 const char* ToText(fleet::OrderOperation operation) {
@@ -82,7 +86,7 @@
                {"paused", unplaced.m_paused},
                {"all_models_in_use", unplaced.m_all_in_use}});
   }
-  if (!actions.m_orders.empty()) {
+  if (!actions.m_orders.empty() || actions.m_settled) {
     m_changed();
   }
 }
@@ -131,16 +135,24 @@
           return;
         }
         m_planners[service]->TakeOutcome(engine, outcome, m_loop.Now());
-        if (!order.m_adapter.empty()) {
-          // The adapter is there shortly; it is not announced by the engine.
-          m_soon = m_loop.After(milliseconds(16), [this] {
-            Plan();
-            m_changed();
-          });
-        }
+        PlanForAdapters();
       });
 }
 
+void OrderDesk::PlanForAdapters() {
+  const bool loading = std::any_of(
+      m_planners.begin(), m_planners.end(),
+      [](const auto& entry) { return entry.second->LoadsAdapter(); });
+  // An adapter is there shortly after its order; the engine does not tell.
+  if (loading && !m_soon) {
+    m_soon = m_loop.After(kAdapterLoad, [this] {
+      m_soon.reset();
+      Plan();
+      PlanForAdapters();
+    });
+  }
+}
+
 void OrderDesk::AskReport(const ServiceId& service, const EndpointId& engine) {
   const auto address = AddressOf(engine);
   if (!address) {
--- a/Source/host/order_desk.h
+++ b/Source/host/order_desk.h
@@ -49,6 +49,8 @@
   void PlanService(const fleet::ServiceSpec& service);
   void GiveOrder(const ServiceId& service,
                  const placement::PlannedOrder& planned);
+  // Plans again when adapters that are being loaded are there.
+  void PlanForAdapters();
   void AskReport(const ServiceId& service, const EndpointId& engine);
   std::optional<endpoint::EndpointAddress> AddressOf(
       const EndpointId& engine) const;
--- /dev/null
+++ b/Source/host/peer_links.cc
@@ -0,0 +1,83 @@
+#include "host/peer_links.h"
+
+#include <utility>
+
+#include "base/log.h"
+
+namespace hickoryloft::host {
+
+namespace {
+
+// A peer that leaves this much unread is stuck; its connection is renewed.
+constexpr std::size_t kMaxPendingBytes = std::size_t{256} * 1024;
+
+const Logger kLog("peers");
+
+}  // namespace
+
+PeerLinks::PeerLinks(EventLoop& loop,
+                     const std::string& address,
+                     std::uint16_t port,
+                     std::function<void(const wire::EnvelopeT&)> message)
+    : m_loop(loop),
+      m_message(std::move(message)),
+      m_listener(loop, address, port, [this](int socket) { Accept(socket); }) {}
+
+void PeerLinks::Accept(int socket) {
+  // The callbacks hold the connection weakly, and the set keeps it.
+  const auto slot = std::make_shared<std::weak_ptr<wire::Connection>>();
+  const auto connection = wire::Connection::Accepted(
+      m_loop, socket,
+      {.m_message =
+           [this](const wire::EnvelopeT& envelope) { m_message(envelope); },
+       .m_closed =
+           [this, slot](const Error& /*error*/) {
+             m_loop.Post([this, slot] { m_accepted.erase(slot->lock()); });
+           }});
+  *slot = connection;
+  m_accepted.insert(connection);
+}
+
+void PeerLinks::SetPeers(const std::map<HostId, PeerAddress>& peers) {
+  std::erase_if(m_connections, [&](const auto& entry) {
+    const auto before = m_peers.find(entry.first);
+    const auto now = peers.find(entry.first);
+    const bool same =
+        before != m_peers.end() && now != peers.end() &&
+        before->second.m_incarnation == now->second.m_incarnation;
+    if (!same) {
+      entry.second->Close();
+    }
+    return !same;
+  });
+  m_peers = peers;
+}
+
+void PeerLinks::Connect(const PeerAddress& peer) {
+  m_connections[peer.m_host] = wire::Connection::Connect(
+      m_loop, peer.m_address, peer.m_port,
+      {.m_message = [](const wire::EnvelopeT& /*unexpected*/) {},
+       .m_closed = [host = peer.m_host](const Error& error) {
+         kLog.Info("connection to a host ended",
+                   {{"host", host.value()}, {"reason", error.what()}});
+       }});
+}
+
+void PeerLinks::Send(const HostId& peer, const wire::EnvelopeT& message) {
+  const auto address = m_peers.find(peer);
+  if (address == m_peers.end()) {
+    return;
+  }
+  auto known = m_connections.find(peer);
+  if (known == m_connections.end() || !known->second->open() ||
+      known->second->PendingBytes() > kMaxPendingBytes) {
+    if (known != m_connections.end()) {
+      known->second->Close();
+    }
+    Connect(address->second);
+    known = m_connections.find(peer);
+  }
+  known->second->Send(message);
+}
+
+}  // namespace hickoryloft::host
--- /dev/null
+++ b/Source/host/peer_links.h
@@ -0,0 +1,61 @@
+// Connections to other hosts.
+
+#ifndef SOURCE_HOST_PEER_LINKS_H_
+#define SOURCE_HOST_PEER_LINKS_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_set>
+
+#include "base/event_loop.h"
+#include "base/ids.h"
+#include "wire/connection.h"
+#include "wire/listener.h"
+
+namespace hickoryloft::host {
+
+// Another host, as its registration describes it.
+struct PeerAddress {
+  HostId m_host;
+  Incarnation m_incarnation = 0;
+  FailureDomainId m_failure_domain;
+  std::string m_address;  // IP number.
+  std::uint16_t m_port = 0;
+};
+
+// One outgoing connection for each peer that is sent to, opened when needed.
+// Messages may be lost with their connection. Use on the loop's thread only.
+class PeerLinks {
+ public:
+  // Throws Error(kIo) if `port` of `address` cannot be bound.
+  PeerLinks(EventLoop& loop,
+            const std::string& address,
+            std::uint16_t port,
+            std::function<void(const wire::EnvelopeT&)> message);
+
+  // Replaces the peers and closes the connections to those that have gone or
+  // restarted.
+  void SetPeers(const std::map<HostId, PeerAddress>& peers);
+  const std::map<HostId, PeerAddress>& peers() const { return m_peers; }
+
+  // Sends to a peer; does nothing if it is not known.
+  void Send(const HostId& peer, const wire::EnvelopeT& message);
+
+ private:
+  void Connect(const PeerAddress& peer);
+  void Accept(int socket);
+
+  EventLoop& m_loop;
+  std::function<void(const wire::EnvelopeT&)> m_message;
+  wire::Listener m_listener;
+  std::map<HostId, PeerAddress> m_peers;
+  std::map<HostId, std::shared_ptr<wire::Connection>> m_connections;
+  std::unordered_set<std::shared_ptr<wire::Connection>> m_accepted;
+};
+
+}  // namespace hickoryloft::host
+
+#endif  // SOURCE_HOST_PEER_LINKS_H_
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -95,9 +95,8 @@
       continue;
     }
     if (!request.m_model.empty() &&
-        (!entry.m_models.contains(request.m_model) ||
-         !m_context.m_replicas.Serves(id, request.m_model, request.m_adapter,
-                                      now))) {
+        !m_context.m_replicas.Serves(entry, request.m_model,
+                                     request.m_adapter, now)) {
       continue;
     }
     candidates.push_back({.m_endpoint = id,
@@ -127,12 +126,13 @@
     }
     ++ready;
     const bool holds =
-        request.m_model.empty() || entry.m_models.contains(request.m_model);
+        request.m_model.empty() ||
+        m_context.m_replicas.Holds(entry, request.m_model, now);
     const bool serves =
         holds && !m_tried.contains(id) &&
         (request.m_model.empty() ||
-         m_context.m_replicas.Serves(id, request.m_model, request.m_adapter,
-                                     now));
+         m_context.m_replicas.Serves(entry, request.m_model,
+                                     request.m_adapter, now));
     holding += holds ? 1 : 0;
     serving += serves ? 1 : 0;
     with_room +=
--- a/Source/keyvalue/key_value_service.h
+++ b/Source/keyvalue/key_value_service.h
@@ -75,6 +75,10 @@
 class Watch {
  public:
   virtual ~Watch() = default;
+
+  // Asks for at least `pause` between two batches of changes, where the service
+  // charges for each. Not all services heed it.
+  virtual void SetBatchPause(Duration /*pause*/) {}
 };
 
 // Calls to the key-value service. Every method returns at once; the callback
--- /dev/null
+++ b/Source/membership/report_groups.cc
@@ -0,0 +1,71 @@
+#include "membership/report_groups.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+
+#include "base/hashing.h"
+
+namespace hickoryloft::membership {
+
+ReportGroups::ReportGroups(const std::map<HostId, FailureDomainId>& members) {
+  if (members.size() <= kFlatHosts) {
+    for (const auto& [host, domain] : members) {
+      m_relays[host] = host;
+    }
+    return;
+  }
+  const auto group_size = static_cast<std::size_t>(
+      std::ceil(std::sqrt(static_cast<double>(members.size()))));
+  std::map<FailureDomainId, std::vector<std::string>> domains;
+  for (const auto& [host, domain] : members) {
+    domains[domain].push_back(host.value());
+  }
+  for (const auto& [domain, names] : domains) {
+    // Rendezvous order: a host that joins or leaves moves few others.
+    const auto order = RendezvousOrder("reports/" + domain.value(), names);
+    const std::size_t groups = (names.size() + group_size - 1) / group_size;
+    std::vector<HostId> relays;
+    for (std::size_t i = 0; i < groups; ++i) {
+      relays.emplace_back(names[order[i]]);
+    }
+    for (std::size_t i = 0; i < names.size(); ++i) {
+      const HostId host(names[order[i]]);
+      m_relays[host] = i < groups ? host : relays[i % groups];
+    }
+  }
+}
+
+HostId ReportGroups::RelayOf(const HostId& host) const {
+  const auto relay = m_relays.find(host);
+  return relay == m_relays.end() ? HostId() : relay->second;
+}
+
+std::vector<HostId> ReportGroups::LeavesOf(const HostId& relay) const {
+  std::vector<HostId> leaves;
+  for (const auto& [host, its_relay] : m_relays) {
+    if (its_relay == relay && host != relay) {
+      leaves.push_back(host);
+    }
+  }
+  return leaves;
+}
+
+std::vector<HostId> ReportGroups::Relays() const {
+  std::vector<HostId> relays;
+  for (const auto& [host, relay] : m_relays) {
+    if (host == relay) {
+      relays.push_back(host);
+    }
+  }
+  return relays;
+}
+
+std::size_t ReportGroups::GroupSize(const HostId& relay) const {
+  return static_cast<std::size_t>(
+      std::count_if(m_relays.begin(), m_relays.end(), [&](const auto& entry) {
+        return entry.second == relay;
+      }));
+}
+
+}  // namespace hickoryloft::membership
--- /dev/null
+++ b/Source/membership/report_groups.h
@@ -0,0 +1,41 @@
+// Groups of hosts that exchange reports through one of them, so that what a
+// host sends and receives grows with the root of the fleet's size at most.
+
+#ifndef SOURCE_MEMBERSHIP_REPORT_GROUPS_H_
+#define SOURCE_MEMBERSHIP_REPORT_GROUPS_H_
+
+#include <map>
+#include <vector>
+
+#include "base/ids.h"
+
+namespace hickoryloft::membership {
+
+// The groups of one member view. Hosts with the same view compute the same
+// groups. Immutable after construction, so thread-safe.
+class ReportGroups {
+ public:
+  // Up to this many hosts each is its own group and talks to all others.
+  static constexpr std::size_t kFlatHosts = 12;
+
+  ReportGroups() = default;
+  explicit ReportGroups(const std::map<HostId, FailureDomainId>& members);
+
+  std::size_t hosts() const { return m_relays.size(); }
+  // Returns the relay of `host`'s group; an empty name if it is no member.
+  HostId RelayOf(const HostId& host) const;
+  bool IsRelay(const HostId& host) const { return RelayOf(host) == host; }
+  // Returns the members of `relay`'s group besides itself.
+  std::vector<HostId> LeavesOf(const HostId& relay) const;
+  // Returns all relays.
+  std::vector<HostId> Relays() const;
+  // Returns the number of hosts in `relay`'s group, itself included.
+  std::size_t GroupSize(const HostId& relay) const;
+
+ private:
+  std::map<HostId, HostId> m_relays;  // By host.
+};
+
+}  // namespace hickoryloft::membership
+
+#endif  // SOURCE_MEMBERSHIP_REPORT_GROUPS_H_
--- a/Source/placement/engine_planner.cc
+++ b/Source/placement/engine_planner.cc
@@ -13,6 +13,9 @@
 // After a failure or a refusal an engine gets no orders for this long.
 constexpr Duration kFailurePause = seconds(1);
 constexpr Duration kRefusalPause = seconds(5);
+// An engine that carries out an order of an earlier giver is asked again after
+// this long.
+constexpr Duration kBusyPause = milliseconds(400);
 // An accepted order whose effect has not shown after the time of its load and
 // this long is looked up in the engine's report.
 constexpr Duration kEffectSlack = seconds(2);
@@ -31,7 +34,7 @@
 constexpr double kOccupiedSeconds = 0.6;
 constexpr double kInUseSeconds = 2.0;
 // Loads from the weight store that it serves at full speed.
-constexpr int kStoreLoadsAtOnce = 4;
+constexpr int kStoreLoadsAtOnce = 2;
 // Part of an engine's slots that one model's requests should fill.
 constexpr double kTargetFill = 0.6;
 // Loads from the weight store that may be begun at once after a pause.
@@ -59,6 +62,7 @@
 
 void EnginePlanner::Restart() {
   m_ledgers.clear();
+  m_recent_models.clear();
   m_store_tokens = 0;
 }
 
@@ -74,6 +78,9 @@
 PlannedActions EnginePlanner::Plan(const PlanningView& view,
                                    MonotonicTime now) {
   PlannedActions actions;
+  std::erase_if(m_recent_models, [&](const auto& known) {
+    return now - known.second.second > kRegistrationLag;
+  });
   FollowEntries(view, now);
   for (auto& [id, ledger] : m_ledgers) {
     const fleet::EndpointEntry* entry = view.m_directory.Find(id);
@@ -163,6 +170,7 @@
   if (!open.m_adapter.empty()) {
     if (now - open.m_since >= kAdapterLoad) {
       SettleAdapter(ledger, now);
+      actions.m_settled = true;
     }
     return;
   }
@@ -171,6 +179,8 @@
     if (ledger.m_target == open.m_model) {
       ledger.m_target = ModelId();
     }
+    m_recent_models[{entry.m_id, open.m_model}] = {present, now};
+    actions.m_settled = true;
     ledger.m_open.reset();
     return;
   }
@@ -273,7 +283,7 @@
     }
     const fleet::EndpointEntry& entry = *view.m_directory.Find(id);
     if (!ledger.m_accepted_orders) {
-      if (!ledger.m_report_asked) {
+      if (!ledger.m_report_asked && now >= ledger.m_paused_until) {
         ledger.m_report_asked = true;
         actions.m_reports.push_back(id);
       }
@@ -614,6 +624,13 @@
       held.try_emplace(adapter, now);
     }
   }
+  if (!ledger.m_open && facts.m_busy) {
+    // An order of an earlier giver is still being carried out; what it will
+    // add is not listed yet.
+    ledger.m_accepted_orders.reset();
+    ledger.m_paused_until = now + kBusyPause;
+    return;
+  }
   if (!ledger.m_open || ledger.m_open->m_phase != OrderPhase::kRunning) {
     return;
   }
@@ -651,6 +668,25 @@
   return leaving;
 }
 
+std::map<std::pair<EndpointId, ModelId>, bool> EnginePlanner::RecentModels(
+    MonotonicTime since) const {
+  std::map<std::pair<EndpointId, ModelId>, bool> recent;
+  for (const auto& [key, change] : m_recent_models) {
+    if (change.second >= since) {
+      recent[key] = change.first;
+    }
+  }
+  return recent;
+}
+
+bool EnginePlanner::LoadsAdapter() const {
+  return std::any_of(m_ledgers.begin(), m_ledgers.end(), [](const auto& entry) {
+    const auto& open = entry.second.m_open;
+    return open && !open->m_adapter.empty() &&
+           open->m_phase == OrderPhase::kRunning;
+  });
+}
+
 void EnginePlanner::TouchAdapter(const EndpointId& engine,
                                  const ModelId& model,
                                  const AdapterId& adapter,
--- a/Source/placement/engine_planner.h
+++ b/Source/placement/engine_planner.h
@@ -38,6 +38,7 @@
   std::vector<PlannedOrder> m_orders;
   std::vector<EndpointId> m_reports;  // Engines to be asked for their report.
   std::vector<UnplacedModel> m_unplaced;
+  bool m_settled = false;  // An order has had its effect.
 };
 
 // The view that a plan is made from.
@@ -79,6 +80,11 @@
   std::map<EndpointId, std::map<ModelId, std::set<AdapterId>>> Adapters() const;
   // Models that are being unloaded, by engine.
   std::vector<std::pair<EndpointId, ModelId>> Leaving() const;
+  // Models loaded (true) or unloaded (false) since `since`.
+  std::map<std::pair<EndpointId, ModelId>, bool> RecentModels(
+      MonotonicTime since) const;
+  // Whether an accepted order for an adapter has yet to have its effect.
+  bool LoadsAdapter() const;
   // Marks an adapter as used now.
   void TouchAdapter(const EndpointId& engine,
                     const ModelId& model,
@@ -152,6 +158,8 @@
 
   ServiceId m_service;
   std::map<EndpointId, EngineLedger> m_ledgers;
+  std::map<std::pair<EndpointId, ModelId>, std::pair<bool, MonotonicTime>>
+      m_recent_models;
   double m_store_tokens = 0;
   MonotonicTime m_store_tokens_at;
 };
--- a/Source/placement/model_demand.cc
+++ b/Source/placement/model_demand.cc
@@ -1,5 +1,6 @@
 #include "placement/model_demand.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace hickoryloft::placement {
@@ -39,6 +40,12 @@
   }
 }
 
+void ModelDemand::RetainHosts(const std::vector<HostId>& hosts) {
+  std::erase_if(m_hosts, [&](const auto& known) {
+    return std::find(hosts.begin(), hosts.end(), known.first) == hosts.end();
+  });
+}
+
 int ModelDemand::Waiting(const Key& key) const {
   int waiting = 0;
   for (const auto& [host, known] : m_hosts) {
--- a/Source/placement/model_demand.h
+++ b/Source/placement/model_demand.h
@@ -44,7 +44,8 @@
                   Incarnation incarnation,
                   const std::vector<ModelWant>& wants,
                   MonotonicTime now);
-  void ForgetHost(const HostId& host) { m_hosts.erase(host); }
+  // Drops the reports of hosts that are not in `hosts`. Rates are kept.
+  void RetainHosts(const std::vector<HostId>& hosts);
 
   // Requests that wait, over all hosts.
   int Waiting(const Key& key) const;
