exchange: strong hosts relay; urgent reports by kind

Change: relays and the giver of orders are the strongest hosts; demand goes to the giver alone, news and accounts go out without the other sums.

--- a/Source/fleet/knowledge_feed.cc
+++ b/Source/fleet/knowledge_feed.cc
@@ -19,7 +19,7 @@
 
 // Between batches of changes, so that changes that come together cost one call.
 constexpr Duration kEagerPause = milliseconds(20);
-constexpr Duration kLazyPause = milliseconds(350);
+constexpr Duration kLazyPause = milliseconds(600);
 
 const Logger kLog("knowledge");
 
--- a/Source/host/fleet_exchange.cc
+++ b/Source/host/fleet_exchange.cc
@@ -44,14 +44,14 @@
 
 FleetExchange::FleetExchange(EventLoop& loop,
                              HostId host,
-                             FailureDomainId failure_domain,
+                             membership::MemberFacts facts,
                              std::uint64_t epoch,
                              const std::string& address,
                              std::uint16_t port,
                              Events events)
     : m_loop(loop),
       m_host(std::move(host)),
-      m_failure_domain(std::move(failure_domain)),
+      m_facts(std::move(facts)),
       m_epoch(epoch),
       m_events(std::move(events)),
       m_links(loop, address, port, [this](const wire::EnvelopeT& envelope) {
@@ -62,9 +62,10 @@
 
 void FleetExchange::SetPeers(const std::map<HostId, PeerAddress>& peers) {
   m_links.SetPeers(peers);
-  std::map<HostId, FailureDomainId> members = {{m_host, m_failure_domain}};
+  std::map<HostId, membership::MemberFacts> members = {{m_host, m_facts}};
   for (const auto& [host, peer] : peers) {
-    members[host] = peer.m_failure_domain;
+    members[host] = {.m_failure_domain = peer.m_failure_domain,
+                     .m_capacity = peer.m_capacity};
   }
   m_groups = membership::ReportGroups(members);
 }
@@ -76,21 +77,30 @@
 
 void FleetExchange::Tick() {
   m_aggregator.Expire(m_loop.Now());
-  Report(Reach::kRegular);
-  if (!IsRelay() &&
-      m_loop.Now() - m_relay_heard_at > ReportAggregator::kReportLife) {
-    m_view.m_hosts = m_groups.hosts();
+  if (IsRelay()) {
+    TakeOwnCounts();
+    m_events.m_group(m_host, m_epoch, m_aggregator.Group());
+    ReportToGroups(/*partial=*/false, 0);
+    ShowOthersAsRelay();
+    ReportToLeaves(/*partial=*/false);
+    return;
+  }
+  if (const HostId relay = m_groups.RelayOf(m_host); !relay.empty()) {
+    ReportAsLeaf(relay, 0);
+  }
+  if (m_loop.Now() - m_relay_heard_at > ReportAggregator::kReportLife) {
+    m_view.m_hosts = std::max<std::size_t>(1, m_groups.hosts());
     m_view.m_silent_hosts = m_view.m_hosts - 1;
     m_events.m_others(m_view);
   }
 }
 
-void FleetExchange::SendSoon() {
-  Schedule(/*to_groups=*/true);
+void FleetExchange::SendSoon(Urgency urgency) {
+  m_urgent |= urgency;
+  Schedule();
 }
 
-void FleetExchange::Schedule(bool to_groups) {
-  m_soon_to_groups = m_soon_to_groups || to_groups;
+void FleetExchange::Schedule() {
   if (m_soon) {
     return;
   }
@@ -102,18 +112,25 @@
 void FleetExchange::SendUrgent() {
   m_soon.reset();
   m_last_urgent = m_loop.Now();
-  Report(std::exchange(m_soon_to_groups, false) ? Reach::kUrgentToAll
-                                                : Reach::kLeavesOnly);
-}
-
-void FleetExchange::Report(Reach reach) {
-  if (const auto news = m_events.m_own_news()) {
-    m_latest_news = news;
+  const std::uint8_t urgent = std::exchange(m_urgent, 0);
+  const bool for_leaves = std::exchange(m_urgent_for_leaves, false);
+  if (!IsRelay()) {
+    if (const HostId relay = m_groups.RelayOf(m_host); !relay.empty()) {
+      ReportAsLeaf(relay, urgent);
+    }
+    return;
   }
-  if (IsRelay()) {
-    ReportAsRelay(reach);
-  } else if (const HostId relay = m_groups.RelayOf(m_host); !relay.empty()) {
-    ReportAsLeaf(relay, reach == Reach::kUrgentToAll);
+  TakeOwnCounts();
+  if ((urgent & kDemand) != 0) {
+    ReportToHolder();
+  }
+  const auto for_all =
+      static_cast<std::uint8_t>(urgent & (kNews | kAccounts));
+  if (for_all != 0) {
+    ReportToGroups(/*partial=*/true, for_all);
+  }
+  if (for_all != 0 || for_leaves) {
+    ReportToLeaves(/*partial=*/true);
   }
 }
 
@@ -121,7 +138,10 @@
   return m_latest_news ? ToRow(*m_latest_news) : nullptr;
 }
 
-void FleetExchange::ReportAsLeaf(const HostId& relay, bool urgent) {
+void FleetExchange::ReportAsLeaf(const HostId& relay, std::uint8_t urgent) {
+  if (const auto news = m_events.m_own_news()) {
+    m_latest_news = news;
+  }
   SentReport sent{.m_number = ++m_number, .m_counts = m_events.m_own_counts()};
   wire::HostReportT report;
   report.host = m_host.value();
@@ -139,28 +159,33 @@
   m_links.Send(relay, wire::MakeEnvelope(std::move(report)));
 }
 
-void FleetExchange::ReportAsRelay(Reach reach) {
+void FleetExchange::TakeOwnCounts() {
+  if (const auto news = m_events.m_own_news()) {
+    m_latest_news = news;
+  }
   m_aggregator.TakeHost(m_host, m_epoch, ++m_number, m_events.m_own_counts(),
                         m_loop.Now());
-  if (reach != Reach::kLeavesOnly) {
-    ReportToGroups(reach == Reach::kUrgentToAll);
-  }
-  ShowOthersAsRelay();
-  ReportToLeaves();
 }
 
-void FleetExchange::ReportToGroups(bool urgent) {
-  const FleetCounts counts = m_aggregator.Group();
-  m_events.m_group(m_host, m_epoch, counts);
+wire::EnvelopeT FleetExchange::GroupReport(bool partial, std::uint8_t urgent) {
+  FleetCounts counts = m_aggregator.Group();
+  if (partial) {
+    counts = {.m_admitted = std::move(counts.m_admitted)};
+  }
   wire::GroupReportT report;
   report.relay = m_host.value();
   report.epoch = m_epoch;
   report.hosts =
       static_cast<std::uint32_t>(m_aggregator.Included().size());
   report.urgent = urgent;
+  report.partial = partial;
   report.counts = ToRow(counts);
   report.news = NewsRow();
-  const wire::EnvelopeT message = wire::MakeEnvelope(std::move(report));
+  return wire::MakeEnvelope(std::move(report));
+}
+
+void FleetExchange::ReportToGroups(bool partial, std::uint8_t urgent) {
+  const wire::EnvelopeT message = GroupReport(partial, urgent);
   std::vector<HostId> targets = m_groups.Relays();
   if (!m_groups.IsRelay(m_holder)) {
     targets.push_back(m_holder);
@@ -172,16 +197,28 @@
   }
 }
 
-void FleetExchange::ReportToLeaves() {
+void FleetExchange::ReportToHolder() {
+  if (m_holder == m_host) {
+    m_events.m_group(m_host, m_epoch, m_aggregator.Group());
+    return;
+  }
+  m_links.Send(m_holder, GroupReport(/*partial=*/false, 0));
+}
+
+void FleetExchange::ReportToLeaves(bool partial) {
   const std::map<HostId, std::uint64_t> included = m_aggregator.Included();
   if (included.size() < 2) {
     return;
   }
   FleetCounts fleet = m_aggregator.Fleet();
   fleet.m_wants.clear();
+  if (partial) {
+    fleet = {.m_admitted = std::move(fleet.m_admitted)};
+  }
   wire::FleetReportT report;
   report.relay = m_host.value();
   report.epoch = m_epoch;
+  report.partial = partial;
   report.counts = ToRow(fleet);
   report.silent_hosts = static_cast<std::uint32_t>(m_view.m_silent_hosts);
   report.news = NewsRow();
@@ -235,8 +272,13 @@
   }
   m_latest_news = std::move(taken);
   m_events.m_news(*m_latest_news);
+  ForwardToLeaves();
+}
+
+void FleetExchange::ForwardToLeaves() {
   if (IsRelay() && m_aggregator.Included().size() > 1) {
-    Schedule(/*to_groups=*/false);
+    m_urgent_for_leaves = true;
+    Schedule();
   }
 }
 
@@ -247,8 +289,9 @@
   m_aggregator.TakeHost(HostId(report.host), report.epoch, report.number,
                         FromRow(*report.counts), m_loop.Now());
   TakeNews(report.news);
-  if (report.urgent) {
-    Schedule(/*to_groups=*/true);
+  if (report.urgent != 0) {
+    m_urgent |= report.urgent;
+    Schedule();
   }
 }
 
@@ -258,21 +301,23 @@
   }
   const HostId relay(report.relay);
   const FleetCounts counts = FromRow(*report.counts);
-  m_events.m_group(relay, report.epoch, counts);
+  if (!report.partial) {
+    m_events.m_group(relay, report.epoch, counts);
+  }
   TakeNews(report.news);
   if (!IsRelay()) {
     return;  // A giver of orders that is a leaf learns sums from its relay.
   }
-  m_aggregator.TakeGroup(relay, report.epoch, report.hosts, counts,
-                         m_loop.Now());
+  m_aggregator.TakeGroup(relay, report.epoch, report.hosts, report.partial,
+                         counts, m_loop.Now());
   if (!m_show_soon) {
     m_show_soon = m_loop.After(kShowDelay, [this] {
       m_show_soon.reset();
       ShowOthersAsRelay();
     });
   }
-  if (report.urgent && m_aggregator.Included().size() > 1) {
-    Schedule(/*to_groups=*/false);
+  if (report.urgent != 0) {
+    ForwardToLeaves();
   }
 }
 
@@ -294,8 +339,13 @@
     return;
   }
   m_relay_heard_at = m_loop.Now();
-  m_view.m_counts = FromRow(*report.counts);
-  Subtract(sent->m_counts, m_view.m_counts);
+  FleetCounts counts = FromRow(*report.counts);
+  Subtract(sent->m_counts, counts);
+  if (report.partial) {
+    m_view.m_counts.m_admitted = std::move(counts.m_admitted);
+  } else {
+    m_view.m_counts = std::move(counts);
+  }
   m_view.m_epoch = report.epoch;
   m_view.m_hosts = std::max<std::size_t>(1, m_groups.hosts());
   m_view.m_silent_hosts = report.silent_hosts;
--- a/Source/host/fleet_exchange.h
+++ b/Source/host/fleet_exchange.h
@@ -49,7 +49,7 @@
   // Throws Error(kIo) if `port` of `address` cannot be bound.
   FleetExchange(EventLoop& loop,
                 HostId host,
-                FailureDomainId failure_domain,
+                membership::MemberFacts facts,
                 std::uint64_t epoch,
                 const std::string& address,
                 std::uint16_t port,
@@ -65,8 +65,13 @@
   // wants.
   void SetHolder(const HostId& holder) { m_holder = holder; }
 
-  // Something in this host's counts or news should be known soon.
-  void SendSoon();
+  // What should be known before the next regular report, and by whom.
+  enum Urgency : std::uint8_t {
+    kDemand = 1,    // A request began to wait: the giver of orders.
+    kNews = 2,      // Engines hold something else: all hosts.
+    kAccounts = 4,  // An account was used much: all hosts.
+  };
+  void SendSoon(Urgency urgency);
 
  private:
   struct SentReport {
@@ -74,18 +79,14 @@
     membership::FleetCounts m_counts;
   };
 
-  // An urgent report that a relay passes on reaches its leaves only, so that
-  // relays do not answer each other's.
-  enum class Reach { kRegular, kUrgentToAll, kLeavesOnly };
-
   void Tick();
   void SendUrgent();
-  // Reports to the relay, or as the relay to all.
-  void Report(Reach reach);
-  void ReportAsLeaf(const HostId& relay, bool urgent);
-  void ReportAsRelay(Reach reach);
-  void ReportToGroups(bool urgent);
-  void ReportToLeaves();
+  void ReportAsLeaf(const HostId& relay, std::uint8_t urgent);
+  void TakeOwnCounts();
+  wire::EnvelopeT GroupReport(bool partial, std::uint8_t urgent);
+  void ReportToGroups(bool partial, std::uint8_t urgent);
+  void ReportToHolder();
+  void ReportToLeaves(bool partial);
   bool IsRelay() const;
   void TakeMessage(const wire::EnvelopeT& envelope);
   void TakeHostReport(const wire::HostReportT& report);
@@ -93,12 +94,14 @@
   void TakeFleetReport(const wire::FleetReportT& report);
   void TakeNews(const std::unique_ptr<wire::PlacementNewsT>& news);
   std::unique_ptr<wire::PlacementNewsT> NewsRow() const;
+  // Passes an urgent report of another group on to this group.
+  void ForwardToLeaves();
   void ShowOthersAsRelay();
-  void Schedule(bool to_groups);
+  void Schedule();
 
   EventLoop& m_loop;
   HostId m_host;
-  FailureDomainId m_failure_domain;
+  membership::MemberFacts m_facts;
   std::uint64_t m_epoch;
   Events m_events;
   PeerLinks m_links;
@@ -113,7 +116,9 @@
   std::unique_ptr<Timer> m_regular;
   std::unique_ptr<Timer> m_show_soon;
   std::unique_ptr<Timer> m_soon;
-  bool m_soon_to_groups = false;
+  std::uint8_t m_urgent = 0;
+  // Urgent reports of other groups, which go on to the leaves only.
+  bool m_urgent_for_leaves = false;
   MonotonicTime m_last_urgent;
 };
 
--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -29,8 +29,8 @@
 // A host whose knowledge is older asks for no new connections: its requests
 // will be refused soon.
 constexpr double kReadyAgePart = 0.55;
-// Requests that begin to wait together make one plan.
-constexpr Duration kPlanDelay = milliseconds(3);
+// Changes that come together make one plan.
+constexpr Duration kPlanDelay = milliseconds(4);
 // After SIGTERM callers still come for about two readiness checks.
 constexpr Duration kStopLinger = milliseconds(2600);
 constexpr Duration kStopReserve = milliseconds(600);
@@ -49,6 +49,7 @@
             .m_incarnation = member.at("incarnation").get<Incarnation>(),
             .m_failure_domain = FailureDomainId(
                 member.at("failure_domain").get<std::string>()),
+            .m_capacity = member.value("capacity", 0.0),
             .m_address = member.at("address").get<std::string>(),
             .m_port = member.at("port").get<std::uint16_t>()};
   } catch (const nlohmann::json::exception& error) {
@@ -63,7 +64,8 @@
                         {"incarnation", incarnation},
                         {"address", settings.m_address},
                         {"port", settings.m_peer_port},
-                        {"failure_domain", settings.m_failure_domain.value()}}
+                        {"failure_domain", settings.m_failure_domain.value()},
+                        {"capacity", settings.m_capacity}}
       .dump();
 }
 
@@ -96,7 +98,9 @@
       m_exchange(
           loop,
           m_settings.m_host,
-          m_settings.m_failure_domain,
+          membership::MemberFacts{
+              .m_failure_domain = m_settings.m_failure_domain,
+              .m_capacity = m_settings.m_capacity},
           m_incarnation,
           m_settings.m_address,
           m_settings.m_peer_port,
@@ -190,7 +194,8 @@
       .m_host_count = [this] { return m_exchange.peers().size() + 1; },
       .m_keys_current = [this] { return KeysCurrent(); },
       .m_demand_changed = [this] { OnDemand(); },
-      .m_report_due = [this] { m_exchange.SendSoon(); },
+      .m_report_due =
+          [this] { m_exchange.SendSoon(FleetExchange::kAccounts); },
   };
 }
 
@@ -238,7 +243,7 @@
     m_health.Forget(id);
   }
   m_frontend.Reconsider();
-  m_orders.Plan();
+  PlanSoon();
 }
 
 HostId HostDaemon::Holder() const {
@@ -279,7 +284,8 @@
 }
 
 Duration HostDaemon::CandidatePatience() const {
-  // Relays know the demand of the whole fleet, so they go first.
+  // Relays are strong hosts and know the demand of the whole fleet, so they go
+  // first.
   std::vector<std::string> names = {m_settings.m_host.value()};
   for (const HostId& relay : m_exchange.groups().Relays()) {
     if (relay != m_settings.m_host) {
@@ -293,7 +299,10 @@
 }
 
 void HostDaemon::OnDemand() {
-  m_exchange.SendSoon();
+  m_exchange.SendSoon(FleetExchange::kDemand);
+}
+
+void HostDaemon::PlanSoon() {
   if (m_holder_lease.held() && !m_plan_soon) {
     m_plan_soon = m_loop.After(kPlanDelay, [this] {
       m_plan_soon.reset();
@@ -343,7 +352,7 @@
     }
   }
   m_replicas.Take(news, m_loop.Now());
-  m_exchange.SendSoon();
+  m_exchange.SendSoon(FleetExchange::kNews);
   m_frontend.Reconsider();
 }
 
@@ -374,7 +383,7 @@
                      .m_arrivals = want.m_arrivals});
   }
   m_demand.TakeReport(relay, epoch, wants, m_loop.Now());
-  m_orders.Plan();
+  PlanSoon();
 }
 
 void HostDaemon::TakeNews(const PlacementNews& news) {
--- a/Source/host/host_daemon.h
+++ b/Source/host/host_daemon.h
@@ -78,6 +78,8 @@
   HostId Holder() const;
   // How long this host leaves the right to give orders to others.
   Duration CandidatePatience() const;
+  // Plans shortly, if this host gives orders.
+  void PlanSoon();
   // A request waits: the giver of orders is told at once.
   void OnDemand();
   membership::FleetCounts OwnCounts();
--- a/Source/host/host_settings.h
+++ b/Source/host/host_settings.h
@@ -36,6 +36,7 @@
 struct HostSettings {
   HostId m_host;
   FailureDomainId m_failure_domain;
+  double m_capacity = 0;  // Processor cores, for comparison with other hosts.
   std::string m_address;  // IP number, for other hosts.
   SocketName m_callers;
   SocketName m_readiness;
--- a/Source/host/peer_links.h
+++ b/Source/host/peer_links.h
@@ -22,6 +22,7 @@
   HostId m_host;
   Incarnation m_incarnation = 0;
   FailureDomainId m_failure_domain;
+  double m_capacity = 0;  // Processor cores.
   std::string m_address;  // IP number.
   std::uint16_t m_port = 0;
 };
--- a/Source/membership/report_aggregator.cc
+++ b/Source/membership/report_aggregator.cc
@@ -26,6 +26,11 @@
           want.m_arrivals > before ? want.m_arrivals - before : 0;
     }
   }
+  if (report.m_partial) {
+    std::swap(report.m_counts.m_uses, known.m_counts.m_uses);
+    std::swap(report.m_counts.m_wants, known.m_counts.m_wants);
+    std::swap(report.m_counts.m_avoided, known.m_counts.m_avoided);
+  }
   known = std::move(report);
 }
 
@@ -45,11 +50,13 @@
 void ReportAggregator::TakeGroup(const HostId& relay,
                                  std::uint64_t epoch,
                                  std::size_t hosts,
+                                 bool partial,
                                  const FleetCounts& counts,
                                  MonotonicTime now) {
   Take(m_groups, relay,
        {.m_epoch = epoch,
         .m_hosts = hosts,
+        .m_partial = partial,
         .m_heard_at = now,
         .m_counts = counts},
        m_other_counts);
--- a/Source/membership/report_aggregator.h
+++ b/Source/membership/report_aggregator.h
@@ -26,10 +26,11 @@
                 std::uint64_t number,
                 const FleetCounts& counts,
                 MonotonicTime now);
-  // The sums of another group.
+  // The sums of another group. A partial report holds admitted tokens only.
   void TakeGroup(const HostId& relay,
                  std::uint64_t epoch,
                  std::size_t hosts,
+                 bool partial,
                  const FleetCounts& counts,
                  MonotonicTime now);
 
@@ -50,6 +51,7 @@
     std::uint64_t m_epoch = 0;
     std::uint64_t m_number = 0;
     std::size_t m_hosts = 1;
+    bool m_partial = false;
     MonotonicTime m_heard_at;
     FleetCounts m_counts;
   };
--- a/Source/membership/report_groups.cc
+++ b/Source/membership/report_groups.cc
@@ -8,30 +8,30 @@
 
 namespace hickoryloft::membership {
 
-ReportGroups::ReportGroups(const std::map<HostId, FailureDomainId>& members) {
+ReportGroups::ReportGroups(const std::map<HostId, MemberFacts>& members) {
   if (members.size() <= kFlatHosts) {
-    for (const auto& [host, domain] : members) {
+    for (const auto& [host, facts] : members) {
       m_relays[host] = host;
     }
     return;
   }
-  const auto group_size = static_cast<std::size_t>(
+  const auto leaves = static_cast<std::size_t>(
       std::ceil(std::sqrt(static_cast<double>(members.size()))));
   std::map<FailureDomainId, std::vector<std::string>> domains;
-  for (const auto& [host, domain] : members) {
-    domains[domain].push_back(host.value());
+  for (const auto& [host, facts] : members) {
+    domains[facts.m_failure_domain].push_back(host.value());
   }
   for (const auto& [domain, names] : domains) {
-    // Rendezvous order: a host that joins or leaves moves few others.
-    const auto order = RendezvousOrder("reports/" + domain.value(), names);
-    const std::size_t groups = (names.size() + group_size - 1) / group_size;
-    std::vector<HostId> relays;
-    for (std::size_t i = 0; i < groups; ++i) {
-      relays.emplace_back(names[order[i]]);
-    }
+    // Rendezvous order among equals: a host that joins or leaves moves few.
+    auto order = RendezvousOrder("reports/" + domain.value(), names);
+    std::stable_sort(
+        order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
+          return members.at(HostId(names[left])).m_capacity >
+                 members.at(HostId(names[right])).m_capacity;
+        });
+    const std::size_t groups = (names.size() + leaves) / (leaves + 1);
     for (std::size_t i = 0; i < names.size(); ++i) {
-      const HostId host(names[order[i]]);
-      m_relays[host] = i < groups ? host : relays[i % groups];
+      m_relays[HostId(names[order[i]])] = HostId(names[order[i % groups]]);
     }
   }
 }
--- a/Source/membership/report_groups.h
+++ b/Source/membership/report_groups.h
@@ -11,6 +11,11 @@
 
 namespace hickoryloft::membership {
 
+struct MemberFacts {
+  FailureDomainId m_failure_domain;
+  double m_capacity = 0;  // Processor cores; the strongest hosts are relays.
+};
+
 // The groups of one member view. Hosts with the same view compute the same
 // groups. Immutable after construction, so thread-safe.
 class ReportGroups {
@@ -19,7 +24,7 @@
   static constexpr std::size_t kFlatHosts = 12;
 
   ReportGroups() = default;
-  explicit ReportGroups(const std::map<HostId, FailureDomainId>& members);
+  explicit ReportGroups(const std::map<HostId, MemberFacts>& members);
 
   std::size_t hosts() const { return m_relays.size(); }
   // Returns the relay of `host`'s group; an empty name if it is no member.
