--- a/Source/fleet/endpoint_directory.cc
+++ b/Source/fleet/endpoint_directory.cc
@@ -6,9 +6,16 @@
 
 EndpointDirectory::Change EndpointDirectory::Put(EndpointEntry entry) {
   const EndpointId id = entry.m_id;
+  const auto known = m_entries.find(id);
+  const auto gone = m_gone.find(id);
+  if ((known != m_entries.end() &&
+       PositionOf(entry) < PositionOf(known->second)) ||
+      (gone != m_gone.end() && PositionOf(entry) <= gone->second)) {
+    return Change::kNone;
+  }
+  m_gone.erase(id);
   m_lapsed_until.erase(id);
   ++m_version;
-  const auto known = m_entries.find(id);
   if (known == m_entries.end()) {
     m_entries.emplace(id, std::move(entry));
     return Change::kAdded;
@@ -31,10 +38,21 @@
     m_lapsed_until.try_emplace(id, now + kLapsedGrace);
     return Change::kLapsed;
   }
-  m_entries.erase(known);
+  Forget(id);
+  return Change::kRemoved;
+}
+
+void EndpointDirectory::Forget(const EndpointId& id) {
+  const auto known = m_entries.find(id);
+  if (known != m_entries.end()) {
+    if (m_gone.size() >= kMaxGone) {
+      m_gone.erase(m_gone.begin());
+    }
+    m_gone[id] = PositionOf(known->second);
+    m_entries.erase(known);
+  }
   m_lapsed_until.erase(id);
   ++m_version;
-  return Change::kRemoved;
 }
 
 std::vector<EndpointId> EndpointDirectory::RetainOnly(
@@ -64,9 +82,9 @@
       continue;
     }
     dropped.push_back(at->first);
-    m_entries.erase(at->first);
-    ++m_version;
-    at = m_lapsed_until.erase(at);
+    const EndpointId id = at->first;
+    ++at;
+    Forget(id);
   }
   return dropped;
 }
--- a/Source/fleet/endpoint_directory.h
+++ b/Source/fleet/endpoint_directory.h
@@ -3,6 +3,7 @@
 #ifndef SOURCE_FLEET_ENDPOINT_DIRECTORY_H_
 #define SOURCE_FLEET_ENDPOINT_DIRECTORY_H_
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -21,6 +22,7 @@
 class EndpointDirectory {
  public:
   // What a change did to an endpoint.
+  // kNone: also a registration older than the one known.
   enum class Change { kNone, kAdded, kUpdated, kRestarted, kRemoved, kLapsed };
 
   // A lapsed entry is kept this long after the service's return: less than the
@@ -47,8 +49,27 @@
   std::uint64_t version() const { return m_version; }
 
  private:
+  // Where in an endpoint's life a registration stands.
+  struct Position {
+    std::int64_t m_started_at_ms = 0;
+    std::int64_t m_number = 0;
+    friend auto operator<=>(const Position&, const Position&) = default;
+  };
+
+  // Endpoints that are gone are remembered up to this number.
+  static constexpr std::size_t kMaxGone = 1024;
+
+  static Position PositionOf(const EndpointEntry& entry) {
+    return {entry.m_started_at_ms, entry.m_number};
+  }
+
+  void Forget(const EndpointId& id);
+
   std::map<EndpointId, EndpointEntry> m_entries;
   std::map<EndpointId, MonotonicTime> m_lapsed_until;
+  // The last registration of endpoints that are gone: one that arrives after
+  // the removal does not bring them back.
+  std::map<EndpointId, Position> m_gone;
   std::uint64_t m_version = 0;
 };
 
--- a/Source/fleet/endpoint_entry.h
+++ b/Source/fleet/endpoint_entry.h
@@ -31,6 +31,9 @@
   // Unix time of the endpoint's start; a change means that it started again
   // under its id and knows nothing of before.
   std::int64_t m_started_at_ms = 0;
+  // Counts the endpoint's registrations since its start; one that arrives late
+  // has a smaller number than one before it.
+  std::int64_t m_number = 0;
   // Set for an endpoint that is taken away at short notice.
   std::optional<Duration> m_remaining;
   // Models that are loaded, with the adapters that were present then.
--- a/Source/fleet/knowledge_feed.cc
+++ b/Source/fleet/knowledge_feed.cc
@@ -177,6 +177,11 @@
     const std::string id = entry.m_id.value();
     const bool draining = entry.m_state == EndpointState::kDraining;
     const auto change = m_directory.Put(std::move(entry));
+    if (change == EndpointDirectory::Change::kNone) {
+      kLog.Info("late endpoint entry ignored",
+                {{"endpoint", id}, {"revision", item.m_mod_revision}});
+      return false;
+    }
     if (change == EndpointDirectory::Change::kAdded ||
         change == EndpointDirectory::Change::kRestarted || draining) {
       kLog.Info(draining ? "endpoint leaving"
--- a/Source/host/order_desk.cc
+++ b/Source/host/order_desk.cc
@@ -64,7 +64,7 @@
     planner = std::make_unique<placement::EnginePlanner>(service.m_id);
   }
   const placement::PlanningView view{
-      .m_directory = m_inputs.m_knowledge.directory(),
+      .m_entries = m_inputs.m_knowledge.directory().entries(),
       .m_spec = *service.m_engine,
       .m_demand = m_inputs.m_demand,
       .m_running = m_inputs.m_running,
--- a/Source/http/message_parser.cc
+++ b/Source/http/message_parser.cc
@@ -92,6 +92,13 @@
 }
 
 bool MessageParser::FramingIsSound() const {
+  // The library lets spaces in field names pass, which others may trim.
+  for (const HeaderField& field : m_head.m_headers) {
+    if (field.m_name.empty() ||
+        field.m_name.find_first_of(" \t") != std::string::npos) {
+      return false;
+    }
+  }
   const std::size_t lengths = CountHeaders(m_head.m_headers, "Content-Length");
   const std::size_t encodings =
       CountHeaders(m_head.m_headers, "Transfer-Encoding");
--- a/Source/http/server_connection.cc
+++ b/Source/http/server_connection.cc
@@ -71,7 +71,8 @@
 }
 
 bool ServerConnection::idle() const {
-  return m_phase == Phase::kReading && !m_parser.started();
+  return m_phase == Phase::kReading && !m_parser.started() &&
+         evbuffer_get_length(bufferevent_get_output(m_buffer)) == 0;
 }
 
 void ServerConnection::ArmTimer(Duration delay) {
@@ -158,7 +159,7 @@
 void ServerConnection::FinishAnswer(bool keep_alive) {
   const auto exchange = std::exchange(m_exchange, nullptr);
   exchange->Detach(/*left=*/false);
-  if (!keep_alive) {
+  if (!keep_alive || m_server.draining()) {
     BeginLinger();
     return;
   }
--- a/Source/placement/engine_planner.cc
+++ b/Source/placement/engine_planner.cc
@@ -78,14 +78,14 @@
 PlannedActions EnginePlanner::Plan(const PlanningView& view,
                                    MonotonicTime now) {
   PlannedActions actions;
+  m_deferred.clear();
   std::erase_if(m_recent_models, [&](const auto& known) {
     return now - known.second.second > kRegistrationLag;
   });
   FollowEntries(view, now);
   for (auto& [id, ledger] : m_ledgers) {
-    const fleet::EndpointEntry* entry = view.m_directory.Find(id);
     if (ledger.m_open) {
-      FollowOpenOrder(*entry, ledger, now, actions);
+      FollowOpenOrder(view.m_entries.at(id), ledger, now, actions);
     }
   }
   std::vector<ModelDemand::Want> wants = view.m_demand.Waiting();
@@ -123,9 +123,9 @@
 void EnginePlanner::FollowEntries(const PlanningView& view,
                                   MonotonicTime now) {
   std::erase_if(m_ledgers, [&](const auto& known) {
-    return view.m_directory.Find(known.first) == nullptr;
+    return !view.m_entries.contains(known.first);
   });
-  for (const auto& [id, entry] : view.m_directory.entries()) {
+  for (const auto& [id, entry] : view.m_entries) {
     if (entry.m_service != m_service) {
       continue;
     }
@@ -180,6 +180,9 @@
       ledger.m_target = ModelId();
     }
     m_recent_models[{entry.m_id, open.m_model}] = {present, now};
+    if (!present) {
+      ledger.m_reported_models.erase(open.m_model);
+    }
     actions.m_settled = true;
     ledger.m_open.reset();
     return;
@@ -219,19 +222,19 @@
     const ModelId& model) const {
   Replicas replicas;
   for (const auto& [id, ledger] : m_ledgers) {
-    const fleet::EndpointEntry* entry = view.m_directory.Find(id);
-    if (!Usable(*entry)) {
+    const fleet::EndpointEntry& entry = view.m_entries.at(id);
+    if (!Usable(entry)) {
       continue;
     }
     const bool unloading =
         ledger.m_open && ledger.m_open->m_model == model &&
         ledger.m_open->m_operation == fleet::OrderOperation::kUnload;
-    if (entry->m_models.contains(model) && !unloading &&
+    if (entry.m_models.contains(model) && !unloading &&
         !view.m_avoided(id)) {
       ++replicas.m_present;
       replicas.m_running += view.m_running(id, model);
       replicas.m_with_room +=
-          RunningAt(view, *entry) < view.m_spec.m_slots ? 1 : 0;
+          RunningAt(view, entry) < view.m_spec.m_slots ? 1 : 0;
     } else if (ledger.m_target == model && !view.m_avoided(id)) {
       ++replicas.m_coming;
     }
@@ -263,7 +266,7 @@
     if (ledger.m_target != model || ledger.m_open) {
       continue;
     }
-    const fleet::EndpointEntry& entry = *view.m_directory.Find(id);
+    const fleet::EndpointEntry& entry = view.m_entries.at(id);
     if (!Usable(entry) || !CostAt(view, entry, ledger, model, now)) {
       ledger.m_target = ModelId();
     }
@@ -281,7 +284,7 @@
     if (ledger.m_target != model || ledger.m_open) {
       continue;
     }
-    const fleet::EndpointEntry& entry = *view.m_directory.Find(id);
+    const fleet::EndpointEntry& entry = view.m_entries.at(id);
     if (!ledger.m_accepted_orders) {
       if (!ledger.m_report_asked && now >= ledger.m_paused_until) {
         ledger.m_report_asked = true;
@@ -313,11 +316,25 @@
     const PlanningView& view,
     const ModelId& model,
     MonotonicTime now,
-    UnplacedModel& why_not) const {
+    UnplacedModel& why_not) {
   std::optional<Choice> best;
+  const EndpointId* near_engine = nullptr;
   double soonest_near = std::numeric_limits<double>::infinity();
+  // An engine with a near copy that is busy now takes one model after another.
+  const auto consider_near = [&](const EndpointId& id, double load_seconds,
+                                 double wait_seconds) {
+    const auto ahead = m_deferred.find(id);
+    const double seconds =
+        wait_seconds + load_seconds +
+        (ahead == m_deferred.end() ? 0 : ahead->second) *
+            (load_seconds + kOccupiedSeconds);
+    if (seconds < soonest_near) {
+      soonest_near = seconds;
+      near_engine = &id;
+    }
+  };
   for (const auto& [id, ledger] : m_ledgers) {
-    const fleet::EndpointEntry& entry = *view.m_directory.Find(id);
+    const fleet::EndpointEntry& entry = view.m_entries.at(id);
     if (!Usable(entry) || entry.m_models.contains(model)) {
       continue;
     }
@@ -332,7 +349,7 @@
     if (ledger.m_open || !ledger.m_target.empty()) {
       ++why_not.m_occupied;
       if (near) {
-        soonest_near = std::min(soonest_near, load_seconds + kOccupiedSeconds);
+        consider_near(id, load_seconds, kOccupiedSeconds);
       }
       continue;
     }
@@ -340,7 +357,7 @@
     if (!choice) {
       ++why_not.m_all_in_use;
       if (near) {
-        soonest_near = std::min(soonest_near, load_seconds + kInUseSeconds);
+        consider_near(id, load_seconds, kInUseSeconds);
       }
       continue;
     }
@@ -348,12 +365,14 @@
       best = choice;
     }
   }
-  if (best && best->m_tier == fleet::WeightTier::kStore &&
-      (soonest_near < best->m_cost ||
-       StoreLoadsOpen() >= kStoreLoadsAtOnce)) {
+  if (best && best->m_tier != fleet::WeightTier::kStore) {
+    return best;
+  }
+  if (near_engine != nullptr && (!best || soonest_near < best->m_cost)) {
+    ++m_deferred[*near_engine];
     return std::nullopt;
   }
-  return best;
+  return StoreLoadsOpen() < kStoreLoadsAtOnce ? best : std::nullopt;
 }
 
 int EnginePlanner::StoreLoadsOpen() const {
@@ -451,7 +470,7 @@
   EngineLedger* best = nullptr;
   const fleet::EndpointEntry* best_entry = nullptr;
   for (auto& [id, ledger] : m_ledgers) {
-    const fleet::EndpointEntry& entry = *view.m_directory.Find(id);
+    const fleet::EndpointEntry& entry = view.m_entries.at(id);
     if (!Usable(entry) || view.m_avoided(id) ||
         !entry.m_models.contains(model)) {
       continue;
--- a/Source/placement/engine_planner.h
+++ b/Source/placement/engine_planner.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "base/error.h"
-#include "fleet/endpoint_directory.h"
+#include "fleet/endpoint_entry.h"
 #include "placement/engine_ledger.h"
 #include "placement/model_demand.h"
 
@@ -43,7 +43,7 @@
 
 // The view that a plan is made from.
 struct PlanningView {
-  const fleet::EndpointDirectory& m_directory;
+  const std::map<EndpointId, fleet::EndpointEntry>& m_entries;
   const fleet::EngineSpec& m_spec;
   const ModelDemand& m_demand;
   // Requests that run at an engine for a model, over all hosts.
@@ -132,7 +132,7 @@
   std::optional<Choice> ChooseEngine(const PlanningView& view,
                                      const ModelId& model,
                                      MonotonicTime now,
-                                     UnplacedModel& why_not) const;
+                                     UnplacedModel& why_not);
   std::optional<Choice> CostAt(const PlanningView& view,
                                const fleet::EndpointEntry& entry,
                                const EngineLedger& ledger,
@@ -160,6 +160,8 @@
   std::map<EndpointId, EngineLedger> m_ledgers;
   std::map<std::pair<EndpointId, ModelId>, std::pair<bool, MonotonicTime>>
       m_recent_models;
+  // Models of the current plan that wait for a busy engine's near copy.
+  std::map<EndpointId, int> m_deferred;
   double m_store_tokens = 0;
   MonotonicTime m_store_tokens_at;
 };
--- a/Source/routing/endpoint_health.cc
+++ b/Source/routing/endpoint_health.cc
@@ -1,6 +1,7 @@
 #include "routing/endpoint_health.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hickoryloft::routing {
 
@@ -17,6 +18,9 @@
                                    MonotonicTime now) {
   constexpr int kMostDoublings = 5;
   Record& record = m_records[endpoint];
+  record.m_failed_part *=
+      std::exp(-ToSeconds(now - record.m_failed_at) / ToSeconds(kForgetTime));
+  record.m_failed_at = now;
   record.m_failed_part += (1 - record.m_failed_part) / kMemory;
   const int doublings = std::min(record.m_failures_in_row++, kMostDoublings);
   Duration pause = std::min(kLongestPause, kFirstPause * (1 << doublings));
--- a/Source/routing/endpoint_health.h
+++ b/Source/routing/endpoint_health.h
@@ -23,6 +23,9 @@
   // of requests over which it is taken, about.
   static constexpr double kFailingPart = 0.2;
   static constexpr double kMemory = 12;
+  // Failures longer ago than this hardly count: an endpoint that was replaced
+  // or mended should be used again.
+  static constexpr Duration kForgetTime = seconds(10);
 
   void RecordSuccess(const EndpointId& endpoint);
   void RecordFailure(const EndpointId& endpoint, MonotonicTime now);
@@ -35,6 +38,7 @@
   struct Record {
     int m_failures_in_row = 0;
     double m_failed_part = 0;
+    MonotonicTime m_failed_at;
     MonotonicTime m_avoid_until;
   };
 
--- /dev/null
+++ b/Tests/admission/token_quota_test.cc
@@ -0,0 +1,170 @@
+#include "admission/token_quota.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <rapidcheck.h>
+#include <vector>
+
+using namespace hickoryloft;
+using namespace hickoryloft::admission;
+
+namespace {
+
+constexpr QuotaLimit kLimit{.m_tokens_per_second = 50000,
+                            .m_burst_tokens = 50000};
+constexpr Duration kReportInterval = milliseconds(250);
+constexpr Duration kUrgentInterval = milliseconds(20);
+constexpr Duration kWindow = seconds(8);
+
+// Hosts that exchange totals as the product does: regularly, and early when an
+// account is used much.
+class Fleet {
+ public:
+  explicit Fleet(std::size_t hosts)
+      : m_quotas(hosts, TokenQuota(kLimit, MonotonicTime{})),
+        m_reported(hosts),
+        m_cut(hosts, false),
+        m_regular_at(hosts),
+        m_urgent_at(hosts) {}
+
+  void Ask(std::size_t host, double tokens) {
+    if (!m_quotas[host].Take(tokens, m_now)) {
+      m_admitted.emplace_back(m_now, tokens);
+    }
+  }
+
+  void Advance(Duration step) {
+    m_now += step;
+    for (std::size_t host = 0; host < m_quotas.size(); ++host) {
+      const bool urgent = m_quotas[host].ReportDue() &&
+                          m_now - m_urgent_at[host] >= kUrgentInterval;
+      if (urgent || m_now - m_regular_at[host] >= kReportInterval) {
+        m_quotas[host].MarkReported();
+        m_urgent_at[host] = m_now;
+        m_regular_at[host] = m_now;
+        m_reported[host] = m_quotas[host].admitted();
+      }
+    }
+    for (std::size_t host = 0; host < m_quotas.size(); ++host) {
+      Show(host);
+    }
+  }
+
+  void Cut(std::size_t host, bool cut) {
+    m_cut[host] = cut;
+    ++m_epochs;
+  }
+
+  // Returns what the last window has admitted.
+  double Used() {
+    while (!m_admitted.empty() && m_admitted.front().first + kWindow < m_now) {
+      m_admitted.pop_front();
+    }
+    double used = 0;
+    for (const auto& [at, tokens] : m_admitted) {
+      used += tokens;
+    }
+    return used;
+  }
+
+  static double Allowed() {
+    return (kLimit.m_tokens_per_second * ToSeconds(kWindow) +
+            kLimit.m_burst_tokens) *
+               1.1 +
+           17000;
+  }
+
+ private:
+  void Show(std::size_t host) {
+    double others = 0;
+    std::size_t silent = 0;
+    for (std::size_t other = 0; other < m_quotas.size(); ++other) {
+      if (other == host) {
+        continue;
+      }
+      if (m_cut[host] || m_cut[other]) {
+        ++silent;
+      } else {
+        others += m_reported[other];
+      }
+    }
+    m_quotas[host].TakeOthers(m_epochs, others, m_now);
+    m_quotas[host].SetSilence(silent, m_quotas.size(), m_now);
+  }
+
+  MonotonicTime m_now;
+  std::vector<TokenQuota> m_quotas;
+  std::vector<double> m_reported;
+  std::vector<bool> m_cut;
+  std::vector<MonotonicTime> m_regular_at;
+  std::vector<MonotonicTime> m_urgent_at;
+  std::uint64_t m_epochs = 1;
+  std::deque<std::pair<MonotonicTime, double>> m_admitted;
+};
+
+}  // namespace
+
+// One account sends nine times its usual to all hosts at once: without early
+// reports each of them admits from a full bucket for a report interval.
+TEST_CASE("An account that asks much more than its rate gets its rate") {
+  Fleet fleet(7);
+  double used = 0;
+  for (int step = 0; step < 2000; ++step) {
+    fleet.Advance(milliseconds(10));
+    for (std::size_t host = 0; host < 7; ++host) {
+      fleet.Ask(host, 500);  // 350,000 tokens a second.
+    }
+    used = fleet.Used();
+    REQUIRE(used <= Fleet::Allowed());
+  }
+  CHECK(used >= 0.95 * kLimit.m_tokens_per_second * ToSeconds(kWindow));
+}
+
+TEST_CASE("An account within its rate is not refused, wherever it asks") {
+  Fleet fleet(8);
+  double asked = 0;
+  for (int step = 0; step < 1000; ++step) {
+    fleet.Advance(milliseconds(10));
+    // All at one host, as balancers that hash a few callers do.
+    fleet.Ask(3, 450);
+    asked += step >= 200 ? 450 : 0;
+  }
+  CHECK(fleet.Used() == Approx(asked).epsilon(0.01));
+}
+
+TEST_CASE("Hosts that do not hear of each other keep to the rate together") {
+  rc::check("used within a window", [] {
+    Fleet fleet(7);
+    const auto cut_host = *rc::gen::inRange<std::size_t>(0, 7);
+    const auto cut_from = *rc::gen::inRange(100, 900);
+    const auto cut_until = *rc::gen::inRange(cut_from, 1200);
+    for (int step = 0; step < 1400; ++step) {
+      if (step == cut_from || step == cut_until) {
+        fleet.Cut(cut_host, step == cut_from && cut_from != cut_until);
+      }
+      fleet.Advance(milliseconds(10));
+      for (std::size_t host = 0; host < 7; ++host) {
+        fleet.Ask(host, 300);
+      }
+      RC_ASSERT(fleet.Used() <= Fleet::Allowed());
+    }
+  });
+}
+
+TEST_CASE("A request that never ran gives its tokens back") {
+  MonotonicTime now;
+  TokenQuota quota(kLimit, now);
+  const double before = quota.Level(now);
+  REQUIRE_FALSE(quota.Take(1000, now));
+  quota.PutBack(1000, now);
+  CHECK(quota.Level(now) == Approx(before));
+  CHECK(quota.admitted() == 0);
+}
+
+TEST_CASE("A refusal tells when the tokens will be there") {
+  MonotonicTime now;
+  TokenQuota quota({.m_tokens_per_second = 1000, .m_burst_tokens = 1000}, now);
+  const auto wait = quota.Take(800, now);
+  REQUIRE(wait);
+  CHECK_FALSE(quota.Take(800, now + *wait + milliseconds(1)));
+}
--- /dev/null
+++ b/Tests/fleet/knowledge_feed_test.cc
@@ -0,0 +1,108 @@
+#include "fleet/knowledge_feed.h"
+
+#include <catch2/catch.hpp>
+
+#include "keyvalue/memory_key_value_service.h"
+
+using namespace hickoryloft;
+using namespace hickoryloft::fleet;
+
+namespace {
+
+// Keys "config" and "e/<id>"; a configuration's value is its version.
+class PlainDecoder : public FleetDecoder {
+ public:
+  ItemClass Classify(const std::string& key) const override {
+    if (key == "config") {
+      return ItemClass::kConfiguration;
+    }
+    return key.starts_with("e/") ? ItemClass::kEndpoint : ItemClass::kOther;
+  }
+  EndpointId EndpointOf(const std::string& key) const override {
+    return EndpointId(key.substr(2));
+  }
+  Configuration DecodeConfiguration(const std::string& value) const override {
+    if (value == "broken") {
+      throw Error(ErrorCode::kProtocol, "broken");
+    }
+    return {.m_version = std::stoll(value)};
+  }
+  EndpointEntry DecodeEndpoint(const keyvalue::KeyValue& item) const override {
+    if (item.m_value == "broken") {
+      throw Error(ErrorCode::kProtocol, "broken");
+    }
+    return {.m_id = EndpointOf(item.m_key)};
+  }
+};
+
+struct Host {
+  Host() { m_feed.Start(); }
+
+  void Put(const std::string& key, const std::string& value) {
+    m_store.Get(key, [this, key, value](const auto& found) {
+      const auto& items = found.value().m_items;
+      m_store.Swap({.m_key = key,
+                    .m_expected_revision =
+                        items.empty() ? 0 : items[0].m_mod_revision,
+                    .m_value = value},
+                   [](const auto&) {});
+    });
+    Run();
+  }
+  void Run() {
+    const auto end = m_loop.After(milliseconds(30), [this] { m_loop.Stop(); });
+    m_loop.Run();
+  }
+
+  EventLoop m_loop;
+  keyvalue::MemoryKeyValueService m_store{m_loop};
+  PlainDecoder m_decoder;
+  int m_configurations = 0;
+  KnowledgeFeed m_feed{m_loop,
+                       m_store,
+                       m_decoder,
+                       {.m_configuration_changed = [this] { ++m_configurations; },
+                        .m_endpoint_changed = [](const EndpointId&) {},
+                        .m_own_keys_changed = [] {}}};
+};
+
+}  // namespace
+
+TEST_CASE("A host knows nothing until it has read a configuration") {
+  Host host;
+  host.Run();
+  CHECK_FALSE(host.m_feed.complete());
+  host.Put("config", "4");
+  CHECK(host.m_feed.complete());
+  CHECK(host.m_feed.configuration()->version() == 4);
+}
+
+TEST_CASE("A configuration never goes back, and an unreadable one is ignored") {
+  Host host;
+  host.Put("config", "7");
+  host.Put("config", "5");
+  CHECK(host.m_feed.configuration()->version() == 7);
+  host.Put("config", "broken");
+  CHECK(host.m_feed.configuration()->version() == 7);
+  host.Put("config", "9");
+  CHECK(host.m_feed.configuration()->version() == 9);
+  CHECK(host.m_configurations == 2);
+}
+
+TEST_CASE("An unreadable endpoint entry names no endpoint, the others hold") {
+  Host host;
+  host.Put("config", "1");
+  host.Put("e/a", "fine");
+  host.Put("e/b", "broken");
+  CHECK(host.m_feed.directory().Find(EndpointId("a")) != nullptr);
+  CHECK(host.m_feed.directory().Find(EndpointId("b")) == nullptr);
+  host.Put("e/a", "broken");
+  CHECK(host.m_feed.directory().Find(EndpointId("a")) != nullptr);
+}
+
+TEST_CASE("The system's own keys are kept apart") {
+  Host host;
+  host.Put("config", "1");
+  host.Put("mine", "x");
+  CHECK(host.m_feed.own_keys().at("mine").m_value == "x");
+}
--- /dev/null
+++ b/Tests/host/event_splitter_test.cc
@@ -0,0 +1,38 @@
+#include "host/event_splitter.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <string>
+
+using namespace hickoryloft::host;
+
+TEST_CASE("Whole events come out as they went in, whatever the pieces") {
+  rc::check("pieces", [] {
+    const auto count = *rc::gen::inRange(1, 20);
+    const auto torn = *rc::gen::arbitrary<bool>();
+    std::string whole;
+    for (int i = 1; i <= count; ++i) {
+      whole += "id: " + std::to_string(i) + "\ndata: {\"x\":\"" +
+               std::string(static_cast<std::size_t>(i), 'y') + "\"}\n\n";
+    }
+    const std::string sent = whole + (torn ? "id: 99\ndata: to" : "");
+    EventSplitter splitter;
+    std::string got;
+    std::size_t at = 0;
+    while (at < sent.size()) {
+      const auto step = *rc::gen::inRange<std::size_t>(1, 40);
+      got += splitter.Feed(std::string_view(sent).substr(at, step));
+      at += step;
+    }
+    RC_ASSERT(got == whole);
+    RC_ASSERT(splitter.last_id() == std::to_string(count));
+    RC_ASSERT(splitter.events() == count);
+    RC_ASSERT(splitter.TakeRest() == (torn ? "id: 99\ndata: to" : ""));
+  });
+}
+
+TEST_CASE("Ids of a stream with carriage returns are read") {
+  EventSplitter splitter;
+  CHECK(splitter.Feed("id:7\r\ndata: a\r\n\r\n") == "id:7\r\ndata: a\r\n\r\n");
+  CHECK(splitter.last_id() == "7");
+}
--- /dev/null
+++ b/Tests/http/message_parser_test.cc
@@ -0,0 +1,123 @@
+#include "http/message_parser.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+#include <rapidcheck.h>
+#include <string>
+
+using namespace hickoryloft::http;
+
+namespace {
+
+constexpr std::size_t kHeadLimit = 1024;
+
+struct Parsed {
+  std::optional<MessageHead> m_head;
+  std::string m_body;
+  int m_ends = 0;
+};
+
+class Harness {
+ public:
+  explicit Harness(MessageType type)
+      : m_parser(type,
+                 kHeadLimit,
+                 {.m_head =
+                      [this](MessageHead&& head) {
+                        m_parsed.m_head = std::move(head);
+                      },
+                  .m_body =
+                      [this](std::string_view bytes) {
+                        m_parsed.m_body.append(bytes);
+                      },
+                  .m_end = [this] { ++m_parsed.m_ends; }}) {}
+
+  // Feeds `text` in pieces of `step` bytes and returns the bytes taken.
+  std::size_t Feed(std::string_view text, std::size_t step) {
+    std::size_t taken = 0;
+    while (taken < text.size()) {
+      const std::size_t now = m_parser.Feed(text.substr(taken, step));
+      if (now == 0) {
+        break;
+      }
+      taken += now;
+    }
+    return taken;
+  }
+
+  Parsed m_parsed;
+  MessageParser m_parser;
+};
+
+}  // namespace
+
+TEST_CASE("A message ends at its framing, whatever the pieces") {
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+  const std::string sized = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcde";
+  rc::check("extra bytes are not taken", [&] {
+    const std::string message = *rc::gen::element(chunked, sized);
+    const std::string extra = *rc::gen::element<std::string>(
+        "", "HTTP/1.1 200 OK\r\n\r\n", "garbage");
+    const auto step = *rc::gen::inRange<std::size_t>(1, 64);
+    Harness harness(MessageType::kResponse);
+    RC_ASSERT(harness.Feed(message + extra, step) == message.size());
+    RC_ASSERT(harness.m_parser.complete());
+    RC_ASSERT(harness.m_parsed.m_body == "abcde");
+    RC_ASSERT(harness.m_parsed.m_ends == 1);
+  });
+}
+
+TEST_CASE("Framing that two readers could take differently is refused") {
+  const std::string text = GENERATE(
+      as<std::string>(),
+      "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+      "POST / HTTP/1.1\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nab",
+      "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+      "GET / HTTP/1.1\r\nBad Name: x\r\n\r\n", "\x01\x02\x03\x04\r\n\r\n",
+      "GET / HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n");
+  Harness harness(MessageType::kRequest);
+  harness.Feed(text, text.size());
+  CHECK(harness.m_parser.error() == ParseError::kMalformed);
+  CHECK(harness.m_parsed.m_ends == 0);
+}
+
+TEST_CASE("A head beyond the limit is told apart from a malformed one") {
+  Harness harness(MessageType::kRequest);
+  harness.Feed("GET /" + std::string(2 * kHeadLimit, 'a') + " HTTP/1.1\r\n\r\n",
+               100);
+  CHECK(harness.m_parser.error() == ParseError::kHeadTooLarge);
+}
+
+TEST_CASE("A response without framing ends with its connection") {
+  Harness harness(MessageType::kResponse);
+  harness.Feed("HTTP/1.1 200 OK\r\n\r\nabc", 7);
+  CHECK_FALSE(harness.m_parser.complete());
+  CHECK(harness.m_parser.FeedEnd());
+  CHECK(harness.m_parsed.m_body == "abc");
+}
+
+TEST_CASE("A response cut short is not complete at its connection's end") {
+  Harness harness(MessageType::kResponse);
+  harness.Feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", 100);
+  CHECK_FALSE(harness.m_parser.FeedEnd());
+  Harness head_only(MessageType::kResponse);
+  head_only.Feed("HTTP/1.1 200 OK\r\nConte", 100);
+  CHECK_FALSE(head_only.m_parser.FeedEnd());
+}
+
+TEST_CASE("Interim responses are passed over") {
+  Harness harness(MessageType::kResponse);
+  const std::string text =
+      "HTTP/1.1 100 Continue\r\n\r\n"
+      "HTTP/1.1 204 No Content\r\n\r\n";
+  CHECK(harness.Feed(text, 5) == text.size());
+  REQUIRE(harness.m_parsed.m_head);
+  CHECK(harness.m_parsed.m_head->m_status == 204);
+}
--- /dev/null
+++ b/Tests/http/server_test.cc
@@ -0,0 +1,209 @@
+#include "http/server.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <string>
+#include <thread>
+
+using namespace hickoryloft;
+using namespace hickoryloft::http;
+
+namespace {
+
+constexpr Duration kTestLimit = seconds(5);
+
+// A caller with a blocking socket, on a thread of its own.
+class RawCaller {
+ public:
+  explicit RawCaller(std::uint16_t port, int receive_buffer = 0)
+      : m_socket(socket(AF_INET, SOCK_STREAM, 0)) {
+    if (receive_buffer > 0) {
+      setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                 sizeof(receive_buffer));
+    }
+    timeval limit{.tv_sec = 4, .tv_usec = 0};
+    setsockopt(m_socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    connect(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  }
+  ~RawCaller() { Close(); }
+  RawCaller(const RawCaller&) = delete;
+  RawCaller& operator=(const RawCaller&) = delete;
+
+  void Send(const std::string& text) {
+    send(m_socket, text.data(), text.size(), MSG_NOSIGNAL);
+  }
+  // Reads until the connection ends, or until `enough` is there.
+  std::string Read(const std::string& enough = "") {
+    std::string got;
+    char buffer[4096];
+    for (;;) {
+      const ssize_t size = recv(m_socket, buffer, sizeof(buffer), 0);
+      if (size <= 0) {
+        m_reset = size < 0;
+        return got;
+      }
+      got.append(buffer, static_cast<std::size_t>(size));
+      if (!enough.empty() && got.find(enough) != std::string::npos) {
+        return got;
+      }
+    }
+  }
+  void Close() {
+    if (m_socket >= 0) {
+      close(std::exchange(m_socket, -1));
+    }
+  }
+  bool reset() const { return m_reset; }
+
+ private:
+  int m_socket;
+  bool m_reset = false;
+};
+
+// Runs `caller` on a thread while the loop serves, and stops when it is done.
+void Serve(EventLoop& loop, const std::function<void()>& caller) {
+  std::thread thread([&] {
+    caller();
+    loop.Post([&] { loop.Stop(); });
+  });
+  const auto limit = loop.After(kTestLimit, [&] { loop.Stop(); });
+  loop.Run();
+  thread.join();
+}
+
+const std::string kGet = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+}  // namespace
+
+TEST_CASE("Pipelined requests are answered in order, one at a time") {
+  EventLoop loop;
+  std::vector<std::string> bodies;
+  Server server(loop, "127.0.0.1", 0,
+                [&](const std::shared_ptr<ServerExchange>& exchange) {
+                  bodies.push_back(exchange->request().m_body);
+                  exchange->Answer(200, {}, "<" + bodies.back() + ">");
+                });
+  std::string got;
+  Serve(loop, [&] {
+    RawCaller caller(server.port());
+    caller.Send(
+        "POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\none"
+        "POST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ntwo\r\n"
+        "0\r\n\r\n");
+    got = caller.Read("<two>");
+  });
+  CHECK(bodies == std::vector<std::string>{"one", "two"});
+  CHECK(got.find("<one>") < got.find("<two>"));
+}
+
+TEST_CASE("Input that breaks a limit is answered and not passed on") {
+  struct Case {
+    std::string m_input;
+    std::string m_status;
+  };
+  const auto tested = GENERATE(
+      Case{"POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\n", " 413 "},
+      Case{"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n40\r\n" +
+               std::string(64, 'x') + "\r\n0\r\n\r\n",
+           " 413 "},
+      Case{"GET /" + std::string(4000, 'a') + " HTTP/1.1\r\n\r\n", " 431 "},
+      Case{"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
+           "chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\n\r\n",
+           " 400 "},
+      Case{"GET /slow HTT", " 408 "});
+  EventLoop loop;
+  int handled = 0;
+  Server server(loop, "127.0.0.1", 0,
+                [&](const std::shared_ptr<ServerExchange>& exchange) {
+                  ++handled;
+                  exchange->Answer(200, {}, "");
+                });
+  server.SetLimits({.m_max_head_bytes = 1024,
+                    .m_max_body_bytes = 32,
+                    .m_head_timeout = milliseconds(200),
+                    .m_idle_timeout = seconds(2)});
+  std::string got;
+  Serve(loop, [&] {
+    RawCaller caller(server.port());
+    caller.Send(tested.m_input);
+    got = caller.Read();
+  });
+  CHECK(got.find(tested.m_status) != std::string::npos);
+  CHECK(handled == 0);
+}
+
+TEST_CASE("A caller that leaves before its answer is noticed") {
+  EventLoop loop;
+  std::shared_ptr<ServerExchange> open;
+  std::atomic<bool> arrived = false;
+  bool left = false;
+  Server server(loop, "127.0.0.1", 0,
+                [&](std::shared_ptr<ServerExchange> exchange) {
+                  exchange->Watch([&] { left = true; }, nullptr);
+                  open = std::move(exchange);
+                  arrived = true;
+                });
+  Serve(loop, [&] {
+    RawCaller caller(server.port());
+    caller.Send(kGet);
+    while (!arrived) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    caller.Close();
+    std::this_thread::sleep_for(milliseconds(50));
+  });
+  CHECK(left);
+  CHECK_FALSE(open->open());
+  open->Answer(200, {}, "too late");  // Must do nothing.
+}
+
+TEST_CASE("An aborted stream does not look complete") {
+  EventLoop loop;
+  Server server(loop, "127.0.0.1", 0,
+                [&](const std::shared_ptr<ServerExchange>& exchange) {
+                  exchange->StartAnswer(200, {}, std::nullopt);
+                  exchange->SendBody("data: 1\n\n");
+                  loop.Post([exchange] { exchange->Abort(); });
+                });
+  std::string got;
+  Serve(loop, [&] {
+    RawCaller caller(server.port());
+    caller.Send(kGet);
+    got = caller.Read();
+  });
+  CHECK(got.find("0\r\n\r\n") == std::string::npos);
+}
+
+// A planned stop closes idle connections; the last answer's bytes may still
+// wait for a slow reader then.
+TEST_CASE("A drain does not cut an answer that its caller is still reading") {
+  constexpr std::size_t kAnswerBytes = std::size_t{8} * 1024 * 1024;
+  EventLoop loop;
+  Server server(loop, "127.0.0.1", 0,
+                [&](const std::shared_ptr<ServerExchange>& exchange) {
+                  exchange->StartAnswer(200, {}, kAnswerBytes);
+                  server.BeginDrain();
+                  exchange->SendBody(std::string(kAnswerBytes, 'x'));
+                  exchange->FinishAnswer();
+                });
+  const auto closer =
+      loop.Every(milliseconds(5), [&] { server.CloseIdle(); });
+  std::string got;
+  Serve(loop, [&] {
+    RawCaller caller(server.port(), /*receive_buffer=*/4096);
+    caller.Send(kGet);
+    std::this_thread::sleep_for(milliseconds(100));
+    got = caller.Read();
+  });
+  const std::size_t body = got.find("\r\n\r\n") + 4;
+  CHECK(got.size() - body == kAnswerBytes);
+}
--- /dev/null
+++ b/Tests/jarro/caller_protocol_test.cc
@@ -0,0 +1,114 @@
+#include "platform/caller_protocol.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hickoryloft;
+using namespace hickoryloft::jarro;
+
+namespace {
+
+http::ServerRequest Request() {
+  return {.m_method = "POST",
+          .m_target = "/a/b?q=1",
+          .m_headers = {{"Host", "h.example"},
+                        {"Request-Id", "r1"},
+                        {"Deadline-Ms", "1500"},
+                        {"Authorization", "Bearer secret"},
+                        {"Model", "m1/a2"},
+                        {"Token-Usage", "100,20"},
+                        {"Prompt-Prefix", "5c:80,91:20"},
+                        {"X-Own", "kept"}},
+          .m_body = "body"};
+}
+
+std::string Sent(const endpoint::CallRequest& call, const char* name) {
+  const std::string* value = http::FindHeader(call.m_headers, name);
+  return value == nullptr ? "absent" : *value;
+}
+
+endpoint::CallRequest Forward(const http::ServerRequest& request) {
+  const CallerProtocol protocol;
+  fleet::CallerRequest decoded = protocol.DecodeRequest(request);
+  return protocol.EncodeCall(decoded,
+                             {.m_endpoint = {EndpointId("i-1"), "10.0.0.9", 80},
+                              .m_time_left = milliseconds(1200),
+                              .m_account = ClientAccountId("acc"),
+                              .m_urgency = 1});
+}
+
+}  // namespace
+
+TEST_CASE("A request is decoded once into what its fields say") {
+  const fleet::CallerRequest decoded =
+      CallerProtocol().DecodeRequest(Request());
+  CHECK(decoded.m_id == "r1");
+  CHECK(decoded.m_path == "/a/b");
+  CHECK(decoded.m_key == "secret");
+  CHECK(decoded.m_deadline == milliseconds(1500));
+  CHECK(decoded.m_model.value() == "m1");
+  CHECK(decoded.m_adapter.value() == "a2");
+  CHECK(decoded.m_prompt_tokens == 100);
+  CHECK(decoded.m_output_tokens == 20);
+  REQUIRE(decoded.m_prompt.size() == 2);
+  CHECK(decoded.m_prompt[1].m_tokens == 20);
+}
+
+TEST_CASE("An endpoint sees the account, never the key") {
+  const endpoint::CallRequest call = Forward(Request());
+  CHECK(Sent(call, "Authorization") == "absent");
+  CHECK(Sent(call, "Tenant") == "acc");
+  CHECK(Sent(call, "Expect-Instance") == "i-1");
+  CHECK(Sent(call, "Deadline-Ms") == "1200");
+  CHECK(Sent(call, "Request-Id") == "r1");
+  CHECK(Sent(call, "X-Own") == "kept");
+  CHECK(Sent(call, "Model") == "m1/a2");
+  CHECK(call.m_target == "/a/b?q=1");
+}
+
+TEST_CASE("Fields that are the system's to set are not a caller's") {
+  const std::string name =
+      GENERATE(as<std::string>(), "Tenant", "Expect-Instance", "Hold",
+               "Pin-Ms", "Kv-Backup", "Kv-From", "Kv-Fetch", "expect-version");
+  http::ServerRequest request = Request();
+  request.m_headers.push_back({name, "forged"});
+  const endpoint::CallRequest call = Forward(request);
+  CHECK(Sent(call, name.c_str()) != "forged");
+  CHECK(http::CountHeaders(call.m_headers, name) <= 1);
+}
+
+TEST_CASE("Fields of one connection are not forwarded") {
+  http::ServerRequest request = Request();
+  request.m_headers.push_back({"Connection", "keep-alive, X-Hop"});
+  request.m_headers.push_back({"X-Hop", "1"});
+  request.m_headers.push_back({"Keep-Alive", "timeout=5"});
+  const endpoint::CallRequest call = Forward(request);
+  CHECK(Sent(call, "X-Hop") == "absent");
+  CHECK(Sent(call, "Keep-Alive") == "absent");
+  CHECK(Sent(call, "Connection") == "absent");
+}
+
+TEST_CASE("A request that cannot be told apart is refused") {
+  http::ServerRequest request = Request();
+  SECTION("two ids") { request.m_headers.push_back({"Request-Id", "r2"}); }
+  SECTION("two keys") {
+    request.m_headers.push_back({"authorization", "Bearer other"});
+  }
+  SECTION("two hosts") { request.m_headers.push_back({"Host", "x"}); }
+  SECTION("no id") { std::erase_if(request.m_headers, [](const auto& field) {
+    return field.m_name == "Request-Id"; }); }
+  SECTION("an absolute target") { request.m_target = "http://x/"; }
+  SECTION("an odd method") { request.m_method = "CONNECT"; }
+  CHECK_THROWS_AS(CallerProtocol().DecodeRequest(request), Error);
+}
+
+TEST_CASE("Only an endpoint's own proof says that it did not run a request") {
+  const CallerProtocol protocol;
+  CHECK(protocol.DecodeAnswer({.m_status = 503, .m_headers = {{"Not-Executed", "1"}}})
+            .m_not_executed);
+  CHECK(protocol.DecodeAnswer({.m_status = 421, .m_headers = {}})
+            .m_not_executed);
+  CHECK_FALSE(protocol.DecodeAnswer({.m_status = 503, .m_headers = {}})
+                  .m_not_executed);
+  CHECK_FALSE(protocol.DecodeAnswer({.m_status = 500, .m_headers = {}})
+                  .m_not_executed);
+}
--- /dev/null
+++ b/Tests/jarro/fleet_decoder_test.cc
@@ -0,0 +1,140 @@
+#include "platform/fleet_decoder.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+#include "platform/engine_control.h"
+
+using namespace hickoryloft;
+using namespace hickoryloft::jarro;
+using nlohmann::json;
+
+namespace {
+
+const char kEntry[] =
+    R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":32,
+        "state":"ready","born":123,"seq":9,
+        "models":[{"name":"m1","version":1,"adapters":["a1"]}],
+        "available":{"inMemory":["m2"],"onDisk":["m1","m3"]}})";
+
+json Configuration() {
+  return json::parse(R"({"version":7,
+    "routes":[{"name":"r","host":"h.example","pathPrefix":"/a/",
+      "kind":"streaming","timeoutMs":12000,"targetLatencyMs":500,
+      "priority":1,"split":[{"service":"s","weight":90},
+      {"service":"t","weight":10}],"maxAttempts":2,"resumable":true},
+     {"host":"h.example","pathPrefix":"/b/","kind":"non_idempotent",
+      "timeoutMs":1500,"service":"t"}],
+    "services":[{"name":"s","healthPath":"/hz","maxConnections":230,
+      "engine":{"slots":32,"mb":200000.0,"adapterSlots":8,"loadsPerS":6.8,
+        "models":[{"name":"m1","mb":42700.0,"loadS":6.0,"warmS":0.44,
+          "diskS":0.57,"adapters":56,"adapterMb":66.0}]}},{"name":"t"}],
+    "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
+      "headerTimeoutMs":3000,"idleTimeoutMs":15000},
+    "tenants":[{"name":"a","apiKeys":["k1","k2"],"priority":1,
+      "unit":"token_count","plainTokens":200,"ratePerS":100,"burst":50}]})");
+}
+
+fleet::EndpointEntry Decode(const std::string& value) {
+  return FleetDecoder().DecodeEndpoint(
+      {.m_key = "servers/i-1", .m_value = value});
+}
+
+}  // namespace
+
+TEST_CASE("An entry is decoded, its id from the key") {
+  const fleet::EndpointEntry entry = Decode(kEntry);
+  CHECK(entry.m_id.value() == "i-1");
+  CHECK(entry.m_port == 80);
+  CHECK(entry.m_started_at_ms == 123);
+  CHECK(entry.m_models.at(ModelId("m1")).contains(AdapterId("a1")));
+  CHECK(entry.TierOf(ModelId("m2")) == fleet::WeightTier::kHostMemory);
+  CHECK(entry.TierOf(ModelId("m3")) == fleet::WeightTier::kDisk);
+  CHECK(entry.TierOf(ModelId("m4")) == fleet::WeightTier::kStore);
+}
+
+TEST_CASE("An entry of another writer is refused") {
+  json entry = json::parse(kEntry);
+  const auto [field, value] = GENERATE(
+      table<std::string, json>({{"service", nullptr},
+                                {"address", "nowhere"},
+                                {"address", 5},
+                                {"slots", "many"},
+                                {"slots", 1.5},
+                                {"state", "sleeping"},
+                                {"born", "yesterday"},
+                                {"models", "all"},
+                                {"models", json::array({1})}}));
+  entry[field] = value;
+  CHECK_THROWS_AS(Decode(entry.dump()), Error);
+  CHECK_THROWS_AS(Decode("\xff\xfe"), Error);
+  CHECK_THROWS_AS(Decode("[]"), Error);
+}
+
+TEST_CASE("A configuration is decoded into the product's words") {
+  const fleet::Configuration decoded =
+      FleetDecoder().DecodeConfiguration(Configuration().dump());
+  CHECK(decoded.m_version == 7);
+  REQUIRE(decoded.m_routes.size() == 2);
+  CHECK(decoded.m_routes[0].m_kind == fleet::RequestKind::kStreaming);
+  CHECK(decoded.m_routes[0].m_targets.size() == 2);
+  CHECK(decoded.m_routes[0].m_max_endpoints == 2);
+  CHECK(decoded.m_routes[0].m_resumable);
+  CHECK(decoded.m_routes[1].m_targets[0].m_service.value() == "t");
+  const auto& engine = decoded.m_services.at(ServiceId("s")).m_engine;
+  REQUIRE(engine);
+  CHECK(engine->m_models.at(ModelId("m1")).m_load_from_memory ==
+        milliseconds(440));
+  CHECK_FALSE(decoded.m_services.at(ServiceId("t")).m_engine);
+  CHECK(decoded.m_accounts[0].m_plain_tokens == 200);
+  CHECK(decoded.m_limits.m_idle_timeout == seconds(15));
+}
+
+TEST_CASE("A configuration with a field at fault names it") {
+  json configuration = Configuration();
+  configuration["routes"][1].erase("service");
+  CHECK_THROWS_WITH(
+      FleetDecoder().DecodeConfiguration(configuration.dump()),
+      Catch::Contains("routes[1].service"));
+  configuration = Configuration();
+  configuration["routes"][0]["kind"] = "odd";
+  CHECK_THROWS_WITH(
+      FleetDecoder().DecodeConfiguration(configuration.dump()),
+      Catch::Contains("odd"));
+}
+
+TEST_CASE("Decoders throw typed failures for any damage") {
+  rc::check("cut or changed text", [] {
+    const std::string whole =
+        *rc::gen::element(Configuration().dump(), std::string(kEntry));
+    std::string damaged =
+        whole.substr(0, *rc::gen::inRange<std::size_t>(0, whole.size() + 1));
+    if (!damaged.empty()) {
+      damaged[*rc::gen::inRange<std::size_t>(0, damaged.size())] =
+          *rc::gen::arbitrary<char>();
+    }
+    for (const auto& decode :
+         {std::function<void()>([&] { Decode(damaged); }),
+          std::function<void()>(
+              [&] { FleetDecoder().DecodeConfiguration(damaged); }),
+          std::function<void()>([&] { ParseEngineReport(damaged); })}) {
+      try {
+        decode();
+      } catch (const Error&) {
+        // The only failure that callers handle.
+      }
+    }
+  });
+}
+
+TEST_CASE("A report tells orders, models and adapters on their way") {
+  const fleet::EngineReport report = ParseEngineReport(
+      R"({"busy":true,"seq":4,"models":[{"name":"m","adapters":["a1"]}],
+          "pending":["m/a2@1"]})");
+  CHECK(report.m_accepted_orders == 4);
+  CHECK(report.m_busy);
+  CHECK(report.m_models.at(ModelId("m")).contains(AdapterId("a1")));
+  REQUIRE(report.m_arriving_adapters.size() == 1);
+  CHECK(report.m_arriving_adapters[0].second.value() == "a2");
+}
--- /dev/null
+++ b/Tests/jarro/settings_test.cc
@@ -0,0 +1,79 @@
+#include "platform/settings.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "base/error.h"
+
+using namespace hickoryloft;
+using namespace hickoryloft::jarro;
+using nlohmann::json;
+
+namespace {
+
+json Sample() {
+  return {{"node", "edge-1"},
+          {"ip", "10.0.0.1"},
+          {"zone", "z1"},
+          {"listen", {{"front", "10.0.0.1:8221"}, {"ready", "10.0.0.1:8224"}}},
+          {"portRange", {7600, 7615}},
+          {"limits", {{"cpuShare", 0.25}}},
+          {"bounds", {{"revokeMs", 5000}, {"graceS", 8}, {"leaseMs", 3000}}},
+          {"provider", {{"address", "10.9.0.1:8225"}, {"minTtlMs", 1000}}},
+          {"unheardOf", {1, 2, 3}}};
+}
+
+std::string FailureOf(const json& settings) {
+  try {
+    ParseHostSettings(settings.dump());
+  } catch (const Error& error) {
+    CHECK(error.code() == ErrorCode::kInvalidSettings);
+    return error.what();
+  }
+  return "";
+}
+
+}  // namespace
+
+TEST_CASE("Settings are read, unknown fields ignored, bounds defaulted") {
+  const host::HostSettings settings = ParseHostSettings(Sample().dump());
+  CHECK(settings.m_host.value() == "edge-1");
+  CHECK(settings.m_callers.m_port == 8221);
+  CHECK(settings.m_peer_port == 7600);
+  CHECK(settings.m_capacity == 0.25);
+  CHECK(settings.m_bounds.m_key_withdrawal == seconds(5));
+  CHECK(settings.m_bounds.m_stop_grace == seconds(8));
+  CHECK(settings.m_bounds.m_drain == host::FleetBounds().m_drain);
+}
+
+TEST_CASE("A missing or ill-typed field is named") {
+  struct Case {
+    std::string m_pointer;
+    json m_value;  // Null: removed.
+    std::string m_named;
+  };
+  const auto tested = GENERATE(
+      Case{"/node", nullptr, "settings.node"},
+      Case{"/zone", 7, "settings.zone"},
+      Case{"/listen/front", "10.0.0.1", "IP:PORT"},
+      Case{"/listen/front", "10.0.0.1:99999", "IP:PORT"},
+      Case{"/listen", "here", "settings.listen"},
+      Case{"/portRange", json::array({7600}), "portRange"},
+      Case{"/provider/address", nullptr, "settings.provider.address"},
+      Case{"/bounds/revokeMs", "soon", "settings.bounds.revokeMs"},
+      Case{"/bounds/revokeMs", -1, "settings.bounds.revokeMs"},
+      Case{"/bounds/strictRevoke", 1, "settings.bounds.strictRevoke"});
+  json settings = Sample();
+  const json::json_pointer pointer(tested.m_pointer);
+  if (tested.m_value.is_null()) {
+    settings[pointer.parent_pointer()].erase(pointer.back());
+  } else {
+    settings[pointer] = tested.m_value;
+  }
+  CHECK_THAT(FailureOf(settings), Catch::Contains(tested.m_named));
+}
+
+TEST_CASE("A settings file that is no JSON or missing is told so") {
+  CHECK_THROWS_AS(ParseHostSettings("{"), Error);
+  CHECK_THROWS_AS(ReadSettingsFile("/does/not/exist"), Error);
+}
--- /dev/null
+++ b/Tests/membership/holder_lease_test.cc
@@ -0,0 +1,124 @@
+#include "membership/holder_lease.h"
+
+#include <catch2/catch.hpp>
+
+#include "keyvalue/memory_key_value_service.h"
+
+using namespace hickoryloft;
+using namespace hickoryloft::membership;
+
+namespace {
+
+constexpr HolderTiming kTiming{.m_ttl = milliseconds(400),
+                               .m_margin = milliseconds(60),
+                               .m_gap = milliseconds(250)};
+
+// Delays renewals of the service behind it, as a slow or cut store does.
+class StallingStore : public keyvalue::KeyValueService {
+ public:
+  explicit StallingStore(keyvalue::KeyValueService& store) : m_store(store) {}
+
+  void Get(const std::string& key,
+           Callback<keyvalue::ReadReply> callback) override {
+    m_store.Get(key, std::move(callback));
+  }
+  void GetPrefix(const std::string& prefix,
+                 Callback<keyvalue::ReadReply> callback) override {
+    m_store.GetPrefix(prefix, std::move(callback));
+  }
+  void Swap(keyvalue::CompareAndSwap operation,
+            Callback<keyvalue::SwapReply> callback) override {
+    m_store.Swap(std::move(operation), std::move(callback));
+  }
+  void GrantLease(Duration ttl,
+                  Callback<keyvalue::LeaseReply> callback) override {
+    m_store.GrantLease(ttl, std::move(callback));
+  }
+  void KeepAlive(keyvalue::LeaseId lease,
+                 Callback<keyvalue::LeaseReply> callback) override {
+    if (!m_stalled) {
+      m_store.KeepAlive(lease, std::move(callback));
+    }
+  }
+  void RevokeLease(keyvalue::LeaseId lease, Callback<Done> callback) override {
+    if (!m_stalled) {
+      m_store.RevokeLease(lease, std::move(callback));
+    }
+  }
+  std::unique_ptr<keyvalue::Watch> WatchPrefix(
+      const std::string& prefix,
+      Revision from_revision,
+      std::function<void(keyvalue::WatchBatch)> changed,
+      std::function<void(Error)> ended) override {
+    return m_store.WatchPrefix(prefix, from_revision, std::move(changed),
+                               std::move(ended));
+  }
+
+  bool m_stalled = false;
+
+ private:
+  keyvalue::KeyValueService& m_store;
+};
+
+void RunFor(EventLoop& loop, Duration time) {
+  const auto end = loop.After(time, [&] { loop.Stop(); });
+  loop.Run();
+}
+
+}  // namespace
+
+TEST_CASE("The right is used only after the gap") {
+  EventLoop loop;
+  keyvalue::MemoryKeyValueService store(loop);
+  HolderLease lease(loop, store, "holder", HostId("a"), kTiming);
+  lease.Observe(false, Duration{});
+  RunFor(loop, milliseconds(50));
+  CHECK(lease.held());
+  CHECK_FALSE(lease.valid());
+  RunFor(loop, kTiming.m_gap);
+  CHECK(lease.valid());
+}
+
+TEST_CASE("Two hosts never hold the right at once, and the second one waits") {
+  EventLoop loop;
+  keyvalue::MemoryKeyValueService store(loop);
+  StallingStore stalling(store);
+  HolderLease first(loop, stalling, "holder", HostId("a"), kTiming);
+  HolderLease second(loop, store, "holder", HostId("b"), kTiming);
+  first.Observe(false, Duration{});
+  RunFor(loop, milliseconds(350));
+  REQUIRE(first.valid());
+  const FencingNumber fence = first.fence();
+
+  stalling.m_stalled = true;
+  MonotonicTime first_last_valid;
+  MonotonicTime second_first_valid;
+  const auto tick = loop.Every(milliseconds(2), [&] {
+    second.Observe(false, Duration{});  // Tries all the time.
+    CHECK_FALSE((first.valid() && second.valid()));
+    if (first.valid()) {
+      first_last_valid = loop.Now();
+    }
+    if (second.valid() && second_first_valid == MonotonicTime{}) {
+      second_first_valid = loop.Now();
+    }
+  });
+  RunFor(loop, milliseconds(1500));
+  CHECK_FALSE(first.valid());
+  REQUIRE(second.valid());
+  CHECK(second.fence() > fence);
+  CHECK(second_first_valid - first_last_valid >= kTiming.m_gap);
+}
+
+TEST_CASE("A stopping host gives the right up and does not take it again") {
+  EventLoop loop;
+  keyvalue::MemoryKeyValueService store(loop);
+  HolderLease lease(loop, store, "holder", HostId("a"), kTiming);
+  lease.Observe(false, Duration{});
+  RunFor(loop, milliseconds(50));
+  lease.End();
+  CHECK_FALSE(lease.held());
+  lease.Observe(false, Duration{});
+  RunFor(loop, milliseconds(50));
+  CHECK_FALSE(lease.held());
+}
--- /dev/null
+++ b/Tests/routing/endpoint_selection_test.cc
@@ -0,0 +1,89 @@
+#include <catch2/catch.hpp>
+
+#include "routing/endpoint_health.h"
+#include "routing/endpoint_selector.h"
+#include "routing/fleet_load.h"
+
+using namespace hickoryloft;
+using namespace hickoryloft::routing;
+
+namespace {
+
+const FailureDomainId kHere("here");
+const FailureDomainId kThere("there");
+
+Candidate At(const std::string& id, const FailureDomainId& domain, int running) {
+  return {.m_endpoint = EndpointId(id),
+          .m_failure_domain = domain,
+          .m_slots = 32,
+          .m_running = running};
+}
+
+}  // namespace
+
+TEST_CASE("The endpoint with the most room is chosen, full ones never") {
+  RandomEngine random(1);
+  CHECK(SelectEndpoint({At("a", kHere, 20), At("b", kThere, 2)}, kHere, {},
+                       random) == 1);
+  CHECK(SelectEndpoint({At("a", kHere, 3), At("b", kThere, 2)}, kHere, {},
+                       random) == 0);
+  CHECK(SelectEndpoint({At("a", kHere, 32), At("b", kThere, 40)}, kHere, {},
+                       random) == -1);
+  CHECK(SelectEndpoint({}, kHere, {}, random) == -1);
+}
+
+TEST_CASE("An avoided endpoint is chosen only if there is no other") {
+  RandomEngine random(1);
+  Candidate avoided = At("a", kHere, 0);
+  avoided.m_avoided = true;
+  CHECK(SelectEndpoint({avoided, At("b", kThere, 31)}, kHere, {}, random) == 1);
+  CHECK(SelectEndpoint({avoided, At("b", kThere, 32)}, kHere, {}, random) == 0);
+}
+
+TEST_CASE("Failures in a row are avoided for longer each time") {
+  EndpointHealth health;
+  const EndpointId id("a");
+  MonotonicTime now{seconds(10)};
+  health.RecordFailure(id, now);
+  CHECK(health.Avoided(id, now + milliseconds(400)));
+  CHECK_FALSE(health.Avoided(id, now + EndpointHealth::kFirstPause));
+  health.RecordFailure(id, now);
+  CHECK(health.Avoided(id, now + milliseconds(900)));
+  health.RecordSuccess(id);
+  now += seconds(10);
+  health.RecordFailure(id, now);
+  CHECK_FALSE(health.Avoided(id, now + EndpointHealth::kFirstPause));
+}
+
+// A server whose health check is good fails two requests in five.
+TEST_CASE("An endpoint that fails a part of its requests is avoided") {
+  EndpointHealth health;
+  const EndpointId id("grey");
+  MonotonicTime now{seconds(10)};
+  for (int i = 0; i < 20; ++i) {
+    now += milliseconds(100);
+    if (i % 5 < 2) {
+      health.RecordFailure(id, now);
+    } else {
+      health.RecordSuccess(id);
+    }
+  }
+  CHECK(health.Avoided(id, now + seconds(3)));
+}
+
+TEST_CASE("Loads add up over hosts and follow their reports") {
+  FleetLoad load;
+  const EndpointId e("e");
+  const ModelId m("m");
+  load.Begin(e, m);
+  load.TakeReport(HostId("peer"), {{e, m, 3}});
+  CHECK(load.Total(e) == 4);
+  load.TakeReport(HostId("peer"), {{e, ModelId("other"), 1}});
+  CHECK(load.Total(e) == 2);
+  CHECK(load.Total(e, m) == 1);
+  load.End(e, m);
+  load.End(e, m);  // More ends than begins change nothing.
+  load.ForgetPeer(HostId("peer"));
+  CHECK(load.Total(e) == 0);
+  CHECK(load.OwnUses().empty());
+}
