--- a/Source/http/connection_exchange.cc
+++ b/Source/http/connection_exchange.cc
@@ -89,8 +89,7 @@
 
 void ConnectionExchange::Abort() {
   if (m_connection != nullptr) {
-    m_left = nullptr;
-    m_connection->Reset();
+    m_connection->CutAnswer();
   }
 }
 
--- a/Source/http/server_connection.cc
+++ b/Source/http/server_connection.cc
@@ -220,12 +220,12 @@
   }
 }
 
-void ServerConnection::Reset() {
-  // An immediate reset discards what has not been sent.
-  const linger off{.l_onoff = 1, .l_linger = 0};
-  setsockopt(bufferevent_getfd(m_buffer), SOL_SOCKET, SO_LINGER, &off,
-             sizeof(off));
-  Close();
+void ServerConnection::CutAnswer() {
+  m_exchange->Detach(/*left=*/false);
+  m_exchange.reset();
+  // What has been sent reaches the caller; without its last chunk, or with
+  // fewer bytes than announced, the answer cannot look complete.
+  BeginLinger();
 }
 
 void ServerConnection::Release() {
--- a/Source/http/server_connection.h
+++ b/Source/http/server_connection.h
@@ -51,7 +51,8 @@
   // Sends what is left, then discards input for a while, so that the peer gets
   // the answer before a reset.
   void BeginLinger();
-  void Reset();
+  // Ends the connection in the middle of the answer.
+  void CutAnswer();
   void Release();
   void ArmTimer(Duration delay);
   void ContinueIfAsked(const HeaderFields& headers);
--- a/Source/http/server_exchange.h
+++ b/Source/http/server_exchange.h
@@ -43,7 +43,8 @@
   virtual void SendBody(std::string_view bytes) = 0;
   virtual void FinishAnswer() = 0;
 
-  // Resets the connection, so that an answer cut short cannot look complete.
+  // Ends the connection after what has been sent, so that the answer does not
+  // look complete.
   virtual void Abort() = 0;
 
   // Returns the bytes that wait for the caller to read.
--- /dev/null
+++ b/StandIns/jarro_store.h
@@ -0,0 +1,95 @@
+// Stand-in for the Jarro platform's metadata store.
+
+#ifndef STANDINS_JARRO_STORE_H_
+#define STANDINS_JARRO_STORE_H_
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "base/event_loop.h"
+#include "http/server.h"
+
+namespace hickoryloft::standins {
+
+// Keys, revisions, leases, watches and transactions as the platform publishes
+// them, with faults on demand. Use on the loop's thread only.
+class JarroStore {
+ public:
+  // How calls of hosts are treated.
+  enum class Mode {
+    kWorking,
+    kBusy,         // 503: nothing is done.
+    kSilent,       // Nothing is done or answered.
+    kLosesWrites,  // Writes are done and not answered.
+  };
+
+  explicit JarroStore(EventLoop& loop);
+
+  // Answers a host's call.
+  void Handle(const std::shared_ptr<http::ServerExchange>& exchange);
+
+  // Writes as the operator or a server does, whatever the mode.
+  void Put(const std::string& key, const std::string& value);
+  void Remove(const std::string& key);
+  void SetMode(Mode mode) { m_mode = mode; }
+  // Forgets all changes so far: later watches from before get 410.
+  void Compact() { m_compacted = m_revision; }
+
+  std::int64_t revision() const { return m_revision; }
+  // Returns the value of `key`, or an empty text.
+  std::string ValueOf(const std::string& key) const;
+
+ private:
+  struct Item {
+    std::string m_value;
+    std::int64_t m_revision = 0;
+    std::int64_t m_created = 0;
+    std::int64_t m_lease = 0;
+  };
+  struct Lease {
+    Duration m_ttl{};
+    std::unique_ptr<Timer> m_expiry;
+  };
+  struct Waiting {
+    std::shared_ptr<http::ServerExchange> m_exchange;
+    std::string m_prefix;
+    std::int64_t m_after = 0;
+    std::unique_ptr<Timer> m_timer;
+  };
+  using Exchange = std::shared_ptr<http::ServerExchange>;
+  using Query = std::map<std::string, std::string>;
+
+  void ReadKey(const Exchange& exchange, const Query& query);
+  void ReadRange(const Exchange& exchange, const Query& query);
+  void Watch(const Exchange& exchange, const Query& query);
+  void Transact(const Exchange& exchange);
+  void GrantLease(const Exchange& exchange);
+  void KeepLease(const Exchange& exchange, std::int64_t id);
+  void EndLease(std::int64_t id);
+  void Write(const std::string& key, Item item);
+  void AnswerWatches();
+  bool AnswerWatch(const Waiting& waiting, bool even_if_empty);
+  nlohmann::json ToJson(const std::string& key, const Item& item) const;
+  void Answer(const Exchange& exchange, int status, const nlohmann::json& body);
+
+  EventLoop& m_loop;
+  Mode m_mode = Mode::kWorking;
+  std::int64_t m_revision = 1;
+  std::int64_t m_compacted = 0;
+  std::int64_t m_next_lease = 100;
+  std::map<std::string, Item> m_items;
+  std::map<std::int64_t, Lease> m_leases;
+  std::vector<nlohmann::json> m_history;
+  std::list<Waiting> m_waiting;
+  // Exchanges that are never answered.
+  std::vector<Exchange> m_held;
+};
+
+}  // namespace hickoryloft::standins
+
+#endif  // STANDINS_JARRO_STORE_H_
--- /dev/null
+++ b/Tests/process/jarro_test.py
@@ -0,0 +1,210 @@
+"""loft-host between callers and the stand-in of the Jarro platform."""
+
+import json
+import signal
+import threading
+import time
+import unittest
+
+import harness
+import jarro_harness
+
+
+class Serving(jarro_harness.JarroTest):
+
+    def test_whole_path(self):
+        fleet = self.fleet
+        paid = fleet.ask("/pay/one")
+        self.assertEqual(paid.status, 200, paid)
+        self.assertIn("Server-Signature", paid.headers)
+        self.assertEqual(fleet.ask("/look/one", 1).status, 200)
+        self.assertEqual(fleet.ask("/open/one", key=None).status, 200)
+        held = fleet.chat("m1")
+        self.assertTrue(held.whole, held)
+        self.assertEqual(held.events(), [f"t{i}" for i in range(1, 13)])
+        # A model on disk only, an adapter, and one of the weight store.
+        for model in ("m3", "m1/a2", "m5"):
+            reply = fleet.chat(model, 1)
+            self.assertEqual((reply.status, len(reply.events())), (200, 12),
+                             f"{model}: {reply}")
+        for run in fleet.runs():
+            self.assertEqual(run["key"], "", "a server saw a key")
+        for server in fleet.seen()["servers"]:
+            self.assertFalse(server["overloaded"], server["id"])
+
+    def test_refusals(self):
+        fleet = self.fleet
+        self.assertEqual(fleet.ask("/pay/one", key="wrong").status, 401)
+        self.assertEqual(fleet.ask("/pay/one", key=None).status, 401)
+        self.assertEqual(fleet.ask("/nowhere/").status, 404)
+        self.assertEqual(
+            fleet.ask("/pay/one", body=b"x" * 70000).status, 413)
+        self.assertEqual(fleet.chat("unheard-of").status, 503)
+        self.assertEqual(fleet.runs(), [])
+
+    def test_forged_account_is_replaced(self):
+        self.fleet.ask("/pay/one", key="key-shop",
+                       headers={"Tenant": "counter", "Hold": "h1"})
+        self.assertEqual([run["account"] for run in self.fleet.runs()],
+                         ["shop"])
+
+    def test_broken_stream(self):
+        """A resumable stream goes on elsewhere, another is cut."""
+        fleet = self.fleet
+        fleet.chat("m1")
+        fleet.control("break-streams")
+        cut = fleet.chat("m1")
+        self.assertFalse(cut.whole)
+        self.assertEqual(cut.events(), ["t1", "t2", "t3", "t4"])
+        fleet.control("break-streams")
+        resumed = fleet.chat("m2", path="/letter/x")
+        self.assertTrue(resumed.whole, resumed)
+        self.assertEqual(resumed.events(), [f"t{i}" for i in range(1, 13)])
+
+
+class Configuration(jarro_harness.JarroTest):
+
+    def test_withdrawn_key_and_new_one(self):
+        fleet = self.fleet
+        fleet.configure(5, {"counter": "key-new"})
+        harness.wait_for(lambda: fleet.ask("/pay/a", key="key-new").status == 200,
+                         3, "the new key is in force")
+        self.assertEqual(fleet.ask("/pay/a").status, 401)
+        fleet.configure(4)  # Older: must not come into force.
+        time.sleep(1)
+        self.assertEqual(fleet.ask("/pay/a").status, 401)
+
+    def test_unreadable_data_is_ignored(self):
+        fleet = self.fleet
+        fleet.control("config", "{not json")
+        fleet.control("foreign-entry", json.dumps({"service": "ledger"}))
+        time.sleep(1)
+        self.assertEqual(fleet.ask("/pay/a").status, 200)
+        self.assertIn("configuration unreadable", fleet.hosts[0].log())
+        self.assertIn("endpoint entry unreadable", fleet.hosts[0].log())
+
+    def test_history_gone(self):
+        fleet = self.fleet
+        fleet.configure(6, {"counter": "key-six"})
+        fleet.control("compact")
+        fleet.configure(7, {"counter": "key-seven"})
+        harness.wait_for(
+            lambda: fleet.ask("/pay/a", key="key-seven").status == 200, 6,
+            "the host has caught up")
+
+    def test_draining_server_gets_nothing(self):
+        fleet = self.fleet
+        fleet.control("drain-ledger-1")
+        time.sleep(1.5)
+        before = len(fleet.seen()["servers"][2]["runs"])
+        for i in range(10):
+            self.assertEqual(fleet.ask(f"/look/{i}").status, 200)
+        self.assertEqual(len(fleet.seen()["servers"][2]["runs"]), before)
+
+
+class Outages(jarro_harness.JarroTest):
+
+    def test_keys_are_not_served_on_old_knowledge(self):
+        fleet = self.fleet
+        fleet.control("silent")
+        harness.wait_for(lambda: fleet.ask("/pay/a").status == 503, 8,
+                         "requests with a key are refused")
+        self.assertFalse(fleet.ready(0))
+        self.assertEqual(fleet.ask("/open/a", key=None).status, 200)
+        fleet.control("working")
+        harness.wait_for(lambda: fleet.ask("/pay/a").status == 200, 8,
+                         "service is back")
+
+    def test_lost_write_replies(self):
+        fleet = self.fleet
+        fleet.control("lose-writes")
+        fleet.hosts[1].kill()
+        fleet.start_host(1)
+        time.sleep(2)
+        fleet.control("working")
+        harness.wait_for(lambda: fleet.ready(1), 10, "the host is ready")
+        self.assertEqual(fleet.chat("m3", 1).status, 200)
+
+
+class Hosts(jarro_harness.JarroTest):
+    hosts = 3
+
+    def test_giver_of_orders_dies(self):
+        fleet = self.fleet
+        self.wait_holder()
+        self.assertEqual(fleet.chat("m3").status, 200)
+        index = int(fleet.seen()["holder"].rsplit("-", 1)[1])
+        fleet.hosts[index].kill()
+        other = (index + 1) % 3
+        reply = fleet.chat("m6", other, limit_s=20)
+        self.assertEqual(reply.status, 200, reply)
+        orders = [order for server in fleet.seen()["servers"]
+                  for order in server["orders"]]
+        by_fence = {}
+        for order in orders:
+            by_fence.setdefault(order["fence"], set()).add(order["holder"])
+        self.assertTrue(all(len(holders) == 1 for holders in by_fence.values()))
+        self.assertEqual(len(by_fence), 2)
+
+    def test_frozen_giver_of_orders_gives_no_more(self):
+        fleet = self.fleet
+        self.wait_holder()
+        self.assertEqual(fleet.chat("m3").status, 200)
+        frozen = fleet.seen()["holder"]
+        index = int(frozen.rsplit("-", 1)[1])
+        fleet.hosts[index].freeze()
+        self.assertEqual(
+            fleet.chat("m5", (index + 1) % 3, limit_s=20).status, 200)
+        fleet.hosts[index].thaw()
+        thawed_at = len(self._orders())
+        fleet.chat("m6", (index + 2) % 3, limit_s=20)
+        for order in self._orders()[thawed_at:]:
+            self.assertNotEqual(order["holder"], frozen)
+
+    def _orders(self):
+        return [order for server in self.fleet.seen()["servers"]
+                for order in server["orders"]]
+
+    def test_planned_stop_cuts_nothing(self):
+        fleet = self.fleet
+        self.assertEqual(fleet.chat("m1").status, 200)
+        replies = []
+        threads = [threading.Thread(
+            target=lambda: replies.append(fleet.chat("m1", 0)))
+            for _ in range(3)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.05)
+        fleet.hosts[0].signal(signal.SIGTERM)
+        for thread in threads:
+            thread.join()
+        self.assertTrue(all(reply.whole and reply.status == 200
+                            for reply in replies), replies)
+        harness.wait_for(lambda: not fleet.ready(0), 2, "not ready")
+        self.assertEqual(fleet.hosts[0].wait(), 0)
+
+
+class Program(unittest.TestCase):
+
+    def test_settings_are_checked(self):
+        fleet = jarro_harness.JarroFleet(0)
+        self.addCleanup(fleet.close)
+        path = fleet.directory / "node.json"
+        settings = fleet.settings(0)
+        path.write_text(json.dumps(settings))
+        good = jarro_harness.run_program(
+            "loft-host", "--settings", path, "--check-settings")
+        self.assertEqual(good.returncode, 0, good.stderr)
+        del settings["provider"]["address"]
+        path.write_text(json.dumps(settings))
+        bad = jarro_harness.run_program("loft-host", "--settings", path)
+        self.assertEqual(bad.returncode, 3)
+        self.assertIn("provider.address", bad.stderr)
+        missing = jarro_harness.run_program("loft-host", "--settings", "/no")
+        self.assertEqual(missing.returncode, 3)
+        self.assertEqual(
+            jarro_harness.run_program("loft-host", "--bogus").returncode, 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
