--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -84,6 +84,19 @@
 }
 
 const fleet::EndpointEntry* RequestFlow::ChooseEndpoint() const {
+  const fleet::EndpointEntry* chosen = ChooseAmong(/*tried=*/false);
+  if (chosen != nullptr || m_tried.empty()) {
+    return chosen;
+  }
+  // The only one that holds the model may be asked again after a pause.
+  chosen = ChooseAmong(/*tried=*/true);
+  const bool rested =
+      chosen != nullptr &&
+      !m_context.m_health.Avoided(chosen->m_id, m_context.m_loop.Now());
+  return rested ? chosen : nullptr;
+}
+
+const fleet::EndpointEntry* RequestFlow::ChooseAmong(bool tried) const {
   const MonotonicTime now = m_context.m_loop.Now();
   const fleet::CallerRequest& request = m_admitted.m_request;
   std::vector<routing::Candidate> candidates;
@@ -91,7 +104,7 @@
   for (const auto& [id, entry] : m_context.m_knowledge.directory().entries()) {
     if (entry.m_service != m_admitted.m_service ||
         entry.m_state != fleet::EndpointState::kReady ||
-        m_tried.contains(id)) {
+        m_tried.contains(id) != tried) {
       continue;
     }
     if (!request.m_model.empty() &&
--- a/Source/host/request_flow.h
+++ b/Source/host/request_flow.h
@@ -68,6 +68,8 @@
 
   bool Dispatch();
   const fleet::EndpointEntry* ChooseEndpoint() const;
+  // Chooses among the endpoints that were tried, or among the others.
+  const fleet::EndpointEntry* ChooseAmong(bool tried) const;
   void Send(const fleet::EndpointEntry& entry);
   void OnHead(const endpoint::AnswerHead& head);
   void OnBytes(std::string_view bytes);
