planner: counts models once a plan

Orders took 100 to 300 ms, loads were late. Ruled out: the store's rate, the links. Change: one count a plan.

--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -30,7 +30,7 @@
 // will be refused soon.
 constexpr double kReadyAgePart = 0.55;
 // Changes that come together make one plan.
-constexpr Duration kPlanDelay = milliseconds(4);
+constexpr Duration kPlanDelay = milliseconds(6);
 // After SIGTERM callers still come for about two readiness checks.
 constexpr Duration kStopLinger = milliseconds(2600);
 constexpr Duration kStopReserve = milliseconds(600);
--- a/Source/host/order_desk.cc
+++ b/Source/host/order_desk.cc
@@ -119,6 +119,7 @@
              {"adapter", order.m_adapter.value()},
              {"expected_orders", order.m_expected_orders},
              {"fence", order.m_fence},
+             {"holds", planned.m_holds},
              {"reason", planned.m_reason}});
   m_engines.SendOrder(
       *address, order,
--- a/Source/placement/engine_planner.cc
+++ b/Source/placement/engine_planner.cc
@@ -94,6 +94,7 @@
            !view.m_spec.m_models.contains(want.m_key.m_model);
   });
   DropUnwantedTargets(wants);
+  CountModels(view, wants);
   std::stable_sort(wants.begin(), wants.end(),
                    [](const auto& left, const auto& right) {
                      return left.m_waiting > right.m_waiting;
@@ -107,6 +108,23 @@
   return actions;
 }
 
+void EnginePlanner::CountModels(const PlanningView& view,
+                                const std::vector<ModelDemand::Want>& wants) {
+  m_present.clear();
+  m_waiting_models.clear();
+  for (const auto& [id, ledger] : m_ledgers) {
+    const fleet::EndpointEntry& entry = view.m_entries.at(id);
+    if (Usable(entry) && !view.m_avoided(id)) {
+      for (const auto& [model, adapters] : entry.m_models) {
+        ++m_present[model];
+      }
+    }
+  }
+  for (const ModelDemand::Want& want : wants) {
+    m_waiting_models.insert(want.m_key.m_model);
+  }
+}
+
 void EnginePlanner::DropUnwantedTargets(
     const std::vector<ModelDemand::Want>& wants) {
   std::set<ModelId> wanted;
@@ -297,13 +315,13 @@
       continue;
     }
     if (!choice->m_victims.empty()) {
-      Give(id, ledger,
+      Give(view, id, ledger,
            {.m_operation = fleet::OrderOperation::kUnload,
             .m_model = choice->m_victims.front()},
            "makes way for " + model.value(), now, actions);
     } else if (choice->m_tier != fleet::WeightTier::kStore ||
                TakeStoreLoad(view.m_spec, now)) {
-      Give(id, ledger,
+      Give(view, id, ledger,
            {.m_operation = fleet::OrderOperation::kLoad,
             .m_model = model,
             .m_tier = choice->m_tier},
@@ -432,16 +450,17 @@
     if (view.m_running(entry.m_id, model) > 0) {
       continue;
     }
-    const Replicas replicas = CountReplicas(view, model);
     const auto spec = view.m_spec.m_models.find(model);
+    const auto held = m_present.find(model);
+    const int present = held == m_present.end() ? 1 : held->second;
     if (spec == view.m_spec.m_models.end() ||
-        (view.m_demand.Waiting(KeyOf(model)) > 0 && replicas.m_present <= 1)) {
+        (present <= 1 && m_waiting_models.contains(model))) {
       continue;
     }
     idle.push_back({.m_model = model,
                     .m_megabytes = spec->second.m_megabytes,
                     .m_rate = view.m_demand.Rate(KeyOf(model), now) /
-                              std::max(1, replicas.m_present)});
+                              std::max(1, present)});
   }
   std::sort(idle.begin(), idle.end(), [](const Idle& left, const Idle& right) {
     return left.m_rate < right.m_rate;
@@ -504,7 +523,7 @@
     return;
   }
   if (best->AdapterCount() < view.m_spec.m_adapter_slots) {
-    Give(best_entry->m_id, *best,
+    Give(view, best_entry->m_id, *best,
          {.m_operation = fleet::OrderOperation::kLoad,
           .m_model = model,
           .m_adapter = adapter},
@@ -524,7 +543,7 @@
       }
     }
   }
-  Give(best_entry->m_id, *best,
+  Give(view, best_entry->m_id, *best,
        {.m_operation = fleet::OrderOperation::kUnload,
         .m_model = *oldest_model,
         .m_adapter = *oldest},
@@ -544,7 +563,8 @@
   return true;
 }
 
-void EnginePlanner::Give(const EndpointId& engine,
+void EnginePlanner::Give(const PlanningView& view,
+                         const EndpointId& engine,
                          EngineLedger& ledger,
                          OpenOrder order,
                          std::string reason,
@@ -559,6 +579,9 @@
                    .m_adapter = order.m_adapter,
                    .m_expected_orders = *ledger.m_accepted_orders},
        .m_reason = std::move(reason)});
+  for (const auto& [model, adapters] : view.m_entries.at(engine).m_models) {
+    actions.m_orders.back().m_holds += model.value() + " ";
+  }
   ledger.m_open = std::move(order);
 }
 
--- a/Source/placement/engine_planner.h
+++ b/Source/placement/engine_planner.h
@@ -23,6 +23,7 @@
   EndpointId m_engine;
   fleet::EngineOrder m_order;  // Without holder and fence.
   std::string m_reason;        // For the log.
+  std::string m_holds;         // Models of the engine, for the log.
 };
 // A model that callers wait for and that no engine can take now.
 struct UnplacedModel {
@@ -106,6 +107,9 @@
   };
 
   bool Usable(const fleet::EndpointEntry& entry) const;
+  // Counts what choosing a model to make way depends on, once a plan.
+  void CountModels(const PlanningView& view,
+                   const std::vector<ModelDemand::Want>& wants);
   // Gives up making room for models that nobody waits for any more.
   void DropUnwantedTargets(const std::vector<ModelDemand::Want>& wants);
   static int RunningAt(const PlanningView& view,
@@ -148,7 +152,8 @@
   // Loads from the weight store that have not come to an end.
   int StoreLoadsOpen() const;
   bool TakeStoreLoad(const fleet::EngineSpec& spec, MonotonicTime now);
-  void Give(const EndpointId& engine,
+  void Give(const PlanningView& view,
+            const EndpointId& engine,
             EngineLedger& ledger,
             OpenOrder order,
             std::string reason,
@@ -160,6 +165,9 @@
   std::map<EndpointId, EngineLedger> m_ledgers;
   std::map<std::pair<EndpointId, ModelId>, std::pair<bool, MonotonicTime>>
       m_recent_models;
+  // Of the current plan: engines that hold a model, and models that are wanted.
+  std::map<ModelId, int> m_present;
+  std::set<ModelId> m_waiting_models;
   // Models of the current plan that wait for a busy engine's near copy.
   std::map<EndpointId, int> m_deferred;
   double m_store_tokens = 0;
