--- a/Source/admission/retry_budget.cc
+++ b/Source/admission/retry_budget.cc
@@ -14,8 +14,8 @@
   const double own_share =
       m_limits.m_extra / static_cast<double>(std::max<std::size_t>(1, hosts));
   const double allowed =
-      kUsedPart * (m_limits.m_ratio * static_cast<double>(m_requests.size()) +
-                   own_share);
+      kUsedPart *
+      (m_limits.m_ratio * static_cast<double>(m_requests.size()) + own_share);
   if (static_cast<double>(m_retries.size() + 1) > allowed) {
     return false;
   }
--- a/Source/admission/retry_budget.h
+++ b/Source/admission/retry_budget.h
@@ -10,8 +10,8 @@
 namespace hickoryloft::admission {
 
 struct RetryLimits {
-  double m_ratio = 0;      // Second sends per request of a window.
-  double m_extra = 0;      // Second sends of a window besides, for all hosts.
+  double m_ratio = 0;  // Second sends per request of a window.
+  double m_extra = 0;  // Second sends of a window besides, for all hosts.
   Duration m_window{};
 };
 
--- a/Source/base/socket_options.cc
+++ b/Source/base/socket_options.cc
@@ -40,8 +40,8 @@
 
 timeval ToTimeval(Duration duration) {
   constexpr std::int64_t kMicrosPerSecond = 1'000'000;
-  const std::int64_t micros = std::max<std::int64_t>(
-      0, duration_cast<microseconds>(duration).count());
+  const std::int64_t micros =
+      std::max<std::int64_t>(0, duration_cast<microseconds>(duration).count());
   timeval value{};
   value.tv_sec = micros / kMicrosPerSecond;
   value.tv_usec = micros % kMicrosPerSecond;
--- a/Source/base/time.h
+++ b/Source/base/time.h
@@ -17,6 +17,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<MonotonicClock>;
+  // Named by the requirements on clocks.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool is_steady = true;
 
   static time_point now() noexcept {
--- a/Source/coordinator/daemon.cc
+++ b/Source/coordinator/daemon.cc
@@ -14,8 +14,8 @@
 #include "coordinator/platform_clients.h"
 #include "coordinator/settings_table.h"
 #include "documents/parse_document.h"
-#include "endpoint/pooled_http_client.h"
 #include "endpoint/http_order_service.h"
+#include "endpoint/pooled_http_client.h"
 #include "settings/settings_file.h"
 
 namespace hickoryloft::coordinator {
--- a/Source/coordinator/endpoint_table.h
+++ b/Source/coordinator/endpoint_table.h
@@ -13,9 +13,9 @@
 
 #include "base/ids.h"
 #include "endpoint/orders.h"
+#include "keyvalue/host_list.h"
 #include "messages_generated.h"
 #include "placement/types.h"
-#include "keyvalue/host_list.h"
 
 namespace hickoryloft::coordinator {
 
--- a/Source/coordinator/metered_key_values.h
+++ b/Source/coordinator/metered_key_values.h
@@ -6,8 +6,8 @@
 #include <memory>
 #include <string>
 
-#include "metrics/registry.h"
 #include "keyvalue/key_value_service.h"
+#include "metrics/registry.h"
 
 namespace hickoryloft::coordinator {
 
--- a/Source/coordinator/module.h
+++ b/Source/coordinator/module.h
@@ -14,9 +14,9 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "documents/document.h"
+#include "keyvalue/key_value_service.h"
 #include "messages_generated.h"
 #include "metrics/registry.h"
-#include "keyvalue/key_value_service.h"
 
 namespace hickoryloft::coordinator {
 
--- a/Source/coordinator/placement_module.h
+++ b/Source/coordinator/placement_module.h
@@ -15,8 +15,8 @@
 #include "coordinator/endpoint_observer.h"
 #include "coordinator/module.h"
 #include "endpoint/orders.h"
-#include "placement/shard.h"
 #include "keyvalue/host_list.h"
+#include "placement/shard.h"
 
 namespace hickoryloft::coordinator {
 
--- a/Source/coordinator/placement_records.h
+++ b/Source/coordinator/placement_records.h
@@ -6,10 +6,10 @@
 #include <array>
 #include <string>
 
+#include "keyvalue/key_value_service.h"
 #include "messages_generated.h"
 #include "placement/cas_register.h"
 #include "placement/effects.h"
-#include "keyvalue/key_value_service.h"
 
 namespace hickoryloft::coordinator {
 
--- a/Source/endpoint/client_connection.cc
+++ b/Source/endpoint/client_connection.cc
@@ -67,19 +67,18 @@
       m_endpoint(std::move(endpoint)),
       m_owner(std::move(owner)),
       m_timer(event_new(loop.base(), -1, 0, &OnTimer, this)),
-      m_parser(http::MessageType::kResponse,
-               kMaxAnswerHeadBytes,
-               {.m_head =
-                    [this](http::MessageHead&& head) {
-                      TakeHead(std::move(head));
-                    },
-                .m_body =
-                    [this](std::string_view bytes) {
-                      if (!m_skipping && !m_mismatch && m_events.m_bytes) {
-                        m_events.m_bytes(bytes);
-                      }
-                    },
-                .m_end = [] {}}) {}
+      m_parser(
+          http::MessageType::kResponse,
+          kMaxAnswerHeadBytes,
+          {.m_head =
+               [this](http::MessageHead&& head) { TakeHead(std::move(head)); },
+           .m_body =
+               [this](std::string_view bytes) {
+                 if (!m_skipping && !m_mismatch && m_events.m_bytes) {
+                   m_events.m_bytes(bytes);
+                 }
+               },
+           .m_end = [] {}}) {}
 
 ClientConnection::~ClientConnection() {
   Release();
@@ -119,14 +118,12 @@
 bool ClientConnection::Connect() {
   const SocketAddress target =
       ParseSocketAddress(m_endpoint.m_address, m_endpoint.m_port);
-  m_buffer =
-      bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  m_buffer = bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
   bufferevent_setcb(m_buffer, &OnReadable, nullptr, &OnEvent, this);
   bufferevent_setwatermark(m_buffer, EV_READ, 0, kMaxWaitingInputBytes);
   bufferevent_enable(m_buffer, EV_READ | EV_WRITE);
   ArmTimer(m_request->m_connect_timeout.value_or(kDefaultConnectTimeout));
-  return bufferevent_socket_connect(m_buffer, target.get(), target.size()) ==
-         0;
+  return bufferevent_socket_connect(m_buffer, target.get(), target.size()) == 0;
 }
 
 void ClientConnection::WriteRequest() {
@@ -232,8 +229,7 @@
   m_running = false;
   const auto keep = shared_from_this();
   const auto done = std::exchange(m_events, {}).m_done;
-  const bool clean =
-      evbuffer_get_length(bufferevent_get_input(m_buffer)) == 0;
+  const bool clean = evbuffer_get_length(bufferevent_get_input(m_buffer)) == 0;
   if (m_reusable && clean) {
     m_owner.m_idle(keep);
   } else {
@@ -281,8 +277,7 @@
     return;
   }
   if (!keep->m_connected) {
-    keep->Fail(
-        keep->Failure(ErrorCode::kUnavailable, "no connection in time"));
+    keep->Fail(keep->Failure(ErrorCode::kUnavailable, "no connection in time"));
     return;
   }
   keep->Fail(keep->Failure(ErrorCode::kTimedOut, "silence"));
--- a/Source/endpoint/client_connection.h
+++ b/Source/endpoint/client_connection.h
@@ -27,7 +27,9 @@
     std::function<void(const std::shared_ptr<ClientConnection>&)> m_closed;
   };
 
-  ClientConnection(EventLoop& loop, EndpointAddress endpoint, OwnerEvents owner);
+  ClientConnection(EventLoop& loop,
+                   EndpointAddress endpoint,
+                   OwnerEvents owner);
   ~ClientConnection();
   ClientConnection(const ClientConnection&) = delete;
   ClientConnection& operator=(const ClientConnection&) = delete;
--- a/Source/endpoint/pooled_http_client.cc
+++ b/Source/endpoint/pooled_http_client.cc
@@ -54,8 +54,8 @@
       done();
     }
   };
-  marked.m_failed = [over, failed = std::move(events.m_failed)](
-                        const Error& error) {
+  marked.m_failed = [over,
+                     failed = std::move(events.m_failed)](const Error& error) {
     *over = true;
     if (failed) {
       failed(error);
@@ -90,7 +90,7 @@
   const auto idle = m_idle.find(KeyOf(request.m_endpoint));
   while (!request.m_fresh_connection && idle != m_idle.end() &&
          !idle->second.empty()) {
-    const ConnectionPointer connection = idle->second.back();
+    ConnectionPointer connection = idle->second.back();
     idle->second.pop_back();
     if (connection->usable(m_loop.Now())) {
       return connection;
@@ -98,15 +98,13 @@
     m_connections.erase(connection);
   }
   ++m_opened;
-  const auto connection = std::make_shared<ClientConnection>(
+  auto connection = std::make_shared<ClientConnection>(
       m_loop, request.m_endpoint,
       ClientConnection::OwnerEvents{
-          .m_idle = [this](const ConnectionPointer& idle_one) {
-            Keep(idle_one);
-          },
-          .m_closed = [this](const ConnectionPointer& closed) {
-            Forget(closed);
-          }});
+          .m_idle =
+              [this](const ConnectionPointer& idle_one) { Keep(idle_one); },
+          .m_closed =
+              [this](const ConnectionPointer& closed) { Forget(closed); }});
   m_connections.insert(connection);
   return connection;
 }
--- a/Source/entry/caller_server.cc
+++ b/Source/entry/caller_server.cc
@@ -13,9 +13,9 @@
 #include <cstring>
 #include <vector>
 
-#include "entry/event_exchange.h"
 #include "base/socket_address.h"
 #include "base/socket_options.h"
+#include "entry/event_exchange.h"
 
 namespace hickoryloft::entry {
 
--- a/Source/fleet/caller_request.h
+++ b/Source/fleet/caller_request.h
@@ -27,10 +27,10 @@
   std::string m_target;  // Path and query, as received.
   std::string m_path;
   std::string m_host;
-  std::string m_key;  // Empty: none was sent.
+  std::string m_key;                   // Empty: none was sent.
   std::optional<Duration> m_deadline;  // Time that the caller will wait.
-  ModelId m_model;      // Empty for plain services.
-  AdapterId m_adapter;  // Empty: the base model.
+  ModelId m_model;                     // Empty for plain services.
+  AdapterId m_adapter;                 // Empty: the base model.
   std::optional<double> m_prompt_tokens;
   std::optional<double> m_output_tokens;  // At most.
   std::vector<PromptPart> m_prompt;       // In order; the last is its own.
@@ -45,7 +45,7 @@
 struct ForwardedCall {
   endpoint::EndpointAddress m_endpoint;
   Duration m_time_left{};
-  ClientAccountId m_account;  // Empty on open routes.
+  ClientAccountId m_account;     // Empty on open routes.
   std::optional<int> m_urgency;  // 0 first, 9 last.
   std::string m_resume_after;
 };
@@ -55,7 +55,7 @@
   bool m_signed = false;        // Made by the endpoint itself.
   bool m_not_executed = false;  // The endpoint proves that it did not run it.
   bool m_event_stream = false;
-  bool m_encoded = false;  // The body is not the endpoint's own bytes.
+  bool m_encoded = false;          // The body is not the endpoint's own bytes.
   http::HeaderFields m_forwarded;  // For the caller.
 };
 
--- a/Source/fleet/configuration.h
+++ b/Source/fleet/configuration.h
@@ -72,7 +72,7 @@
   std::vector<std::string> m_keys;
   double m_tokens_per_second = 0;  // 0: no limit.
   double m_burst_tokens = 0;
-  double m_plain_tokens = 0;  // Of a request that states no token count.
+  double m_plain_tokens = 0;      // Of a request that states no token count.
   std::optional<int> m_priority;  // Goes before the route's.
 };
 
--- a/Source/fleet/configuration_view.h
+++ b/Source/fleet/configuration_view.h
@@ -31,8 +31,7 @@
  private:
   Configuration m_configuration;
   // Host, then path prefix.
-  std::unordered_map<std::string,
-                     std::unordered_map<std::string, const Route*>>
+  std::unordered_map<std::string, std::unordered_map<std::string, const Route*>>
       m_routes;
   std::unordered_map<std::string, const Account*> m_by_key;
   std::unordered_map<ClientAccountId, const Account*> m_by_id;
--- a/Source/fleet/endpoint_directory.cc
+++ b/Source/fleet/endpoint_directory.cc
@@ -10,7 +10,7 @@
   const auto gone = m_gone.find(id);
   if ((known != m_entries.end() &&
        PositionOf(entry) < PositionOf(known->second)) ||
-      (gone != m_gone.end() && PositionOf(entry) <= gone->second)) {
+      (gone != m_gone.end() && !(gone->second < PositionOf(entry)))) {
     return Change::kNone;
   }
   m_gone.erase(id);
@@ -20,8 +20,7 @@
     m_entries.emplace(id, std::move(entry));
     return Change::kAdded;
   }
-  const bool restarted =
-      known->second.m_started_at_ms != entry.m_started_at_ms;
+  const bool restarted = known->second.m_started_at_ms != entry.m_started_at_ms;
   known->second = std::move(entry);
   return restarted ? Change::kRestarted : Change::kUpdated;
 }
--- a/Source/fleet/endpoint_directory.h
+++ b/Source/fleet/endpoint_directory.h
@@ -3,10 +3,10 @@
 #ifndef SOURCE_FLEET_ENDPOINT_DIRECTORY_H_
 #define SOURCE_FLEET_ENDPOINT_DIRECTORY_H_
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <unordered_set>
 #include <vector>
 
@@ -53,7 +53,10 @@
   struct Position {
     std::int64_t m_started_at_ms = 0;
     std::int64_t m_number = 0;
-    friend auto operator<=>(const Position&, const Position&) = default;
+    friend bool operator<(const Position& left, const Position& right) {
+      return std::tie(left.m_started_at_ms, left.m_number) <
+             std::tie(right.m_started_at_ms, right.m_number);
+    }
   };
 
   // Endpoints that are gone are remembered up to this number.
--- a/Source/fleet/knowledge_feed.cc
+++ b/Source/fleet/knowledge_feed.cc
@@ -35,8 +35,7 @@
       m_events(std::move(events)) {}
 
 void KnowledgeFeed::Start() {
-  m_lapse_timer =
-      m_loop.Every(kLapseCheckInterval, [this] { CheckLapsed(); });
+  m_lapse_timer = m_loop.Every(kLapseCheckInterval, [this] { CheckLapsed(); });
   ReadAll();
 }
 
@@ -208,8 +207,7 @@
 }
 
 bool KnowledgeFeed::Disturbed() const {
-  return Age() > kDisturbedAge ||
-         m_loop.Now() - m_recovered_at < kReturnPeriod;
+  return Age() > kDisturbedAge || m_loop.Now() - m_recovered_at < kReturnPeriod;
 }
 
 void KnowledgeFeed::CheckLapsed() {
--- a/Source/fleet/protocols.h
+++ b/Source/fleet/protocols.h
@@ -11,8 +11,8 @@
 #include "base/error.h"
 #include "fleet/caller_request.h"
 #include "fleet/configuration.h"
-#include "fleet/engine_orders.h"
 #include "fleet/endpoint_entry.h"
+#include "fleet/engine_orders.h"
 #include "http/server_exchange.h"
 #include "keyvalue/key_value_service.h"
 
@@ -31,7 +31,8 @@
   virtual EndpointId EndpointOf(const std::string& key) const = 0;
   // Each throws Error(kProtocol) that names the field at fault.
   virtual Configuration DecodeConfiguration(const std::string& value) const = 0;
-  virtual EndpointEntry DecodeEndpoint(const keyvalue::KeyValue& item) const = 0;
+  virtual EndpointEntry DecodeEndpoint(
+      const keyvalue::KeyValue& item) const = 0;
 };
 
 // Decodes callers' requests and encodes them for endpoints. Implementations
--- a/Source/host/fleet_exchange.cc
+++ b/Source/host/fleet_exchange.cc
@@ -124,8 +124,7 @@
   if ((urgent & kDemand) != 0) {
     ReportToHolder();
   }
-  const auto for_all =
-      static_cast<std::uint8_t>(urgent & (kNews | kAccounts));
+  const auto for_all = static_cast<std::uint8_t>(urgent & (kNews | kAccounts));
   if (for_all != 0) {
     ReportToGroups(/*partial=*/true, for_all);
   }
@@ -175,8 +174,7 @@
   wire::GroupReportT report;
   report.relay = m_host.value();
   report.epoch = m_epoch;
-  report.hosts =
-      static_cast<std::uint32_t>(m_aggregator.Included().size());
+  report.hosts = static_cast<std::uint32_t>(m_aggregator.Included().size());
   report.urgent = urgent;
   report.partial = partial;
   report.counts = ToRow(counts);
@@ -241,8 +239,7 @@
   Subtract(m_events.m_own_counts(), m_view.m_counts);
   m_view.m_epoch = m_epoch;
   m_view.m_hosts = std::max<std::size_t>(1, m_groups.hosts());
-  const std::size_t heard =
-      std::min(m_view.m_hosts, m_aggregator.HeardHosts());
+  const std::size_t heard = std::min(m_view.m_hosts, m_aggregator.HeardHosts());
   m_view.m_silent_hosts = m_view.m_hosts - heard;
   m_events.m_others(m_view);
 }
@@ -263,10 +260,9 @@
     return;
   }
   PlacementNews taken = FromRow(*news);
-  const bool newer =
-      !m_latest_news || taken.m_fence > m_latest_news->m_fence ||
-      (taken.m_fence == m_latest_news->m_fence &&
-       taken.m_number > m_latest_news->m_number);
+  const bool newer = !m_latest_news || taken.m_fence > m_latest_news->m_fence ||
+                     (taken.m_fence == m_latest_news->m_fence &&
+                      taken.m_number > m_latest_news->m_number);
   if (!newer) {
     return;
   }
--- a/Source/host/fleet_exchange.h
+++ b/Source/host/fleet_exchange.h
@@ -57,9 +57,7 @@
 
   // Takes the member view, without this host.
   void SetPeers(const std::map<HostId, PeerAddress>& peers);
-  const std::map<HostId, PeerAddress>& peers() const {
-    return m_links.peers();
-  }
+  const std::map<HostId, PeerAddress>& peers() const { return m_links.peers(); }
   const membership::ReportGroups& groups() const { return m_groups; }
   // The host that gives orders, by this host's view; it is told every group's
   // wants.
--- a/Source/host/frontend.cc
+++ b/Source/host/frontend.cc
@@ -146,10 +146,9 @@
   admitted.m_account = account->m_id;
   admitted.m_urgency = account->m_priority.value_or(admitted.m_urgency);
   const fleet::CallerRequest& request = admitted.m_request;
-  admitted.m_tokens =
-      request.m_prompt_tokens && request.m_output_tokens
-          ? *request.m_prompt_tokens + *request.m_output_tokens
-          : account->m_plain_tokens;
+  admitted.m_tokens = request.m_prompt_tokens && request.m_output_tokens
+                          ? *request.m_prompt_tokens + *request.m_output_tokens
+                          : account->m_plain_tokens;
   return std::nullopt;
 }
 
@@ -183,9 +182,9 @@
       soonest = std::min(soonest, spec.m_load_from_memory);
     }
   }
-  const Duration limit = std::min(
-      admitted.m_route->m_timeout,
-      request.m_deadline.value_or(admitted.m_route->m_timeout));
+  const Duration limit =
+      std::min(admitted.m_route->m_timeout,
+               request.m_deadline.value_or(admitted.m_route->m_timeout));
   if (soonest > limit) {
     return Rejection{503, "load_takes_too_long", soonest};
   }
@@ -222,10 +221,9 @@
              {"reason", rejection.m_reason},
              {"retry_after_ms",
               ToMillis(rejection.m_retry_after.value_or(Duration{})).count()},
-             {"view_age_ms",
-              m_context.m_knowledge.complete()
-                  ? ToMillis(m_context.m_knowledge.Age()).count()
-                  : -1}});
+             {"view_age_ms", m_context.m_knowledge.complete()
+                                 ? ToMillis(m_context.m_knowledge.Age()).count()
+                                 : -1}});
   m_context.m_metrics.CountRefusal(rejection.m_reason);
   http::HeaderFields headers = {{"Content-Type", "application/problem+json"}};
   if (rejection.m_retry_after) {
@@ -241,8 +239,8 @@
 }
 
 void Frontend::Wait(RequestFlow& flow) {
-  m_waiting.emplace(
-      std::pair(flow.admitted().m_urgency, flow.received_at()), &flow);
+  m_waiting.emplace(std::pair(flow.admitted().m_urgency, flow.received_at()),
+                    &flow);
   kLog.Info("waiting",
             {{"id", flow.admitted().m_request.m_id},
              {"model", flow.admitted().m_request.m_model.value()},
@@ -278,9 +276,8 @@
     }
     for (RequestFlow* flow : flows) {
       if (flow->waiting() && !flow->TryAgain()) {
-        std::erase_if(m_waiting, [&](const auto& entry) {
-          return entry.second == flow;
-        });
+        std::erase_if(m_waiting,
+                      [&](const auto& entry) { return entry.second == flow; });
       }
     }
   });
--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -47,8 +47,8 @@
   try {
     peer = {.m_host = HostId(member.at("host").get<std::string>()),
             .m_incarnation = member.at("incarnation").get<Incarnation>(),
-            .m_failure_domain = FailureDomainId(
-                member.at("failure_domain").get<std::string>()),
+            .m_failure_domain =
+                FailureDomainId(member.at("failure_domain").get<std::string>()),
             .m_capacity = member.value("capacity", 0.0),
             .m_address = member.at("address").get<std::string>(),
             .m_port = member.at("port").get<std::uint16_t>()};
@@ -108,7 +108,8 @@
            .m_own_news = [this] { return OwnNews(); },
            .m_others = [this](const OthersView& others) { TakeOthers(others); },
            .m_group =
-               [this](const HostId& relay, std::uint64_t epoch,
+               [this](const HostId& relay,
+                      std::uint64_t epoch,
                       const membership::FleetCounts& counts) {
                  TakeGroup(relay, epoch, counts);
                },
@@ -124,21 +125,20 @@
                      kHolderKey,
                      m_settings.m_host,
                      TimingOf(m_settings)),
-      m_orders(loop,
-               ports.m_engines,
-               {.m_knowledge = m_knowledge,
-                .m_demand = m_demand,
-                .m_lease = m_holder_lease,
-                .m_running =
-                    [this](const EndpointId& id, const ModelId& model) {
-                      return m_load.Total(id, model);
-                    },
-                .m_avoided =
-                    [this](const EndpointId& id) {
-                      return AvoidedForPlacement(id);
-                    },
-                .m_host = m_settings.m_host},
-               [this] { AnnounceNews(); }),
+      m_orders(
+          loop,
+          ports.m_engines,
+          {.m_knowledge = m_knowledge,
+           .m_demand = m_demand,
+           .m_lease = m_holder_lease,
+           .m_running =
+               [this](const EndpointId& id, const ModelId& model) {
+                 return m_load.Total(id, model);
+               },
+           .m_avoided =
+               [this](const EndpointId& id) { return AvoidedForPlacement(id); },
+           .m_host = m_settings.m_host},
+          [this] { AnnounceNews(); }),
       m_callers(loop,
                 m_settings.m_callers.m_address,
                 m_settings.m_callers.m_port,
@@ -183,19 +183,17 @@
       .m_retry_budget =
           [this](const ServiceId& service) -> admission::RetryBudget& {
         return m_retry_budgets
-            .try_emplace(
-                service,
-                admission::RetryLimits{
-                    .m_ratio = m_settings.m_bounds.m_retry_ratio,
-                    .m_extra = m_settings.m_bounds.m_retry_extra,
-                    .m_window = m_settings.m_bounds.m_retry_window})
+            .try_emplace(service,
+                         admission::RetryLimits{
+                             .m_ratio = m_settings.m_bounds.m_retry_ratio,
+                             .m_extra = m_settings.m_bounds.m_retry_extra,
+                             .m_window = m_settings.m_bounds.m_retry_window})
             .first->second;
       },
       .m_host_count = [this] { return m_exchange.peers().size() + 1; },
       .m_keys_current = [this] { return KeysCurrent(); },
       .m_demand_changed = [this] { OnDemand(); },
-      .m_report_due =
-          [this] { m_exchange.SendSoon(FleetExchange::kAccounts); },
+      .m_report_due = [this] { m_exchange.SendSoon(FleetExchange::kAccounts); },
   };
 }
 
@@ -211,15 +209,15 @@
   const bool ready =
       !m_stopping && m_knowledge.complete() &&
       (!bounds.m_strict_withdrawal ||
-       m_knowledge.Age() < duration_cast<Duration>(bounds.m_key_withdrawal *
-                                                   kReadyAgePart));
+       m_knowledge.Age() <
+           duration_cast<Duration>(bounds.m_key_withdrawal * kReadyAgePart));
   if (ready != m_was_ready) {
     m_was_ready = ready;
-    kLog.Info(ready ? "ready" : "not ready",
-              {{"stopping", m_stopping ? 1 : 0},
-               {"view_age_ms", m_knowledge.complete()
-                                   ? ToMillis(m_knowledge.Age()).count()
-                                   : -1}});
+    kLog.Info(
+        ready ? "ready" : "not ready",
+        {{"stopping", m_stopping ? 1 : 0},
+         {"view_age_ms",
+          m_knowledge.complete() ? ToMillis(m_knowledge.Age()).count() : -1}});
   }
   return ready;
 }
@@ -360,9 +358,8 @@
   std::vector<routing::EndpointUse> uses;
   uses.reserve(others.m_counts.m_uses.size());
   for (const auto& [key, running] : others.m_counts.m_uses) {
-    uses.push_back({.m_endpoint = key.first,
-                    .m_model = key.second,
-                    .m_running = running});
+    uses.push_back(
+        {.m_endpoint = key.first, .m_model = key.second, .m_running = running});
   }
   m_load.TakeReport(HostId("others"), uses);
   m_avoided_by_others = others.m_counts.m_avoided;
@@ -436,8 +433,7 @@
   m_callers.BeginDrain();
   m_frontend.BeginStop(m_settings.m_bounds.m_stop_grace - kStopReserve);
   m_holder_lease.End();
-  m_stop_tick =
-      m_loop.Every(milliseconds(50), [this] { ContinueStop(); });
+  m_stop_tick = m_loop.Every(milliseconds(50), [this] { ContinueStop(); });
 }
 
 void HostDaemon::ContinueStop() {
--- a/Source/host/host_metrics.cc
+++ b/Source/host/host_metrics.cc
@@ -21,12 +21,14 @@
           "For how long changes in the key-value service may be unnoticed.")),
       m_requests_open(m_registry.GetGauge("loft_requests_open",
                                           "Requests that are not over.")),
-      m_requests_waiting(m_registry.GetGauge(
-          "loft_requests_waiting", "Requests that wait for an endpoint.")),
+      m_requests_waiting(
+          m_registry.GetGauge("loft_requests_waiting",
+                              "Requests that wait for an endpoint.")),
       m_caller_connections(m_registry.GetGauge("loft_caller_connections",
                                                "Open connections of callers.")),
-      m_configuration_version(m_registry.GetGauge(
-          "loft_configuration_version", "The configuration in force.")),
+      m_configuration_version(
+          m_registry.GetGauge("loft_configuration_version",
+                              "The configuration in force.")),
       m_holds_lease(m_registry.GetGauge(
           "loft_holds_placement_lease",
           "1 while this host may give orders to engines.")) {}
--- a/Source/host/order_desk.cc
+++ b/Source/host/order_desk.cc
@@ -50,8 +50,7 @@
     }
   }
   const auto configuration = m_inputs.m_knowledge.configuration();
-  for (const auto& [id, service] :
-       configuration->configuration().m_services) {
+  for (const auto& [id, service] : configuration->configuration().m_services) {
     if (service.m_engine) {
       PlanService(service);
     }
@@ -69,8 +68,7 @@
       .m_demand = m_inputs.m_demand,
       .m_running = m_inputs.m_running,
       .m_avoided = m_inputs.m_avoided};
-  const placement::PlannedActions actions =
-      planner->Plan(view, m_loop.Now());
+  const placement::PlannedActions actions = planner->Plan(view, m_loop.Now());
   for (const EndpointId& engine : actions.m_reports) {
     AskReport(service.m_id, engine);
   }
@@ -112,15 +110,14 @@
   fleet::EngineOrder order = planned.m_order;
   order.m_holder = m_inputs.m_host;
   order.m_fence = m_inputs.m_lease.fence();
-  kLog.Info("order given",
-            {{"engine", planned.m_engine.value()},
-             {"operation", ToText(order.m_operation)},
-             {"model", order.m_model.value()},
-             {"adapter", order.m_adapter.value()},
-             {"expected_orders", order.m_expected_orders},
-             {"fence", order.m_fence},
-             {"holds", planned.m_holds},
-             {"reason", planned.m_reason}});
+  kLog.Info("order given", {{"engine", planned.m_engine.value()},
+                            {"operation", ToText(order.m_operation)},
+                            {"model", order.m_model.value()},
+                            {"adapter", order.m_adapter.value()},
+                            {"expected_orders", order.m_expected_orders},
+                            {"fence", order.m_fence},
+                            {"holds", planned.m_holds},
+                            {"reason", planned.m_reason}});
   m_engines.SendOrder(
       *address, order,
       [this, service, engine = planned.m_engine, order,
@@ -174,12 +171,4 @@
       });
 }
 
-void OrderDesk::TouchAdapter(const EndpointId& engine,
-                             const ModelId& model,
-                             const AdapterId& adapter) {
-  for (const auto& [service, planner] : m_planners) {
-    planner->TouchAdapter(engine, model, adapter, m_loop.Now());
-  }
-}
-
 }  // namespace hickoryloft::host
--- a/Source/host/order_desk.h
+++ b/Source/host/order_desk.h
@@ -41,9 +41,6 @@
   planners() const {
     return m_planners;
   }
-  void TouchAdapter(const EndpointId& engine,
-                    const ModelId& model,
-                    const AdapterId& adapter);
 
  private:
   void PlanService(const fleet::ServiceSpec& service);
--- a/Source/host/peer_links.cc
+++ b/Source/host/peer_links.cc
@@ -42,9 +42,8 @@
   std::erase_if(m_connections, [&](const auto& entry) {
     const auto before = m_peers.find(entry.first);
     const auto now = peers.find(entry.first);
-    const bool same =
-        before != m_peers.end() && now != peers.end() &&
-        before->second.m_incarnation == now->second.m_incarnation;
+    const bool same = before != m_peers.end() && now != peers.end() &&
+                      before->second.m_incarnation == now->second.m_incarnation;
     if (!same) {
       entry.second->Close();
     }
@@ -57,10 +56,11 @@
   m_connections[peer.m_host] = wire::Connection::Connect(
       m_loop, peer.m_address, peer.m_port,
       {.m_message = [](const wire::EnvelopeT& /*unexpected*/) {},
-       .m_closed = [host = peer.m_host](const Error& error) {
-         kLog.Info("connection to a host ended",
-                   {{"host", host.value()}, {"reason", error.what()}});
-       }});
+       .m_closed =
+           [host = peer.m_host](const Error& error) {
+             kLog.Info("connection to a host ended",
+                       {{"host", host.value()}, {"reason", error.what()}});
+           }});
 }
 
 void PeerLinks::Send(const HostId& peer, const wire::EnvelopeT& message) {
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -68,8 +68,8 @@
                         m_call->Resume();
                       }
                     });
-  m_deadline_timer = m_context.m_loop.After(
-      m_deadline - m_context.m_loop.Now(), [this] { OnDeadline(); });
+  m_deadline_timer = m_context.m_loop.After(m_deadline - m_context.m_loop.Now(),
+                                            [this] { OnDeadline(); });
   if (!Dispatch()) {
     m_phase = Phase::kWaiting;
     m_context.m_waiting(*this);
@@ -108,8 +108,8 @@
       continue;
     }
     if (!request.m_model.empty() &&
-        !m_context.m_replicas.Serves(entry, request.m_model,
-                                     request.m_adapter, now)) {
+        !m_context.m_replicas.Serves(entry, request.m_model, request.m_adapter,
+                                     now)) {
       continue;
     }
     candidates.push_back({.m_endpoint = id,
@@ -119,9 +119,9 @@
                           .m_avoided = m_context.m_health.Avoided(id, now)});
     entries.push_back(&entry);
   }
-  const int chosen = routing::SelectEndpoint(
-      candidates, m_context.m_settings.m_failure_domain, {},
-      m_context.m_random);
+  const int chosen =
+      routing::SelectEndpoint(candidates, m_context.m_settings.m_failure_domain,
+                              {}, m_context.m_random);
   return chosen < 0 ? nullptr : entries[static_cast<std::size_t>(chosen)];
 }
 
@@ -138,18 +138,15 @@
       continue;
     }
     ++ready;
-    const bool holds =
-        request.m_model.empty() ||
-        m_context.m_replicas.Holds(entry, request.m_model, now);
-    const bool serves =
-        holds && !m_tried.contains(id) &&
-        (request.m_model.empty() ||
-         m_context.m_replicas.Serves(entry, request.m_model,
-                                     request.m_adapter, now));
+    const bool holds = request.m_model.empty() ||
+                       m_context.m_replicas.Holds(entry, request.m_model, now);
+    const bool serves = holds && !m_tried.contains(id) &&
+                        (request.m_model.empty() ||
+                         m_context.m_replicas.Serves(entry, request.m_model,
+                                                     request.m_adapter, now));
     holding += holds ? 1 : 0;
     serving += serves ? 1 : 0;
-    with_room +=
-        serves && m_context.m_load.Total(id) < entry.m_slots ? 1 : 0;
+    with_room += serves && m_context.m_load.Total(id) < entry.m_slots ? 1 : 0;
   }
   return "ready " + std::to_string(ready) + ", holding the model " +
          std::to_string(holding) + ", serving it " + std::to_string(serving) +
@@ -203,9 +200,8 @@
        .m_time_left = m_deadline - now,
        .m_account = m_admitted.m_account,
        .m_urgency = m_admitted.m_urgency,
-       .m_resume_after = m_events.last_id().empty()
-                             ? request.m_resume_after
-                             : m_events.last_id()});
+       .m_resume_after = m_events.last_id().empty() ? request.m_resume_after
+                                                    : m_events.last_id()});
   call.m_connect_timeout = kConnectTimeout;
   // The deadline ends the call; silence before it proves nothing.
   call.m_idle_timeout = m_deadline - now + seconds(1);
@@ -251,8 +247,7 @@
     kLog.Info("first event", {{"id", m_admitted.m_request.m_id},
                               {"endpoint", m_endpoint.value()},
                               {"after_ms", ToMillis(Waited()).count()}});
-    m_exchange->StartAnswer(m_head.m_status, m_facts.m_forwarded,
-                            std::nullopt);
+    m_exchange->StartAnswer(m_head.m_status, m_facts.m_forwarded, std::nullopt);
   } else {
     m_context.m_metrics.m_event_gap.Record(now - m_last_event_at);
   }
@@ -428,8 +423,7 @@
                             const std::string& reason,
                             std::optional<Duration> retry_after) {
   EndSend();
-  http::HeaderFields headers = {
-      {"Content-Type", "application/problem+json"}};
+  http::HeaderFields headers = {{"Content-Type", "application/problem+json"}};
   if (retry_after) {
     headers.push_back(RetryAfterField(*retry_after));
   }
--- a/Source/http/connection_exchange.cc
+++ b/Source/http/connection_exchange.cc
@@ -94,10 +94,9 @@
 }
 
 std::size_t ConnectionExchange::PendingBytes() const {
-  return m_connection == nullptr
-             ? 0
-             : evbuffer_get_length(
-                   bufferevent_get_output(m_connection->m_buffer));
+  return m_connection == nullptr ? 0
+                                 : evbuffer_get_length(bufferevent_get_output(
+                                       m_connection->m_buffer));
 }
 
 void ConnectionExchange::Watch(std::function<void()> left,
--- a/Source/http/header_fields.cc
+++ b/Source/http/header_fields.cc
@@ -23,16 +23,22 @@
 }
 
 std::size_t CountHeaders(const HeaderFields& fields, std::string_view name) {
-  return static_cast<std::size_t>(
-      std::count_if(fields.begin(), fields.end(), [&](const HeaderField& field) {
-        return SameName(field.m_name, name);
-      }));
+  return static_cast<std::size_t>(std::count_if(
+      fields.begin(), fields.end(),
+      [&](const HeaderField& field) { return SameName(field.m_name, name); }));
 }
 
 bool IsHopByHop(std::string_view name) {
   static constexpr std::array<std::string_view, 9> kNames = {
-      "connection", "keep-alive", "proxy-authenticate", "proxy-authorization",
-      "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade"};
+      "connection",
+      "keep-alive",
+      "proxy-authenticate",
+      "proxy-authorization",
+      "proxy-connection",
+      "te",
+      "trailer",
+      "transfer-encoding",
+      "upgrade"};
   return std::any_of(kNames.begin(), kNames.end(), [&](std::string_view known) {
     return SameName(known, name);
   });
--- a/Source/http/message_parser.cc
+++ b/Source/http/message_parser.cc
@@ -26,8 +26,8 @@
 }
 
 void MessageParser::Reset() {
-  http_parser_init(&m_parser,
-                   m_type == MessageType::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
+  http_parser_init(&m_parser, m_type == MessageType::kRequest ? HTTP_REQUEST
+                                                              : HTTP_RESPONSE);
   m_parser.data = this;
   m_head = MessageHead{};
   m_head_bytes = 0;
@@ -39,7 +39,7 @@
 }
 
 const http_parser_settings& MessageParser::Callbacks() {
-  static const http_parser_settings callbacks = [] {
+  static const http_parser_settings kCallbacks = [] {
     http_parser_settings settings;
     http_parser_settings_init(&settings);
     settings.on_url = &OnUrl;
@@ -50,7 +50,7 @@
     settings.on_message_complete = &OnMessageComplete;
     return settings;
   }();
-  return callbacks;
+  return kCallbacks;
 }
 
 std::size_t MessageParser::Feed(std::string_view bytes) {
@@ -155,8 +155,7 @@
   }
   self->m_head_done = true;
   if (request) {
-    head.m_method =
-        http_method_str(static_cast<http_method>(parser->method));
+    head.m_method = http_method_str(static_cast<http_method>(parser->method));
   } else {
     head.m_status = static_cast<int>(parser->status_code);
   }
--- a/Source/http/message_parser.h
+++ b/Source/http/message_parser.h
@@ -40,7 +40,9 @@
 // Not thread-safe. The events may not destroy the parser.
 class MessageParser {
  public:
-  MessageParser(MessageType type, std::size_t max_head_bytes, ParserEvents events);
+  MessageParser(MessageType type,
+                std::size_t max_head_bytes,
+                ParserEvents events);
   MessageParser(const MessageParser&) = delete;
   MessageParser& operator=(const MessageParser&) = delete;
 
--- a/Source/http/server.cc
+++ b/Source/http/server.cc
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "base/error.h"
-#include "http/server_connection.h"
 #include "base/socket_address.h"
+#include "http/server_connection.h"
 
 namespace hickoryloft::http {
 
--- a/Source/http/server_connection.cc
+++ b/Source/http/server_connection.cc
@@ -9,8 +9,8 @@
 
 #include <utility>
 
-#include "http/connection_exchange.h"
 #include "base/socket_options.h"
+#include "http/connection_exchange.h"
 
 namespace hickoryloft::http {
 
@@ -25,35 +25,34 @@
 
 ServerConnection::ServerConnection(Server& server, int socket)
     : m_server(server),
-      m_buffer(bufferevent_socket_new(server.m_loop.base(), socket,
+      m_buffer(bufferevent_socket_new(server.m_loop.base(),
+                                      socket,
                                       BEV_OPT_CLOSE_ON_FREE)),
       m_timer(event_new(server.m_loop.base(), -1, 0, &OnTimer, this)),
-      m_parser(MessageType::kRequest,
-               server.m_limits.m_max_head_bytes,
-               {.m_head =
-                    [this](MessageHead&& head) {
-                      m_head = std::move(head);
-                      const std::size_t limit =
-                          m_server.m_limits.m_max_body_bytes;
-                      m_body_too_large =
-                          m_head.m_content_length.value_or(0) > limit;
-                      if (!m_body_too_large) {
-                        m_body.reserve(m_head.m_content_length.value_or(0));
-                        ContinueIfAsked(m_head.m_headers);
-                      }
-                    },
-                .m_body =
-                    [this](std::string_view bytes) {
-                      const std::size_t limit =
-                          m_server.m_limits.m_max_body_bytes;
-                      if (m_body.size() + bytes.size() > limit) {
-                        m_body_too_large = true;
-                      }
-                      if (!m_body_too_large) {
-                        m_body.append(bytes);
-                      }
-                    },
-                .m_end = [] {}}) {
+      m_parser(
+          MessageType::kRequest,
+          server.m_limits.m_max_head_bytes,
+          {.m_head =
+               [this](MessageHead&& head) {
+                 m_head = std::move(head);
+                 const std::size_t limit = m_server.m_limits.m_max_body_bytes;
+                 m_body_too_large = m_head.m_content_length.value_or(0) > limit;
+                 if (!m_body_too_large) {
+                   m_body.reserve(m_head.m_content_length.value_or(0));
+                   ContinueIfAsked(m_head.m_headers);
+                 }
+               },
+           .m_body =
+               [this](std::string_view bytes) {
+                 const std::size_t limit = m_server.m_limits.m_max_body_bytes;
+                 if (m_body.size() + bytes.size() > limit) {
+                   m_body_too_large = true;
+                 }
+                 if (!m_body_too_large) {
+                   m_body.append(bytes);
+                 }
+               },
+           .m_end = [] {}}) {
   DisableNagle(socket);
   DetectDeadPeer(socket);
 }
--- a/Source/membership/holder_lease.cc
+++ b/Source/membership/holder_lease.cc
@@ -48,47 +48,47 @@
 void HolderLease::Grant() {
   m_trying = true;
   const MonotonicTime sent = m_loop.Now();
-  m_store.GrantLease(
-      m_timing.m_ttl, [this, sent, alive = std::weak_ptr<int>(m_alive)](
-                          const Result<keyvalue::LeaseReply>& reply) {
-        if (alive.expired()) {
-          return;
-        }
-        if (!reply.ok() || m_ended) {
-          m_trying = false;
-          return;
-        }
-        TakeKey(reply.value().m_lease, sent);
-      });
+  m_store.GrantLease(m_timing.m_ttl,
+                     [this, sent, alive = std::weak_ptr<int>(m_alive)](
+                         const Result<keyvalue::LeaseReply>& reply) {
+                       if (alive.expired()) {
+                         return;
+                       }
+                       if (!reply.ok() || m_ended) {
+                         m_trying = false;
+                         return;
+                       }
+                       TakeKey(reply.value().m_lease, sent);
+                     });
 }
 
 void HolderLease::TakeKey(keyvalue::LeaseId lease, MonotonicTime sent) {
-  m_store.Swap(
-      {.m_key = m_key,
-       .m_expected_revision = 0,
-       .m_value = m_host.value(),
-       .m_lease = lease},
-      [this, lease, sent, alive = std::weak_ptr<int>(m_alive)](
-          const Result<keyvalue::SwapReply>& reply) {
-        if (alive.expired()) {
-          return;
-        }
-        m_trying = false;
-        if (!reply.ok() || !reply.value().m_swapped || m_ended) {
-          // Also after a lost reply: the lease ends the key, if it was
-          // written, before another attempt can succeed.
-          m_store.RevokeLease(lease, [](const Result<Done>& /*ended*/) {});
-          return;
-        }
-        m_lease = lease;
-        m_fence = reply.value().m_revision;
-        m_valid_from = m_loop.Now() + m_timing.m_gap;
-        m_valid_until = sent + m_timing.m_ttl - m_timing.m_margin;
-        kLog.Info("placement lease won",
-                  {{"fence", m_fence}, {"lease", m_lease}});
-        m_renewal = m_loop.Every(m_timing.m_ttl / kRenewalsPerLife,
-                                 [this] { Renew(); });
-      });
+  m_store.Swap({.m_key = m_key,
+                .m_expected_revision = 0,
+                .m_value = m_host.value(),
+                .m_lease = lease},
+               [this, lease, sent, alive = std::weak_ptr<int>(m_alive)](
+                   const Result<keyvalue::SwapReply>& reply) {
+                 if (alive.expired()) {
+                   return;
+                 }
+                 m_trying = false;
+                 if (!reply.ok() || !reply.value().m_swapped || m_ended) {
+                   // Also after a lost reply: the lease ends the key, if it was
+                   // written, before another attempt can succeed.
+                   m_store.RevokeLease(lease,
+                                       [](const Result<Done>& /*ended*/) {});
+                   return;
+                 }
+                 m_lease = lease;
+                 m_fence = reply.value().m_revision;
+                 m_valid_from = m_loop.Now() + m_timing.m_gap;
+                 m_valid_until = sent + m_timing.m_ttl - m_timing.m_margin;
+                 kLog.Info("placement lease won",
+                           {{"fence", m_fence}, {"lease", m_lease}});
+                 m_renewal = m_loop.Every(m_timing.m_ttl / kRenewalsPerLife,
+                                          [this] { Renew(); });
+               });
 }
 
 void HolderLease::Renew() {
@@ -97,20 +97,19 @@
     Lose("no renewal in time");
     return;
   }
-  m_store.KeepAlive(
-      m_lease,
-      [this, sent, fence = m_fence, alive = std::weak_ptr<int>(m_alive)](
-          const Result<keyvalue::LeaseReply>& reply) {
-        if (alive.expired() || fence != m_fence) {
-          return;
-        }
-        if (reply.ok()) {
-          m_valid_until = std::max(
-              m_valid_until, sent + m_timing.m_ttl - m_timing.m_margin);
-        } else if (reply.error().code() == ErrorCode::kNotFound) {
-          Lose("the lease has ended");
-        }
-      });
+  m_store.KeepAlive(m_lease, [this, sent, fence = m_fence,
+                              alive = std::weak_ptr<int>(m_alive)](
+                                 const Result<keyvalue::LeaseReply>& reply) {
+    if (alive.expired() || fence != m_fence) {
+      return;
+    }
+    if (reply.ok()) {
+      m_valid_until =
+          std::max(m_valid_until, sent + m_timing.m_ttl - m_timing.m_margin);
+    } else if (reply.error().code() == ErrorCode::kNotFound) {
+      Lose("the lease has ended");
+    }
+  });
 }
 
 void HolderLease::Lose(const std::string& reason) {
--- a/Source/membership/registration.cc
+++ b/Source/membership/registration.cc
@@ -35,19 +35,18 @@
   if (m_ended) {
     return;
   }
-  m_store.GrantLease(
-      m_ttl, [this, alive = std::weak_ptr<int>(m_alive)](
-                 const Result<keyvalue::LeaseReply>& reply) {
-        if (alive.expired() || m_ended) {
-          return;
-        }
-        if (!reply.ok()) {
-          RetryGrant(reply.error());
-          return;
-        }
-        m_lease = reply.value().m_lease;
-        Write();
-      });
+  m_store.GrantLease(m_ttl, [this, alive = std::weak_ptr<int>(m_alive)](
+                                const Result<keyvalue::LeaseReply>& reply) {
+    if (alive.expired() || m_ended) {
+      return;
+    }
+    if (!reply.ok()) {
+      RetryGrant(reply.error());
+      return;
+    }
+    m_lease = reply.value().m_lease;
+    Write();
+  });
 }
 
 void Registration::Write() {
@@ -74,25 +73,23 @@
             return;
           }
         }
-        kLog.Info("host registered",
-                  {{"key", m_key}, {"lease", m_lease}});
+        kLog.Info("host registered", {{"key", m_key}, {"lease", m_lease}});
         m_timer = m_loop.Every(m_ttl / kRenewalsPerLife, [this] { Renew(); });
       });
 }
 
 void Registration::Renew() {
-  m_store.KeepAlive(
-      m_lease, [this, alive = std::weak_ptr<int>(m_alive)](
-                   const Result<keyvalue::LeaseReply>& reply) {
-        if (alive.expired() || m_ended || reply.ok() ||
-            reply.error().code() != ErrorCode::kNotFound) {
-          return;
-        }
-        kLog.Warn("host registration lapsed, registering again",
-                  {{"key", m_key}, {"lease", m_lease}});
-        m_timer.reset();
-        Grant();
-      });
+  m_store.KeepAlive(m_lease, [this, alive = std::weak_ptr<int>(m_alive)](
+                                 const Result<keyvalue::LeaseReply>& reply) {
+    if (alive.expired() || m_ended || reply.ok() ||
+        reply.error().code() != ErrorCode::kNotFound) {
+      return;
+    }
+    kLog.Warn("host registration lapsed, registering again",
+              {{"key", m_key}, {"lease", m_lease}});
+    m_timer.reset();
+    Grant();
+  });
 }
 
 void Registration::RetryGrant(const Error& error) {
@@ -108,14 +105,14 @@
     done();
     return;
   }
-  m_store.RevokeLease(m_lease, [done = std::move(done)](
-                                   const Result<Done>& reply) {
-    if (!reply.ok()) {
-      kLog.Warn("lease not ended, it lapses by itself",
-                {{"reason", reply.error().what()}});
-    }
-    done();
-  });
+  m_store.RevokeLease(m_lease,
+                      [done = std::move(done)](const Result<Done>& reply) {
+                        if (!reply.ok()) {
+                          kLog.Warn("lease not ended, it lapses by itself",
+                                    {{"reason", reply.error().what()}});
+                        }
+                        done();
+                      });
 }
 
 }  // namespace hickoryloft::membership
--- a/Source/membership/report_aggregator.cc
+++ b/Source/membership/report_aggregator.cc
@@ -17,8 +17,7 @@
   }
   if (same_epoch) {
     for (const auto& [account, admitted] : report.m_counts.m_admitted) {
-      sums.m_admitted[account] +=
-          admitted - known.m_counts.m_admitted[account];
+      sums.m_admitted[account] += admitted - known.m_counts.m_admitted[account];
     }
     for (const auto& [key, want] : report.m_counts.m_wants) {
       const std::uint64_t before = known.m_counts.m_wants[key].m_arrivals;
--- a/Source/membership/report_groups.cc
+++ b/Source/membership/report_groups.cc
@@ -21,14 +21,15 @@
   for (const auto& [host, facts] : members) {
     domains[facts.m_failure_domain].push_back(host.value());
   }
-  for (const auto& [domain, names] : domains) {
+  for (const auto& domain : domains) {
+    const std::vector<std::string>& names = domain.second;
     // Rendezvous order among equals: a host that joins or leaves moves few.
-    auto order = RendezvousOrder("reports/" + domain.value(), names);
-    std::stable_sort(
-        order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
-          return members.at(HostId(names[left])).m_capacity >
-                 members.at(HostId(names[right])).m_capacity;
-        });
+    auto order = RendezvousOrder("reports/" + domain.first.value(), names);
+    std::stable_sort(order.begin(), order.end(),
+                     [&](std::size_t left, std::size_t right) {
+                       return members.at(HostId(names[left])).m_capacity >
+                              members.at(HostId(names[right])).m_capacity;
+                     });
     const std::size_t groups = (names.size() + leaves) / (leaves + 1);
     for (std::size_t i = 0; i < names.size(); ++i) {
       m_relays[HostId(names[order[i]])] = HostId(names[order[i % groups]]);
@@ -63,9 +64,8 @@
 
 std::size_t ReportGroups::GroupSize(const HostId& relay) const {
   return static_cast<std::size_t>(
-      std::count_if(m_relays.begin(), m_relays.end(), [&](const auto& entry) {
-        return entry.second == relay;
-      }));
+      std::count_if(m_relays.begin(), m_relays.end(),
+                    [&](const auto& entry) { return entry.second == relay; }));
 }
 
 }  // namespace hickoryloft::membership
--- /dev/null
+++ b/Source/placement/engine_answers.cc
@@ -0,0 +1,163 @@
+// What EnginePlanner learns from engines' answers and reports.
+
+#include <algorithm>
+
+#include "placement/engine_planner.h"
+
+namespace hickoryloft::placement {
+
+namespace {
+
+// After a failure or a refusal an engine gets no orders for this long.
+constexpr Duration kFailurePause = seconds(1);
+constexpr Duration kRefusalPause = seconds(5);
+// An engine that carries out an order of an earlier giver is asked again after
+// this long.
+constexpr Duration kBusyPause = milliseconds(400);
+
+}  // namespace
+
+void EnginePlanner::TakeOutcome(const EndpointId& engine,
+                                fleet::OrderOutcome outcome,
+                                MonotonicTime now) {
+  const auto known = m_ledgers.find(engine);
+  if (known == m_ledgers.end() || !known->second.m_open) {
+    return;
+  }
+  EngineLedger& ledger = known->second;
+  OpenOrder& open = *ledger.m_open;
+  open.m_since = now;
+  switch (outcome) {
+    case fleet::OrderOutcome::kAccepted:
+      open.m_phase = OrderPhase::kRunning;
+      ++*ledger.m_accepted_orders;
+      break;
+    case fleet::OrderOutcome::kAlreadyHolds:
+      // An adapter that no request uses is unloaded at once, which counts as
+      // an accepted order.
+      ledger.m_target = ModelId();
+      if (open.m_operation == fleet::OrderOperation::kUnload) {
+        ++*ledger.m_accepted_orders;
+      }
+      SettleAdapter(ledger, now);
+      break;
+    case fleet::OrderOutcome::kConflict:
+      // Either an unanswered copy was accepted, or the number is wrong.
+      open.m_phase = OrderPhase::kRunning;
+      open.m_since = now - kOrderEffectSlack;
+      ledger.m_accepted_orders.reset();
+      break;
+    case fleet::OrderOutcome::kRefused:
+      ledger.m_open.reset();
+      ledger.m_target = ModelId();
+      ledger.m_accepted_orders.reset();
+      ledger.m_paused_until = now + kRefusalPause;
+      break;
+    case fleet::OrderOutcome::kUnreachable:
+      if (open.m_resent) {
+        open.m_phase = OrderPhase::kUnanswered;
+      } else {
+        ledger.m_open.reset();
+        ledger.m_target = ModelId();
+      }
+      ledger.m_paused_until = now + kFailurePause;
+      break;
+    case fleet::OrderOutcome::kUnknown:
+      open.m_phase = OrderPhase::kUnanswered;
+      break;
+  }
+}
+
+void EnginePlanner::TakeReport(const EndpointId& engine,
+                               const Result<fleet::EngineReport>& report,
+                               MonotonicTime now) {
+  const auto known = m_ledgers.find(engine);
+  if (known == m_ledgers.end()) {
+    return;
+  }
+  EngineLedger& ledger = known->second;
+  ledger.m_report_asked = false;
+  if (!report.ok()) {
+    ledger.m_paused_until = now + kFailurePause;
+    if (!ledger.m_open) {
+      ledger.m_target = ModelId();
+    }
+    return;
+  }
+  const fleet::EngineReport& facts = report.value();
+  ledger.m_accepted_orders = facts.m_accepted_orders;
+  ledger.m_reported_at = now;
+  ledger.m_reported_models.clear();
+  for (const auto& [model, adapters] : facts.m_models) {
+    ledger.m_reported_models.insert(model);
+    auto& held = ledger.m_adapters[model];
+    std::erase_if(
+        held, [&](const auto& one) { return !adapters.contains(one.first); });
+    for (const AdapterId& adapter : adapters) {
+      held.try_emplace(adapter, now);
+    }
+  }
+  if (!ledger.m_open && facts.m_busy) {
+    // An order of an earlier giver is still being carried out; what it will
+    // add is not listed yet.
+    ledger.m_accepted_orders.reset();
+    ledger.m_paused_until = now + kBusyPause;
+    return;
+  }
+  if (!ledger.m_open || ledger.m_open->m_phase != OrderPhase::kRunning) {
+    return;
+  }
+  if (!ledger.m_open->m_adapter.empty()) {
+    ledger.m_open.reset();
+  } else if (!facts.m_busy) {
+    // The order has ended, or was never accepted; the registration shows what
+    // the engine holds.
+    ledger.m_open.reset();
+    ledger.m_target = ModelId();
+  }
+}
+
+std::map<EndpointId, std::map<ModelId, std::set<AdapterId>>>
+EnginePlanner::Adapters() const {
+  std::map<EndpointId, std::map<ModelId, std::set<AdapterId>>> present;
+  for (const auto& [id, ledger] : m_ledgers) {
+    for (const auto& [model, adapters] : ledger.m_adapters) {
+      for (const auto& [adapter, since] : adapters) {
+        present[id][model].insert(adapter);
+      }
+    }
+  }
+  return present;
+}
+
+std::vector<std::pair<EndpointId, ModelId>> EnginePlanner::Leaving() const {
+  std::vector<std::pair<EndpointId, ModelId>> leaving;
+  for (const auto& [id, ledger] : m_ledgers) {
+    if (ledger.m_open && ledger.m_open->m_adapter.empty() &&
+        ledger.m_open->m_operation == fleet::OrderOperation::kUnload) {
+      leaving.emplace_back(id, ledger.m_open->m_model);
+    }
+  }
+  return leaving;
+}
+
+std::map<std::pair<EndpointId, ModelId>, bool> EnginePlanner::RecentModels(
+    MonotonicTime since) const {
+  std::map<std::pair<EndpointId, ModelId>, bool> recent;
+  for (const auto& [key, change] : m_recent_models) {
+    if (change.second >= since) {
+      recent[key] = change.first;
+    }
+  }
+  return recent;
+}
+
+bool EnginePlanner::LoadsAdapter() const {
+  return std::any_of(m_ledgers.begin(), m_ledgers.end(), [](const auto& entry) {
+    const auto& open = entry.second.m_open;
+    return open && !open->m_adapter.empty() &&
+           open->m_phase == OrderPhase::kRunning;
+  });
+}
+
+}  // namespace hickoryloft::placement
--- /dev/null
+++ b/Source/placement/engine_choice.cc
@@ -0,0 +1,207 @@
+// Where EnginePlanner places a model, and what makes way for it.
+
+#include <algorithm>
+#include <limits>
+
+#include "placement/engine_planner.h"
+
+namespace hickoryloft::placement {
+
+namespace {
+
+// Seconds that unloading an idle model takes, about.
+constexpr double kUnloadSeconds = 0.2;
+// Seconds of load time that a full engine is worth.
+constexpr double kLoadWeight = 0.5;
+// Seconds of load time that a lost request a second is worth: what the model
+// costs to load again.
+constexpr double kLostRateWeight = 1.0;
+// Until an engine with an order under way can take the next one, and until a
+// model in use falls idle, about.
+constexpr double kOccupiedSeconds = 0.6;
+constexpr double kInUseSeconds = 2.0;
+// Loads from the weight store that it serves at full speed.
+constexpr int kStoreLoadsAtOnce = 2;
+// Loads from the weight store that may be begun at once after a pause.
+constexpr double kStoreBurst = 3;
+
+Duration LoadTime(const fleet::EngineSpec& spec,
+                  const ModelId& model,
+                  fleet::WeightTier tier) {
+  const fleet::ModelSpec& weights = spec.m_models.at(model);
+  switch (tier) {
+    case fleet::WeightTier::kHostMemory:
+      return weights.m_load_from_memory;
+    case fleet::WeightTier::kDisk:
+      return weights.m_load_from_disk;
+    case fleet::WeightTier::kStore:
+      return weights.m_load_from_store;
+  }
+  return weights.m_load_from_store;
+}
+
+}  // namespace
+
+std::optional<EnginePlanner::Choice> EnginePlanner::ChooseEngine(
+    const PlanningView& view,
+    const ModelId& model,
+    MonotonicTime now,
+    UnplacedModel& why_not) {
+  std::optional<Choice> best;
+  const EndpointId* near_engine = nullptr;
+  double soonest_near = std::numeric_limits<double>::infinity();
+  // An engine with a near copy that is busy now takes one model after another.
+  const auto consider_near = [&](const EndpointId& id, double load_seconds,
+                                 double wait_seconds) {
+    const auto ahead = m_deferred.find(id);
+    const double seconds = wait_seconds + load_seconds +
+                           (ahead == m_deferred.end() ? 0 : ahead->second) *
+                               (load_seconds + kOccupiedSeconds);
+    if (seconds < soonest_near) {
+      soonest_near = seconds;
+      near_engine = &id;
+    }
+  };
+  for (const auto& [id, ledger] : m_ledgers) {
+    const fleet::EndpointEntry& entry = view.m_entries.at(id);
+    if (!Usable(entry) || entry.m_models.contains(model)) {
+      continue;
+    }
+    ++why_not.m_engines;
+    if (now < ledger.m_paused_until || view.m_avoided(id)) {
+      ++why_not.m_paused;
+      continue;
+    }
+    const bool near = entry.TierOf(model) != fleet::WeightTier::kStore;
+    const double load_seconds =
+        ToSeconds(LoadTime(view.m_spec, model, entry.TierOf(model)));
+    if (ledger.m_open || !ledger.m_target.empty()) {
+      ++why_not.m_occupied;
+      if (near) {
+        consider_near(id, load_seconds, kOccupiedSeconds);
+      }
+      continue;
+    }
+    const auto choice = CostAt(view, entry, ledger, model, now);
+    if (!choice) {
+      ++why_not.m_all_in_use;
+      if (near) {
+        consider_near(id, load_seconds, kInUseSeconds);
+      }
+      continue;
+    }
+    if (!best || choice->m_cost < best->m_cost) {
+      best = choice;
+    }
+  }
+  if (best && best->m_tier != fleet::WeightTier::kStore) {
+    return best;
+  }
+  if (near_engine != nullptr && (!best || soonest_near < best->m_cost)) {
+    ++m_deferred[*near_engine];
+    return std::nullopt;
+  }
+  return StoreLoadsOpen() < kStoreLoadsAtOnce ? best : std::nullopt;
+}
+
+int EnginePlanner::StoreLoadsOpen() const {
+  int open = 0;
+  for (const auto& [id, ledger] : m_ledgers) {
+    open +=
+        ledger.m_open && ledger.m_open->m_adapter.empty() &&
+                ledger.m_open->m_operation == fleet::OrderOperation::kLoad &&
+                ledger.m_open->m_tier == fleet::WeightTier::kStore
+            ? 1
+            : 0;
+  }
+  return open;
+}
+
+std::optional<EnginePlanner::Choice> EnginePlanner::CostAt(
+    const PlanningView& view,
+    const fleet::EndpointEntry& entry,
+    const EngineLedger& ledger,
+    const ModelId& model,
+    MonotonicTime now) const {
+  const fleet::ModelSpec& spec = view.m_spec.m_models.at(model);
+  Choice choice{.m_engine = entry.m_id, .m_tier = entry.TierOf(model)};
+  const double free =
+      view.m_spec.m_megabytes - UsedMegabytes(entry, ledger, view.m_spec, now);
+  double lost_rate = 0;
+  if (free < spec.m_megabytes) {
+    auto victims =
+        ChooseVictims(view, entry, spec.m_megabytes - free, now, lost_rate);
+    if (!victims) {
+      return std::nullopt;
+    }
+    choice.m_victims = std::move(*victims);
+  }
+  const int running = RunningAt(view, entry);
+  choice.m_cost =
+      ToSeconds(LoadTime(view.m_spec, model, choice.m_tier)) +
+      kUnloadSeconds * static_cast<double>(choice.m_victims.size()) +
+      kLoadWeight * running / std::max(1, view.m_spec.m_slots) +
+      kLostRateWeight * lost_rate;
+  return choice;
+}
+
+std::optional<std::vector<ModelId>> EnginePlanner::ChooseVictims(
+    const PlanningView& view,
+    const fleet::EndpointEntry& entry,
+    double needed,
+    MonotonicTime now,
+    double& lost_rate) const {
+  struct Idle {
+    ModelId m_model;
+    double m_megabytes;
+    double m_rate;
+  };
+  std::vector<Idle> idle;
+  for (const auto& [model, adapters] : entry.m_models) {
+    if (view.m_running(entry.m_id, model) > 0) {
+      continue;
+    }
+    const auto spec = view.m_spec.m_models.find(model);
+    const auto held = m_present.find(model);
+    const int present = held == m_present.end() ? 1 : held->second;
+    if (spec == view.m_spec.m_models.end() ||
+        (present <= 1 && m_waiting_models.contains(model))) {
+      continue;
+    }
+    idle.push_back({.m_model = model,
+                    .m_megabytes = spec->second.m_megabytes,
+                    .m_rate = view.m_demand.Rate(KeyOf(model), now) /
+                              std::max(1, present)});
+  }
+  std::sort(idle.begin(), idle.end(), [](const Idle& left, const Idle& right) {
+    return left.m_rate < right.m_rate;
+  });
+  std::vector<ModelId> victims;
+  for (const Idle& one : idle) {
+    if (needed <= 0) {
+      break;
+    }
+    victims.push_back(one.m_model);
+    needed -= one.m_megabytes;
+    lost_rate += one.m_rate;
+  }
+  if (needed > 0) {
+    return std::nullopt;
+  }
+  return victims;
+}
+
+bool EnginePlanner::TakeStoreLoad(const fleet::EngineSpec& spec,
+                                  MonotonicTime now) {
+  m_store_tokens = std::min(
+      kStoreBurst, m_store_tokens + spec.m_loads_per_second *
+                                        ToSeconds(now - m_store_tokens_at));
+  m_store_tokens_at = now;
+  if (m_store_tokens < 1) {
+    return false;
+  }
+  m_store_tokens -= 1;
+  return true;
+}
+
+}  // namespace hickoryloft::placement
--- a/Source/placement/engine_ledger.cc
+++ b/Source/placement/engine_ledger.cc
@@ -23,6 +23,21 @@
   return static_cast<int>(count);
 }
 
+std::optional<std::pair<ModelId, AdapterId>> EngineLedger::OldestAdapter()
+    const {
+  std::optional<std::pair<ModelId, AdapterId>> oldest;
+  MonotonicTime oldest_since = MonotonicTime::max();
+  for (const auto& [model, adapters] : m_adapters) {
+    for (const auto& [adapter, since] : adapters) {
+      if (since < oldest_since) {
+        oldest_since = since;
+        oldest = {model, adapter};
+      }
+    }
+  }
+  return oldest;
+}
+
 double UsedMegabytes(const fleet::EndpointEntry& entry,
                      const EngineLedger& ledger,
                      const fleet::EngineSpec& spec,
--- a/Source/placement/engine_ledger.h
+++ b/Source/placement/engine_ledger.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <unordered_set>
+#include <utility>
 
 #include "base/ids.h"
 #include "base/time.h"
@@ -29,8 +30,8 @@
   AdapterId m_adapter;
   fleet::WeightTier m_tier = fleet::WeightTier::kStore;  // Of loads.
   OrderPhase m_phase = OrderPhase::kSending;
-  MonotonicTime m_since;     // Of the phase.
-  bool m_resent = false;     // An earlier copy may have been accepted.
+  MonotonicTime m_since;  // Of the phase.
+  bool m_resent = false;  // An earlier copy may have been accepted.
 };
 
 // Not thread-safe.
@@ -47,18 +48,26 @@
   ModelId m_target;
   // No orders before this time, after a failure.
   MonotonicTime m_paused_until;
-  // Adapters present, with the time of their last use.
+  // Adapters present, with the time since which they are.
   std::map<ModelId, std::map<AdapterId, MonotonicTime>> m_adapters;
 
+  bool m_adopted = false;  // The registration's adapters have been taken over.
+
   int AdapterCount() const;
+  // Returns the adapter that was loaded first.
+  std::optional<std::pair<ModelId, AdapterId>> OldestAdapter() const;
 };
 
+// An accepted order whose effect has not shown after the time of its load and
+// this long is looked up in the engine's report.
+constexpr Duration kOrderEffectSlack = seconds(2);
+
 // A registration is renewed within this time of a change.
 constexpr Duration kRegistrationLag = seconds(3);
 
 // Returns the memory that `entry`'s models need, those of a recent report and
-// the one that the open order may still add. Models that `spec` does not know count as the
-// whole engine. Thread-safe.
+// the one that the open order may still add. Models that `spec` does not know
+// count as the whole engine. Thread-safe.
 double UsedMegabytes(const fleet::EndpointEntry& entry,
                      const EngineLedger& ledger,
                      const fleet::EngineSpec& spec,
--- a/Source/placement/engine_planner.h
+++ b/Source/placement/engine_planner.h
@@ -29,9 +29,9 @@
 struct UnplacedModel {
   ModelId m_model;
   int m_waiting = 0;
-  int m_engines = 0;    // Usable ones without the model.
-  int m_occupied = 0;   // Of these, those with an order or a target.
-  int m_paused = 0;     // After a failure, or avoided.
+  int m_engines = 0;     // Usable ones without the model.
+  int m_occupied = 0;    // Of these, those with an order or a target.
+  int m_paused = 0;      // After a failure, or avoided.
   int m_all_in_use = 0;  // No idle model could make way.
 };
 
@@ -86,11 +86,6 @@
       MonotonicTime since) const;
   // Whether an accepted order for an adapter has yet to have its effect.
   bool LoadsAdapter() const;
-  // Marks an adapter as used now.
-  void TouchAdapter(const EndpointId& engine,
-                    const ModelId& model,
-                    const AdapterId& adapter,
-                    MonotonicTime now);
 
  private:
   struct Replicas {
@@ -129,6 +124,12 @@
                   const ModelDemand::Want& want,
                   MonotonicTime now,
                   PlannedActions& actions);
+  // Returns the engine that should load `adapter`; nothing if an engine can
+  // serve it or is about to, or if all are busy.
+  std::optional<EndpointId> ChooseAdapterEngine(const PlanningView& view,
+                                                const ModelId& model,
+                                                const AdapterId& adapter,
+                                                MonotonicTime now) const;
   void PlaceAdapter(const PlanningView& view,
                     const ModelDemand::Want& want,
                     MonotonicTime now,
--- a/Source/placement/model_demand.h
+++ b/Source/placement/model_demand.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <tuple>
 #include <vector>
 
 #include "base/ids.h"
@@ -16,8 +17,8 @@
 struct ModelWant {
   ServiceId m_service;
   ModelId m_model;
-  AdapterId m_adapter;  // Empty: the model itself.
-  int m_waiting = 0;    // Requests that no endpoint can take now.
+  AdapterId m_adapter;           // Empty: the model itself.
+  int m_waiting = 0;             // Requests that no endpoint can take now.
   std::uint64_t m_arrivals = 0;  // Since the host's start.
 };
 
@@ -33,7 +34,10 @@
     ServiceId m_service;
     ModelId m_model;
     AdapterId m_adapter;
-    friend auto operator<=>(const Key&, const Key&) = default;
+    friend bool operator<(const Key& left, const Key& right) {
+      return std::tie(left.m_service, left.m_model, left.m_adapter) <
+             std::tie(right.m_service, right.m_model, right.m_adapter);
+    }
   };
   struct Want {
     Key m_key;
--- a/Source/routing/endpoint_selector.h
+++ b/Source/routing/endpoint_selector.h
@@ -19,8 +19,8 @@
   EndpointId m_endpoint;
   FailureDomainId m_failure_domain;
   int m_slots = 1;
-  int m_running = 0;      // Over all hosts.
-  bool m_avoided = false;  // It has failed lately.
+  int m_running = 0;            // Over all hosts.
+  bool m_avoided = false;       // It has failed lately.
   bool m_keeps_prefix = false;  // It has read the shared part of the prompt.
 };
 
--- a/Source/routing/fleet_load.cc
+++ b/Source/routing/fleet_load.cc
@@ -64,9 +64,8 @@
   std::vector<EndpointUse> uses;
   uses.reserve(m_own.size());
   for (const auto& [key, running] : m_own) {
-    uses.push_back({.m_endpoint = key.first,
-                    .m_model = key.second,
-                    .m_running = running});
+    uses.push_back(
+        {.m_endpoint = key.first, .m_model = key.second, .m_running = running});
   }
   return uses;
 }
--- a/StandIns/jarro_server.cc
+++ b/StandIns/jarro_server.cc
@@ -45,7 +45,8 @@
   if (m_settings.m_engine) {
     json models = json::array();
     for (const std::string& model : m_settings.m_models) {
-      models.push_back({{"name", model}, {"version", 1}, {"adapters", json::array()}});
+      models.push_back(
+          {{"name", model}, {"version", 1}, {"adapters", json::array()}});
     }
     entry["models"] = models;
     entry["available"] = {{"inMemory", json::array()},
@@ -77,8 +78,8 @@
 }
 
 void JarroServer::TakeOrder(const Exchange& exchange) {
-  const json order =
-      json::parse(exchange->request().m_body, nullptr, /*allow_exceptions=*/false);
+  const json order = json::parse(exchange->request().m_body, nullptr,
+                                 /*allow_exceptions=*/false);
   m_order_log.push_back(order);
   if (m_busy || order.value("expected", m_orders) != m_orders) {
     exchange->Answer(409, {}, "");
@@ -102,7 +103,7 @@
       static_cast<double>(m_settings.m_models.size() + (load ? 1 : 0));
   m_overloaded = m_overloaded || needed > m_settings.m_megabytes;
   m_busy = true;
-  const Duration time = !load ? kUnload
+  const Duration time = !load                                  ? kUnload
                         : m_settings.m_on_disk.contains(model) ? kNearLoad
                                                                : kStoreLoad;
   m_timers.push_back(m_loop.After(time, [this, model, load] {
@@ -121,11 +122,11 @@
   json models = json::array();
   for (const std::string& model : m_settings.m_models) {
     const auto held = m_adapters.find(model);
-    models.push_back({{"name", model},
-                      {"version", 1},
-                      {"adapters", held == m_adapters.end()
-                                       ? std::set<std::string>()
-                                       : held->second}});
+    models.push_back(
+        {{"name", model},
+         {"version", 1},
+         {"adapters",
+          held == m_adapters.end() ? std::set<std::string>() : held->second}});
   }
   exchange->Answer(200, {{"Content-Type", "application/json"}},
                    json{{"stage", "unified"},
@@ -165,8 +166,7 @@
            signature);
     return;
   }
-  exchange->Answer(200,
-                   {{"Request-Id", id}, {"Server-Signature", signature}},
+  exchange->Answer(200, {{"Request-Id", id}, {"Server-Signature", signature}},
                    "done " + id);
 }
 
--- a/StandIns/jarro_store.cc
+++ b/StandIns/jarro_store.cc
@@ -57,7 +57,8 @@
     m_held.push_back(exchange);
     return;
   }
-  const std::string path = request.m_target.substr(0, request.m_target.find('?'));
+  const std::string path =
+      request.m_target.substr(0, request.m_target.find('?'));
   const Query query = ParseQuery(request.m_target);
   const std::string keep = "/-/kv-keep/";
   const std::string end = "/-/kv-lease-end/";
@@ -122,11 +123,10 @@
 }
 
 void JarroStore::Watch(const Exchange& exchange, const Query& query) {
-  Waiting waiting{.m_exchange = exchange,
-                  .m_prefix = query.count("pathPrefix")
-                                  ? query.at("pathPrefix")
-                                  : "",
-                  .m_after = NumberIn(query, "after")};
+  Waiting waiting{
+      .m_exchange = exchange,
+      .m_prefix = query.count("pathPrefix") ? query.at("pathPrefix") : "",
+      .m_after = NumberIn(query, "after")};
   if (waiting.m_after < m_compacted) {
     Answer(exchange, 410, json::object());
     return;
@@ -170,7 +170,8 @@
 void JarroStore::Write(const std::string& key, Item item) {
   item.m_revision = ++m_revision;
   const auto known = m_items.find(key);
-  item.m_created = known == m_items.end() ? m_revision : known->second.m_created;
+  item.m_created =
+      known == m_items.end() ? m_revision : known->second.m_created;
   m_items[key] = item;
   m_history.push_back(ToJson(key, item));
 }
@@ -194,8 +195,8 @@
 }
 
 void JarroStore::Transact(const Exchange& exchange) {
-  const json body =
-      json::parse(exchange->request().m_body, nullptr, /*allow_exceptions=*/false);
+  const json body = json::parse(exchange->request().m_body, nullptr,
+                                /*allow_exceptions=*/false);
   json current = json::array();
   bool holds = true;
   for (const json& row : body["expected"]) {
@@ -235,8 +236,8 @@
 }
 
 void JarroStore::GrantLease(const Exchange& exchange) {
-  const json body =
-      json::parse(exchange->request().m_body, nullptr, /*allow_exceptions=*/false);
+  const json body = json::parse(exchange->request().m_body, nullptr,
+                                /*allow_exceptions=*/false);
   const std::int64_t id = m_next_lease++;
   const Duration ttl = milliseconds(body.value("ttlMs", 1000));
   m_leases[id] = {.m_ttl = ttl,
--- a/Tests/admission/retry_budget_test.cc
+++ b/Tests/admission/retry_budget_test.cc
@@ -1,7 +1,7 @@
 #include "admission/retry_budget.h"
 
-#include <catch2/catch.hpp>
 #include <rapidcheck.h>
+#include <catch2/catch.hpp>
 #include <vector>
 
 using namespace hickoryloft;
@@ -13,8 +13,8 @@
         .m_ratio = 0.2, .m_extra = 54, .m_window = seconds(10)};
     const auto hosts = *rc::gen::inRange<std::size_t>(1, 9);
     std::vector<RetryBudget> budgets(hosts, RetryBudget(limits));
-    const auto steps = *rc::gen::container<std::vector<int>>(
-        400, rc::gen::inRange(0, 1000));
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(400, rc::gen::inRange(0, 1000));
     std::vector<MonotonicTime> requests;
     std::vector<MonotonicTime> retries;
     MonotonicTime now;
--- a/Tests/admission/token_quota_test.cc
+++ b/Tests/admission/token_quota_test.cc
@@ -1,8 +1,8 @@
 #include "admission/token_quota.h"
 
+#include <rapidcheck.h>
 #include <catch2/catch.hpp>
 #include <deque>
-#include <rapidcheck.h>
 #include <vector>
 
 using namespace hickoryloft;
--- a/Tests/endpoint/pooled_http_client_test.cc
+++ b/Tests/endpoint/pooled_http_client_test.cc
@@ -91,7 +91,9 @@
   std::optional<ErrorCode> m_failure;
 };
 
-Outcome RunCall(EventLoop& loop, PooledHttpClient& client, CallRequest request) {
+Outcome RunCall(EventLoop& loop,
+                PooledHttpClient& client,
+                CallRequest request) {
   Outcome outcome;
   const auto call = client.Start(
       std::move(request),
--- a/Tests/entry/bad_input_test.cc
+++ b/Tests/entry/bad_input_test.cc
@@ -29,8 +29,7 @@
         },
         this);
     bufferevent_enable(m_buffer, EV_READ | EV_WRITE);
-    const auto target =
-        ParseSocketAddress("127.0.0.1", world.m_daemon->port());
+    const auto target = ParseSocketAddress("127.0.0.1", world.m_daemon->port());
     bufferevent_socket_connect(m_buffer, target.get(), target.size());
     Write(bytes);
   }
--- a/Tests/fleet/configuration_view_test.cc
+++ b/Tests/fleet/configuration_view_test.cc
@@ -10,9 +10,8 @@
 Configuration Sample() {
   Configuration configuration{.m_version = 3};
   const auto add = [&](const char* name, const char* prefix) {
-    configuration.m_routes.push_back({.m_name = name,
-                                      .m_host = "Shop.example",
-                                      .m_path_prefix = prefix});
+    configuration.m_routes.push_back(
+        {.m_name = name, .m_host = "Shop.example", .m_path_prefix = prefix});
   };
   add("root", "/");
   add("pay", "/pay/");
--- a/Tests/fleet/knowledge_feed_test.cc
+++ b/Tests/fleet/knowledge_feed_test.cc
@@ -41,11 +41,11 @@
   void Put(const std::string& key, const std::string& value) {
     m_store.Get(key, [this, key, value](const auto& found) {
       const auto& items = found.value().m_items;
-      m_store.Swap({.m_key = key,
-                    .m_expected_revision =
-                        items.empty() ? 0 : items[0].m_mod_revision,
-                    .m_value = value},
-                   [](const auto&) {});
+      m_store.Swap(
+          {.m_key = key,
+           .m_expected_revision = items.empty() ? 0 : items[0].m_mod_revision,
+           .m_value = value},
+          [](const auto&) {});
     });
     Run();
   }
@@ -58,12 +58,13 @@
   keyvalue::MemoryKeyValueService m_store{m_loop};
   PlainDecoder m_decoder;
   int m_configurations = 0;
-  KnowledgeFeed m_feed{m_loop,
-                       m_store,
-                       m_decoder,
-                       {.m_configuration_changed = [this] { ++m_configurations; },
-                        .m_endpoint_changed = [](const EndpointId&) {},
-                        .m_own_keys_changed = [] {}}};
+  KnowledgeFeed m_feed{
+      m_loop,
+      m_store,
+      m_decoder,
+      {.m_configuration_changed = [this] { ++m_configurations; },
+       .m_endpoint_changed = [](const EndpointId&) {},
+       .m_own_keys_changed = [] {}}};
 };
 
 }  // namespace
--- a/Tests/host/event_splitter_test.cc
+++ b/Tests/host/event_splitter_test.cc
@@ -1,7 +1,7 @@
 #include "host/event_splitter.h"
 
-#include <catch2/catch.hpp>
 #include <rapidcheck.h>
+#include <catch2/catch.hpp>
 #include <string>
 
 using namespace hickoryloft::host;
--- a/Tests/host/replica_map_test.cc
+++ b/Tests/host/replica_map_test.cc
@@ -25,13 +25,15 @@
 TEST_CASE("News goes before the registration, for a while") {
   ReplicaMap map;
   CHECK_FALSE(map.Serves(Entry(false), kModel, {}, kNow));
-  map.Take({.m_fence = 1, .m_number = 1, .m_models = {{{kEngine, kModel}, true}}},
-           kNow);
+  map.Take(
+      {.m_fence = 1, .m_number = 1, .m_models = {{{kEngine, kModel}, true}}},
+      kNow);
   CHECK(map.Serves(Entry(false), kModel, {}, kNow));
   // Repeated news does not live longer.
   const MonotonicTime later = kNow + ReplicaMap::kNewsLife;
-  map.Take({.m_fence = 1, .m_number = 2, .m_models = {{{kEngine, kModel}, true}}},
-           later - milliseconds(100));
+  map.Take(
+      {.m_fence = 1, .m_number = 2, .m_models = {{{kEngine, kModel}, true}}},
+      later - milliseconds(100));
   CHECK_FALSE(map.Serves(Entry(false), kModel, {}, later));
   CHECK(map.Serves(Entry(true), kModel, {}, later));
 }
@@ -57,6 +59,6 @@
   map.NoteLack(kEngine, kModel, kAdapter, kNow);
   CHECK_FALSE(map.Serves(Entry(true), kModel, kAdapter, kNow));
   CHECK(map.Serves(Entry(true), kModel, {}, kNow));
-  CHECK(map.Serves(Entry(true), kModel, kAdapter,
-                   kNow + ReplicaMap::kLackPause));
+  CHECK(
+      map.Serves(Entry(true), kModel, kAdapter, kNow + ReplicaMap::kLackPause));
 }
--- a/Tests/http/message_parser_test.cc
+++ b/Tests/http/message_parser_test.cc
@@ -1,8 +1,8 @@
 #include "http/message_parser.h"
 
+#include <rapidcheck.h>
 #include <catch2/catch.hpp>
 #include <optional>
-#include <rapidcheck.h>
 #include <string>
 
 using namespace hickoryloft::http;
--- a/Tests/http/server_test.cc
+++ b/Tests/http/server_test.cc
@@ -32,7 +32,10 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(port);
     inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-    connect(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    if (connect(m_socket, reinterpret_cast<sockaddr*>(&address),
+                sizeof(address)) != 0) {
+      Close();
+    }
   }
   ~RawCaller() { Close(); }
   RawCaller(const RawCaller&) = delete;
@@ -195,8 +198,7 @@
                   exchange->SendBody(std::string(kAnswerBytes, 'x'));
                   exchange->FinishAnswer();
                 });
-  const auto closer =
-      loop.Every(milliseconds(5), [&] { server.CloseIdle(); });
+  const auto closer = loop.Every(milliseconds(5), [&] { server.CloseIdle(); });
   std::string got;
   Serve(loop, [&] {
     RawCaller caller(server.port(), /*receive_buffer=*/4096);
--- a/Tests/jarro/caller_protocol_test.cc
+++ b/Tests/jarro/caller_protocol_test.cc
@@ -67,8 +67,8 @@
 
 TEST_CASE("Fields that are the system's to set are not a caller's") {
   const std::string name =
-      GENERATE(as<std::string>(), "Tenant", "Expect-Instance", "Hold",
-               "Pin-Ms", "Kv-Backup", "Kv-From", "Kv-Fetch", "expect-version");
+      GENERATE(as<std::string>(), "Tenant", "Expect-Instance", "Hold", "Pin-Ms",
+               "Kv-Backup", "Kv-From", "Kv-Fetch", "expect-version");
   http::ServerRequest request = Request();
   request.m_headers.push_back({name, "forged"});
   const endpoint::CallRequest call = Forward(request);
@@ -89,26 +89,39 @@
 
 TEST_CASE("A request that cannot be told apart is refused") {
   http::ServerRequest request = Request();
-  SECTION("two ids") { request.m_headers.push_back({"Request-Id", "r2"}); }
+  SECTION("two ids") {
+    request.m_headers.push_back({"Request-Id", "r2"});
+  }
   SECTION("two keys") {
     request.m_headers.push_back({"authorization", "Bearer other"});
   }
-  SECTION("two hosts") { request.m_headers.push_back({"Host", "x"}); }
-  SECTION("no id") { std::erase_if(request.m_headers, [](const auto& field) {
-    return field.m_name == "Request-Id"; }); }
-  SECTION("an absolute target") { request.m_target = "http://x/"; }
-  SECTION("an odd method") { request.m_method = "CONNECT"; }
+  SECTION("two hosts") {
+    request.m_headers.push_back({"Host", "x"});
+  }
+  SECTION("no id") {
+    std::erase_if(request.m_headers, [](const auto& field) {
+      return field.m_name == "Request-Id";
+    });
+  }
+  SECTION("an absolute target") {
+    request.m_target = "http://x/";
+  }
+  SECTION("an odd method") {
+    request.m_method = "CONNECT";
+  }
   CHECK_THROWS_AS(CallerProtocol().DecodeRequest(request), Error);
 }
 
 TEST_CASE("Only an endpoint's own proof says that it did not run a request") {
   const CallerProtocol protocol;
-  CHECK(protocol.DecodeAnswer({.m_status = 503, .m_headers = {{"Not-Executed", "1"}}})
-            .m_not_executed);
-  CHECK(protocol.DecodeAnswer({.m_status = 421, .m_headers = {}})
-            .m_not_executed);
-  CHECK_FALSE(protocol.DecodeAnswer({.m_status = 503, .m_headers = {}})
-                  .m_not_executed);
-  CHECK_FALSE(protocol.DecodeAnswer({.m_status = 500, .m_headers = {}})
-                  .m_not_executed);
+  CHECK(
+      protocol
+          .DecodeAnswer({.m_status = 503, .m_headers = {{"Not-Executed", "1"}}})
+          .m_not_executed);
+  CHECK(
+      protocol.DecodeAnswer({.m_status = 421, .m_headers = {}}).m_not_executed);
+  CHECK_FALSE(
+      protocol.DecodeAnswer({.m_status = 503, .m_headers = {}}).m_not_executed);
+  CHECK_FALSE(
+      protocol.DecodeAnswer({.m_status = 500, .m_headers = {}}).m_not_executed);
 }
--- a/Tests/jarro/fleet_decoder_test.cc
+++ b/Tests/jarro/fleet_decoder_test.cc
@@ -1,8 +1,8 @@
 #include "platform/fleet_decoder.h"
 
+#include <rapidcheck.h>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
-#include <rapidcheck.h>
 
 #include "platform/engine_control.h"
 
@@ -56,16 +56,16 @@
 
 TEST_CASE("An entry of another writer is refused") {
   json entry = json::parse(kEntry);
-  const auto [field, value] = GENERATE(
-      table<std::string, json>({{"service", nullptr},
-                                {"address", "nowhere"},
-                                {"address", 5},
-                                {"slots", "many"},
-                                {"slots", 1.5},
-                                {"state", "sleeping"},
-                                {"born", "yesterday"},
-                                {"models", "all"},
-                                {"models", json::array({1})}}));
+  const auto [field, value] =
+      GENERATE(table<std::string, json>({{"service", nullptr},
+                                         {"address", "nowhere"},
+                                         {"address", 5},
+                                         {"slots", "many"},
+                                         {"slots", 1.5},
+                                         {"state", "sleeping"},
+                                         {"born", "yesterday"},
+                                         {"models", "all"},
+                                         {"models", json::array({1})}}));
   entry[field] = value;
   CHECK_THROWS_AS(Decode(entry.dump()), Error);
   CHECK_THROWS_AS(Decode("\xff\xfe"), Error);
@@ -94,14 +94,12 @@
 TEST_CASE("A configuration with a field at fault names it") {
   json configuration = Configuration();
   configuration["routes"][1].erase("service");
-  CHECK_THROWS_WITH(
-      FleetDecoder().DecodeConfiguration(configuration.dump()),
-      Catch::Contains("routes[1].service"));
+  CHECK_THROWS_WITH(FleetDecoder().DecodeConfiguration(configuration.dump()),
+                    Catch::Contains("routes[1].service"));
   configuration = Configuration();
   configuration["routes"][0]["kind"] = "odd";
-  CHECK_THROWS_WITH(
-      FleetDecoder().DecodeConfiguration(configuration.dump()),
-      Catch::Contains("odd"));
+  CHECK_THROWS_WITH(FleetDecoder().DecodeConfiguration(configuration.dump()),
+                    Catch::Contains("odd"));
 }
 
 TEST_CASE("Decoders throw typed failures for any damage") {
--- a/Tests/jarro/settings_test.cc
+++ b/Tests/jarro/settings_test.cc
@@ -52,17 +52,17 @@
     json m_value;  // Null: removed.
     std::string m_named;
   };
-  const auto tested = GENERATE(
-      Case{"/node", nullptr, "settings.node"},
-      Case{"/zone", 7, "settings.zone"},
-      Case{"/listen/front", "10.0.0.1", "IP:PORT"},
-      Case{"/listen/front", "10.0.0.1:99999", "IP:PORT"},
-      Case{"/listen", "here", "settings.listen"},
-      Case{"/portRange", json::array({7600}), "portRange"},
-      Case{"/provider/address", nullptr, "settings.provider.address"},
-      Case{"/bounds/revokeMs", "soon", "settings.bounds.revokeMs"},
-      Case{"/bounds/revokeMs", -1, "settings.bounds.revokeMs"},
-      Case{"/bounds/strictRevoke", 1, "settings.bounds.strictRevoke"});
+  const auto tested =
+      GENERATE(Case{"/node", nullptr, "settings.node"},
+               Case{"/zone", 7, "settings.zone"},
+               Case{"/listen/front", "10.0.0.1", "IP:PORT"},
+               Case{"/listen/front", "10.0.0.1:99999", "IP:PORT"},
+               Case{"/listen", "here", "settings.listen"},
+               Case{"/portRange", json::array({7600}), "portRange"},
+               Case{"/provider/address", nullptr, "settings.provider.address"},
+               Case{"/bounds/revokeMs", "soon", "settings.bounds.revokeMs"},
+               Case{"/bounds/revokeMs", -1, "settings.bounds.revokeMs"},
+               Case{"/bounds/strictRevoke", 1, "settings.bounds.strictRevoke"});
   json settings = Sample();
   const json::json_pointer pointer(tested.m_pointer);
   if (tested.m_value.is_null()) {
--- a/Tests/membership/report_groups_test.cc
+++ b/Tests/membership/report_groups_test.cc
@@ -14,7 +14,8 @@
   std::map<HostId, MemberFacts> members;
   for (std::size_t i = 0; i < hosts; ++i) {
     members[HostId("host-" + std::to_string(i))] = {
-        .m_failure_domain = FailureDomainId("fd-" + std::to_string(i % domains)),
+        .m_failure_domain =
+            FailureDomainId("fd-" + std::to_string(i % domains)),
         .m_capacity = i < 2 * domains ? 0.5 : 0.12};
   }
   return members;
--- a/Tests/placement/engine_planner_test.cc
+++ b/Tests/placement/engine_planner_test.cc
@@ -1,8 +1,8 @@
 #include "placement/engine_planner.h"
 
+#include <rapidcheck.h>
 #include <catch2/catch.hpp>
 #include <deque>
-#include <rapidcheck.h>
 #include <string>
 
 #include "base/random.h"
@@ -75,7 +75,8 @@
 
   void Publish(const EndpointId& id) {
     const FakeEngine& engine = m_engines[id];
-    fleet::EndpointEntry entry{.m_id = id, .m_service = kService, .m_slots = 32};
+    fleet::EndpointEntry entry{
+        .m_id = id, .m_service = kService, .m_slots = 32};
     for (const ModelId& model : engine.m_models) {
       entry.m_models[model];
     }
@@ -173,11 +174,10 @@
         order.m_operation == OrderOperation::kLoad && !near ? 1 : 0;
     engine.m_running = Running{
         .m_order = order,
-        .m_done_at =
-            m_now + (order.m_operation == OrderOperation::kUnload
-                         ? Duration(milliseconds(200))
-                         : near ? Duration(milliseconds(800))
-                                : Duration(seconds(6)))};
+        .m_done_at = m_now + (order.m_operation == OrderOperation::kUnload
+                                  ? Duration(milliseconds(200))
+                              : near ? Duration(milliseconds(800))
+                                     : Duration(seconds(6)))};
     CheckMemory(id);
     return OrderOutcome::kAccepted;
   }
@@ -302,10 +302,9 @@
   world.Hold(0, {0, 2});
   world.m_engines[Engine(0)].m_models.erase(Model(2));
   world.m_engines[Engine(0)].m_accepted = 7;
-  world.m_engines[Engine(0)].m_running =
-      PlannerWorld::Running{.m_order = {.m_operation = OrderOperation::kLoad,
-                                 .m_model = Model(6)},
-                     .m_done_at = world.m_now + seconds(3)};
+  world.m_engines[Engine(0)].m_running = PlannerWorld::Running{
+      .m_order = {.m_operation = OrderOperation::kLoad, .m_model = Model(6)},
+      .m_done_at = world.m_now + seconds(3)};
   world.Publish(Engine(0));
   world.m_planner.Restart();
   RandomEngine random(1);
@@ -339,7 +338,8 @@
   }
 }
 
-TEST_CASE("Saturated replicas get another one, waiting for an adapter does not") {
+TEST_CASE(
+    "Saturated replicas get another one, waiting for an adapter does not") {
   PlannerWorld world(3, 4);
   RandomEngine random(1);
   world.Hold(0, {0});
--- a/Tests/routing/endpoint_selection_test.cc
+++ b/Tests/routing/endpoint_selection_test.cc
@@ -12,7 +12,9 @@
 const FailureDomainId kHere("here");
 const FailureDomainId kThere("there");
 
-Candidate At(const std::string& id, const FailureDomainId& domain, int running) {
+Candidate At(const std::string& id,
+             const FailureDomainId& domain,
+             int running) {
   return {.m_endpoint = EndpointId(id),
           .m_failure_domain = domain,
           .m_slots = 32,
--- a/Utilities/check-structure.sh
+++ b/Utilities/check-structure.sh
@@ -43,6 +43,18 @@
     sed -E 's/:[0-9]+:#include "([a-z]+)\//:\1/')
 done
 
+# The adapter of a platform is joined with the product by its main function only, and keeps its wire's names to itself.
+readonly wire_names='Token-Usage|Not-Executed|Prompt-Prefix|Server-Signature|Expect-Instance|Deadline-Ms|kv-txn|kv-range|kv-watch|coldRemainingMs|apiKeys|pathPrefix'
+while IFS= read -r line; do
+  fail "$line: only platform/ may include platform/"
+done < <(grep -rnE '^#include "platform/' Source || true)
+while IFS= read -r line; do
+  fail "$line: a name of the platform's wire outside platform/"
+done < <(grep -rnE "$wire_names" Source --include='*.h' --include='*.cc' || true)
+readonly max_adapter_lines=1700
+adapter_lines=$(cat platform/*.cc platform/*.h | wc -l)
+[ "$adapter_lines" -le "$max_adapter_lines" ] || fail "platform/ has $adapter_lines lines; the limit is $max_adapter_lines"
+
 while read -r lines file; do
   [ "$lines" -le "$max_lines" ] || fail "$file has $lines lines; the limit is $max_lines"
 done < <(git ls-files -z --cached --others --exclude-standard '*.cc' '*.h' '*.py' '*.sh' '*.pml' |
