--- a/Source/admission/token_quota.cc
+++ b/Source/admission/token_quota.cc
@@ -48,11 +48,14 @@
                             double total,
                             MonotonicTime now) {
   Refill(now);
-  if (epoch == m_epoch) {
+  if (now - m_others_at > kLongestGap) {
+    m_level = std::min(m_level, kStartingLevel * m_limit.m_burst_tokens);
+  } else if (epoch == m_epoch) {
     m_level =
         std::min(m_limit.m_burst_tokens, m_level - (total - m_others_total));
   }
   m_epoch = epoch;
+  m_others_at = now;
   m_others_total = total;
 }
 
--- a/Source/admission/token_quota.h
+++ b/Source/admission/token_quota.h
@@ -30,6 +30,11 @@
   // other hosts have admitted lately.
   static constexpr double kStartingLevel = 0.3;
 
+  // A host that has not heard of the others for this long, as after a
+  // suspension, starts its copy anew: what they admitted meanwhile was also
+  // refilled meanwhile.
+  static constexpr Duration kLongestGap = seconds(2);
+
   TokenQuota(const QuotaLimit& limit, MonotonicTime now);
 
   // Changes the limit. The level is cut to the new burst at once.
@@ -69,6 +74,7 @@
   MonotonicTime m_at;
   std::uint64_t m_epoch = 0;
   double m_others_total = 0;
+  MonotonicTime m_others_at;
   double m_silent_part = 0;  // Of the rate, taken to be used by silent hosts.
 };
 
--- a/Tests/admission/token_quota_test.cc
+++ b/Tests/admission/token_quota_test.cc
@@ -168,3 +168,21 @@
   REQUIRE(wait);
   CHECK_FALSE(quota.Take(800, now + *wait + milliseconds(1)));
 }
+
+// jarro-ne's incident: a host stood still for six seconds, heard at once what
+// the others had admitted meanwhile, and refused accounts within their rate.
+TEST_CASE("A host that was suspended does not charge what was refilled since") {
+  MonotonicTime now{seconds(1)};
+  TokenQuota quota(kLimit, now);
+  double others = 0;
+  quota.TakeOthers(1, others, now);
+  for (int i = 0; i < 8; ++i) {
+    now += milliseconds(250);
+    others += 0.125 * kLimit.m_tokens_per_second;  // Half the rate.
+    quota.TakeOthers(1, others, now);
+  }
+  now += seconds(6);
+  others += 3 * kLimit.m_tokens_per_second;
+  quota.TakeOthers(1, others, now);
+  CHECK_FALSE(quota.Take(1000, now));
+}
