--- a/Source/host/frontend.cc
+++ b/Source/host/frontend.cc
@@ -30,7 +30,6 @@
 
 Frontend::Frontend(RequestContext& context) : m_context(context) {
   context.m_waiting = [this](RequestFlow& flow) { Wait(flow); };
-  context.m_place_freed = [this] { Reconsider(); };
   context.m_over = [this](RequestFlow& flow) { End(flow); };
 }
 
--- a/Source/host/request_context.h
+++ b/Source/host/request_context.h
@@ -43,8 +43,6 @@
   std::function<bool()> m_keys_current;
   // The request waits for an endpoint, or has found one.
   std::function<void(RequestFlow&)> m_waiting;
-  // A place has become free.
-  std::function<void()> m_place_freed;
   // A request waits that did not before.
   std::function<void()> m_demand_changed;
   // An account has used so much that the other hosts should know.
