--- a/Utilities/demo.sh
+++ b/Utilities/demo.sh
@@ -154,4 +154,25 @@
 step "The burn report"
 "$bin/loft-report" collect --history "$work/burn.jsonl" 127.0.0.1:8080
 "$bin/loft-report" show --history "$work/burn.jsonl" --document Examples/jarro/jarro.toml --html "$work/burn.html"
+step "The program of the Jarro platform: a cold model is loaded on demand, and its stream passed on"
+start jarro loft-standin-jarro --listen 127.0.0.9:12381
+cat >"$work/node.json" <<'JSON'
+{"node": "edge-1", "ip": "127.0.0.14", "zone": "z1", "portRange": [7600, 7615],
+ "listen": {"front": "127.0.0.14:8221", "ready": "127.0.0.14:8224"},
+ "bounds": {"leaseMs": 500}, "provider": {"address": "127.0.0.9:12381"}}
+JSON
+PYTHONPATH=Tests/process python3 -B -c '
+import json, jarro_harness
+print(json.dumps(jarro_harness.configuration(1)))' >"$work/jarro.json"
+for _ in $(seq 100); do
+  curl -fsS -o /dev/null --data-binary "@$work/jarro.json" http://127.0.0.9:12381/control/config 2>/dev/null && break
+  sleep 0.05
+done
+start host loft-host --settings "$work/node.json"
+wait_until http://127.0.0.14:8224/-/ready
+curl -fsSN -o "$work/cold.txt" -H "Host: shop.example" -H "Authorization: Bearer key-counter" -H "Request-Id: demo-1" \
+  -H "Deadline-Ms: 8000" -H "Model: m3" -H "Token-Usage: 100,20" http://127.0.0.14:8221/chat/x -d '{}' ||
+  fail "no answer through loft-host"
+expect 'data: t12' "$work/cold.txt"
+grep -hoE '"message":"(waiting|order given|sent|first event|over)".*' "$work/host.log" | cut -c1-150
 step "All steps passed"
