--- a/Source/placement/engine_answers.cc
+++ b/Source/placement/engine_answers.cc
@@ -88,7 +88,9 @@
   ledger.m_accepted_orders = facts.m_accepted_orders;
   ledger.m_reported_at = now;
   ledger.m_reported_models.clear();
-  for (const auto& [model, adapters] : facts.m_models) {
+  for (const auto& listed : facts.m_models) {
+    const ModelId& model = listed.first;
+    const std::unordered_set<AdapterId>& adapters = listed.second;
     ledger.m_reported_models.insert(model);
     auto& held = ledger.m_adapters[model];
     std::erase_if(
