planner: adapters on their way take places, reported models count until registered

A late registration could also hide a loaded model from the count of replicas. Ruled out: late copies of orders (they carry old numbers).

The planner's state test did not see it because the result of rc::check was dropped, there and in five more test files; all are wrapped in CHECK now and check-structure.sh looks for it. The state test has registrations that lag, reports that are a step old and adapters that need time.

--- a/Source/placement/engine_answers.cc
+++ b/Source/placement/engine_answers.cc
@@ -36,7 +36,8 @@
       // An adapter that no request uses is unloaded at once, which counts as
       // an accepted order.
       ledger.m_target = ModelId();
-      if (open.m_operation == fleet::OrderOperation::kUnload) {
+      if (open.m_operation == fleet::OrderOperation::kUnload &&
+          !open.m_adapter.empty()) {
         ++*ledger.m_accepted_orders;
       }
       SettleAdapter(ledger, now);
@@ -99,6 +100,10 @@
       held.try_emplace(adapter, now);
     }
   }
+  // They take places as those that have arrived do.
+  for (const auto& [model, adapter] : facts.m_arriving_adapters) {
+    ledger.m_adapters[model].try_emplace(adapter, now);
+  }
   if (!ledger.m_open && facts.m_busy) {
     // An order of an earlier giver is still being carried out; what it will
     // add is not listed yet.
--- a/Source/placement/engine_choice.cc
+++ b/Source/placement/engine_choice.cc
@@ -64,7 +64,8 @@
   };
   for (const auto& [id, ledger] : m_ledgers) {
     const fleet::EndpointEntry& entry = view.m_entries.at(id);
-    if (!Usable(entry) || entry.m_models.contains(model)) {
+    if (!Usable(entry) || entry.m_models.contains(model) ||
+        ledger.m_reported_models.contains(model)) {
       continue;
     }
     ++why_not.m_engines;
@@ -126,7 +127,7 @@
   const fleet::ModelSpec& spec = view.m_spec.m_models.at(model);
   Choice choice{.m_engine = entry.m_id, .m_tier = entry.TierOf(model)};
   const double free =
-      view.m_spec.m_megabytes - UsedMegabytes(entry, ledger, view.m_spec, now);
+      view.m_spec.m_megabytes - UsedMegabytes(entry, ledger, view.m_spec);
   double lost_rate = 0;
   if (free < spec.m_megabytes) {
     auto victims =
--- a/Source/placement/engine_ledger.cc
+++ b/Source/placement/engine_ledger.cc
@@ -6,6 +6,9 @@
 
 // Set aside for each adapter place: the largest adapters need 66 MB.
 constexpr double kAdapterPlaceMegabytes = 80;
+// An adapter has arrived after this long: with four on their way to each of a
+// hundred engines, the weight store needs 0.3 s for one.
+constexpr Duration kAdapterArrival = seconds(1);
 
 double ModelMegabytes(const ModelId& model, const fleet::EngineSpec& spec) {
   const auto known = spec.m_models.find(model);
@@ -23,13 +26,13 @@
   return static_cast<int>(count);
 }
 
-std::optional<std::pair<ModelId, AdapterId>> EngineLedger::OldestAdapter()
-    const {
+std::optional<std::pair<ModelId, AdapterId>> EngineLedger::OldestAdapter(
+    MonotonicTime now) const {
   std::optional<std::pair<ModelId, AdapterId>> oldest;
-  MonotonicTime oldest_since = MonotonicTime::max();
+  MonotonicTime oldest_since = now - kAdapterArrival;
   for (const auto& [model, adapters] : m_adapters) {
     for (const auto& [adapter, since] : adapters) {
-      if (since < oldest_since) {
+      if (since <= oldest_since) {
         oldest_since = since;
         oldest = {model, adapter};
       }
@@ -40,16 +43,11 @@
 
 double UsedMegabytes(const fleet::EndpointEntry& entry,
                      const EngineLedger& ledger,
-                     const fleet::EngineSpec& spec,
-                     MonotonicTime now) {
-  std::unordered_set<ModelId> models;
+                     const fleet::EngineSpec& spec) {
+  std::unordered_set<ModelId> models = ledger.m_reported_models;
   for (const auto& [model, adapters] : entry.m_models) {
     models.insert(model);
   }
-  if (now - ledger.m_reported_at < kRegistrationLag) {
-    models.insert(ledger.m_reported_models.begin(),
-                  ledger.m_reported_models.end());
-  }
   if (ledger.m_open && ledger.m_open->m_adapter.empty() &&
       ledger.m_open->m_operation == fleet::OrderOperation::kLoad) {
     models.insert(ledger.m_open->m_model);
--- a/Source/placement/engine_ledger.h
+++ b/Source/placement/engine_ledger.h
@@ -40,7 +40,8 @@
   // Orders accepted so far; unknown until the engine has reported.
   std::optional<std::int64_t> m_accepted_orders;
   bool m_report_asked = false;
-  // What the last report listed: it may be ahead of the registration.
+  // What the last report listed, less what was unloaded since: it may be ahead
+  // of the registration for as long as the store takes to pass changes on.
   std::unordered_set<ModelId> m_reported_models;
   MonotonicTime m_reported_at;
   std::optional<OpenOrder> m_open;
@@ -54,24 +55,25 @@
   bool m_adopted = false;  // The registration's adapters have been taken over.
 
   int AdapterCount() const;
-  // Returns the adapter that was loaded first.
-  std::optional<std::pair<ModelId, AdapterId>> OldestAdapter() const;
+  // Returns the adapter that was loaded first; one that may still be on its way
+  // cannot be unloaded.
+  std::optional<std::pair<ModelId, AdapterId>> OldestAdapter(
+      MonotonicTime now) const;
 };
 
 // An accepted order whose effect has not shown after the time of its load and
 // this long is looked up in the engine's report.
 constexpr Duration kOrderEffectSlack = seconds(2);
 
-// A registration is renewed within this time of a change.
+// A registration shows a change within this time, unless the store is slow.
 constexpr Duration kRegistrationLag = seconds(3);
 
-// Returns the memory that `entry`'s models need, those of a recent report and
+// Returns the memory that `entry`'s models need, those of the last report and
 // the one that the open order may still add. Models that `spec` does not know
 // count as the whole engine. Thread-safe.
 double UsedMegabytes(const fleet::EndpointEntry& entry,
                      const EngineLedger& ledger,
-                     const fleet::EngineSpec& spec,
-                     MonotonicTime now);
+                     const fleet::EngineSpec& spec);
 
 }  // namespace hickoryloft::placement
 
--- a/Source/placement/engine_planner.cc
+++ b/Source/placement/engine_planner.cc
@@ -60,6 +60,9 @@
                    [](const auto& left, const auto& right) {
                      return left.m_waiting > right.m_waiting;
                    });
+  if (!wants.empty()) {
+    CheckReports(view, now, actions);
+  }
   for (const ModelDemand::Want& want : wants) {
     PlaceModel(view, want, now, actions);
     if (!want.m_key.m_adapter.empty()) {
@@ -69,6 +72,26 @@
   return actions;
 }
 
+void EnginePlanner::CheckReports(const PlanningView& view,
+                                 MonotonicTime now,
+                                 PlannedActions& actions) {
+  for (auto& [id, ledger] : m_ledgers) {
+    if (ledger.m_open || ledger.m_report_asked ||
+        now - ledger.m_reported_at < kRegistrationLag ||
+        now < ledger.m_paused_until) {
+      continue;
+    }
+    const fleet::EndpointEntry& entry = view.m_entries.at(id);
+    const bool unregistered = std::any_of(
+        ledger.m_reported_models.begin(), ledger.m_reported_models.end(),
+        [&](const ModelId& model) { return !entry.m_models.contains(model); });
+    if (unregistered) {
+      ledger.m_report_asked = true;
+      actions.m_reports.push_back(id);
+    }
+  }
+}
+
 void EnginePlanner::CountModels(const PlanningView& view,
                                 const std::vector<ModelDemand::Want>& wants) {
   m_present.clear();
@@ -217,7 +240,9 @@
       replicas.m_running += view.m_running(id, model);
       replicas.m_with_room +=
           RunningAt(view, entry) < view.m_spec.m_slots ? 1 : 0;
-    } else if (ledger.m_target == model && !view.m_avoided(id)) {
+    } else if ((ledger.m_target == model ||
+                (!unloading && ledger.m_reported_models.contains(model))) &&
+               !view.m_avoided(id)) {
       ++replicas.m_coming;
     }
   }
@@ -351,7 +376,7 @@
          std::to_string(want.m_waiting) + " requests wait", now, actions);
     return;
   }
-  if (const auto oldest = ledger.OldestAdapter()) {
+  if (const auto oldest = ledger.OldestAdapter(now)) {
     Give(view, *engine, ledger,
          {.m_operation = fleet::OrderOperation::kUnload,
           .m_model = oldest->first,
--- a/Source/placement/engine_planner.h
+++ b/Source/placement/engine_planner.h
@@ -102,6 +102,11 @@
   };
 
   bool Usable(const fleet::EndpointEntry& entry) const;
+  // Asks engines again that reported models which their registrations still
+  // lack: an order of an earlier giver may have removed them since.
+  void CheckReports(const PlanningView& view,
+                    MonotonicTime now,
+                    PlannedActions& actions);
   // Counts what choosing a model to make way depends on, once a plan.
   void CountModels(const PlanningView& view,
                    const std::vector<ModelDemand::Want>& wants);
--- a/Tests/admission/retry_budget_test.cc
+++ b/Tests/admission/retry_budget_test.cc
@@ -8,7 +8,7 @@
 using namespace hickoryloft::admission;
 
 TEST_CASE("All hosts together stay within the budget of any window") {
-  rc::check("retries of a window", [] {
+  CHECK(rc::check("retries of a window", [] {
     const RetryLimits limits{
         .m_ratio = 0.2, .m_extra = 54, .m_window = seconds(10)};
     const auto hosts = *rc::gen::inRange<std::size_t>(1, 9);
@@ -36,7 +36,7 @@
                 limits.m_ratio * static_cast<double>(recent(requests)) +
                     limits.m_extra);
     }
-  });
+  }));
 }
 
 TEST_CASE("An endpoint that refuses everything does not use up more") {
--- a/Tests/admission/token_quota_test.cc
+++ b/Tests/admission/token_quota_test.cc
@@ -133,7 +133,7 @@
 }
 
 TEST_CASE("Hosts that do not hear of each other keep to the rate together") {
-  rc::check("used within a window", [] {
+  CHECK(rc::check("used within a window", [] {
     Fleet fleet(7);
     const auto cut_host = *rc::gen::inRange<std::size_t>(0, 7);
     const auto cut_from = *rc::gen::inRange(100, 900);
@@ -148,7 +148,7 @@
       }
       RC_ASSERT(fleet.Used() <= Fleet::Allowed());
     }
-  });
+  }));
 }
 
 TEST_CASE("A request that never ran gives its tokens back") {
--- a/Tests/host/event_splitter_test.cc
+++ b/Tests/host/event_splitter_test.cc
@@ -7,7 +7,7 @@
 using namespace hickoryloft::host;
 
 TEST_CASE("Whole events come out as they went in, whatever the pieces") {
-  rc::check("pieces", [] {
+  CHECK(rc::check("pieces", [] {
     const auto count = *rc::gen::inRange(1, 20);
     const auto torn = *rc::gen::arbitrary<bool>();
     std::string whole;
@@ -28,7 +28,7 @@
     RC_ASSERT(splitter.last_id() == std::to_string(count));
     RC_ASSERT(splitter.events() == count);
     RC_ASSERT(splitter.TakeRest() == (torn ? "id: 99\ndata: to" : ""));
-  });
+  }));
 }
 
 TEST_CASE("Ids of a stream with carriage returns are read") {
--- a/Tests/http/message_parser_test.cc
+++ b/Tests/http/message_parser_test.cc
@@ -56,7 +56,7 @@
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
       "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
   const std::string sized = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcde";
-  rc::check("extra bytes are not taken", [&] {
+  CHECK(rc::check("extra bytes are not taken", [&] {
     const std::string message = *rc::gen::element(chunked, sized);
     const std::string extra = *rc::gen::element<std::string>(
         "", "HTTP/1.1 200 OK\r\n\r\n", "garbage");
@@ -66,7 +66,7 @@
     RC_ASSERT(harness.m_parser.complete());
     RC_ASSERT(harness.m_parsed.m_body == "abcde");
     RC_ASSERT(harness.m_parsed.m_ends == 1);
-  });
+  }));
 }
 
 TEST_CASE("Framing that two readers could take differently is refused") {
--- a/Tests/jarro/fleet_decoder_test.cc
+++ b/Tests/jarro/fleet_decoder_test.cc
@@ -103,7 +103,7 @@
 }
 
 TEST_CASE("Decoders throw typed failures for any damage") {
-  rc::check("cut or changed text", [] {
+  CHECK(rc::check("cut or changed text", [] {
     const std::string whole =
         *rc::gen::element(Configuration().dump(), std::string(kEntry));
     std::string damaged =
@@ -123,7 +123,7 @@
         // The only failure that callers handle.
       }
     }
-  });
+  }));
 }
 
 TEST_CASE("A report tells orders, models and adapters on their way") {
--- /dev/null
+++ b/Tests/placement/planner_world.h
@@ -0,0 +1,322 @@
+// Engines of the platform's kind under a planner: they count orders, refuse a
+// wrong count, may leave an order unanswered and carry it out late.
+
+#ifndef TESTS_PLACEMENT_PLANNER_WORLD_H_
+#define TESTS_PLACEMENT_PLANNER_WORLD_H_
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/random.h"
+#include "placement/engine_planner.h"
+
+namespace hickoryloft::placement {
+
+using fleet::OrderOperation;
+using fleet::OrderOutcome;
+
+inline const ServiceId kService("llm");
+constexpr double kEngineMegabytes = 200000;
+
+inline ModelId Model(int i) {
+  return ModelId("m" + std::to_string(i));
+}
+inline EndpointId Engine(int i) {
+  return EndpointId("e" + std::to_string(i));
+}
+
+// Not thread-safe.
+class PlannerWorld {
+ public:
+  PlannerWorld(int engines, int models) : m_planner(kService) {
+    m_spec = {.m_slots = 32,
+              .m_megabytes = kEngineMegabytes,
+              .m_adapter_slots = 8,
+              .m_loads_per_second = 6.8};
+    for (int i = 0; i < models; ++i) {
+      m_spec.m_models[Model(i)] = {
+          .m_megabytes = i % 2 == 0 ? 72700.0 : 42700.0,
+          .m_load_from_store = seconds(6),
+          .m_load_from_disk = milliseconds(800),
+          .m_load_from_memory = milliseconds(500),
+          .m_adapters = 20};
+    }
+    for (int i = 0; i < engines; ++i) {
+      m_engines[Engine(i)] = {};
+      Publish(Engine(i));
+    }
+  }
+
+  struct Running {
+    fleet::EngineOrder m_order;
+    MonotonicTime m_done_at;
+  };
+  struct FakeEngine {
+    std::set<ModelId> m_models;
+    std::set<ModelId> m_on_disk;
+    std::set<std::pair<ModelId, AdapterId>> m_adapters;
+    // On their way from the weight store, until then.
+    std::map<std::pair<ModelId, AdapterId>, MonotonicTime> m_arriving;
+    std::int64_t m_accepted = 0;
+    std::optional<Running> m_running;
+  };
+
+  void Hold(int engine, std::initializer_list<int> models) {
+    for (const int model : models) {
+      m_engines[Engine(engine)].m_models.insert(Model(model));
+      m_engines[Engine(engine)].m_on_disk.insert(Model(model));
+    }
+    Publish(Engine(engine));
+  }
+  void KeepOnDisk(int engine, std::initializer_list<int> models) {
+    for (const int model : models) {
+      m_engines[Engine(engine)].m_on_disk.insert(Model(model));
+    }
+    Publish(Engine(engine));
+  }
+
+  void Publish(const EndpointId& id) {
+    const FakeEngine& engine = m_engines[id];
+    fleet::EndpointEntry entry{
+        .m_id = id, .m_service = kService, .m_slots = 32};
+    for (const ModelId& model : engine.m_models) {
+      entry.m_models[model];
+    }
+    entry.m_on_disk = {engine.m_on_disk.begin(), engine.m_on_disk.end()};
+    if (m_registration_lag > Duration(0)) {
+      m_registrations.emplace_back(m_now + m_registration_lag, entry);
+    } else {
+      m_entries[id] = entry;
+    }
+  }
+
+  void Want(int model, int waiting, const std::string& adapter = "") {
+    m_wants[{kService, Model(model), AdapterId(adapter)}] = waiting;
+    if (!adapter.empty()) {
+      m_wants[{kService, Model(model), AdapterId()}] = waiting;
+    }
+  }
+
+  PlanningView View() {
+    return {.m_entries = m_entries,
+            .m_spec = m_spec,
+            .m_demand = m_demand,
+            .m_running =
+                [this](const EndpointId& engine, const ModelId& model) {
+                  const auto found = m_running.find({engine, model});
+                  return found == m_running.end() ? 0 : found->second;
+                },
+            .m_avoided = [](const EndpointId&) { return false; }};
+  }
+
+  PlannedActions Plan() {
+    std::vector<ModelWant> wants;
+    for (const auto& [key, waiting] : m_wants) {
+      wants.push_back({.m_service = key.m_service,
+                       .m_model = key.m_model,
+                       .m_adapter = key.m_adapter,
+                       .m_waiting = waiting});
+    }
+    m_demand.TakeReport(HostId("h"), 1, wants, m_now);
+    return m_planner.Plan(View(), m_now);
+  }
+
+  // Plans, and lets engines answer: a share of orders is carried out late and
+  // not answered.
+  void Step(Duration step, double late_share, RandomEngine& random) {
+    for (const auto& [id, engine] : m_engines) {
+      m_snapshots[id] = Snapshot(id);
+    }
+    m_now += step;
+    CompleteOrders();
+    while (!m_registrations.empty() && m_registrations.front().first <= m_now) {
+      const fleet::EndpointEntry& entry = m_registrations.front().second;
+      m_entries[entry.m_id] = entry;
+      m_registrations.pop_front();
+    }
+    std::uniform_real_distribution<double> draw(0, 1);
+    while (!m_late.empty() && m_late.front().first <= m_now) {
+      Accept(m_late.front().second.m_engine, m_late.front().second.m_order);
+      m_late.pop_front();
+    }
+    const PlannedActions actions = Plan();
+    for (const EndpointId& id : actions.m_reports) {
+      Report(id);
+    }
+    for (const PlannedOrder& order : actions.m_orders) {
+      m_orders.push_back(order);
+      if (draw(random) < late_share) {
+        m_late.emplace_back(m_now + seconds(2), order);
+        Note(order.m_engine, "has not answered", order.m_order);
+        m_planner.TakeOutcome(order.m_engine, OrderOutcome::kUnknown, m_now);
+      } else {
+        m_planner.TakeOutcome(order.m_engine,
+                              Accept(order.m_engine, order.m_order), m_now);
+      }
+    }
+  }
+
+  void Report(const EndpointId& id) {
+    m_planner.TakeReport(id, m_old_reports ? m_snapshots[id] : Snapshot(id),
+                         m_now);
+  }
+
+  fleet::EngineReport Snapshot(const EndpointId& id) const {
+    const FakeEngine& engine = m_engines.at(id);
+    fleet::EngineReport report{.m_accepted_orders = engine.m_accepted,
+                               .m_busy = engine.m_running.has_value()};
+    for (const ModelId& model : engine.m_models) {
+      report.m_models[model];
+    }
+    for (const auto& [model, adapter] : engine.m_adapters) {
+      report.m_models[model].insert(adapter);
+    }
+    for (const auto& [adapter, at] : engine.m_arriving) {
+      report.m_arriving_adapters.push_back(adapter);
+    }
+    return report;
+  }
+
+  // Keeps the last events at engines, for the message of a failure.
+  void Note(const EndpointId& id,
+            const std::string& what,
+            const fleet::EngineOrder& order) {
+    const FakeEngine& engine = m_engines.at(id);
+    std::string holds;
+    for (const ModelId& model : engine.m_models) {
+      holds += " " + model.value();
+    }
+    m_events.push_back(
+        std::to_string(ToMillis(m_now.time_since_epoch()).count()) + " " +
+        id.value() + " " + what + " " +
+        (order.m_operation == OrderOperation::kLoad ? "load " : "unload ") +
+        order.m_model.value() + " " + order.m_adapter.value() + " expected " +
+        std::to_string(order.m_expected_orders) + " accepted " +
+        std::to_string(engine.m_accepted) + " holds" + holds);
+    if (m_events.size() > 40) {
+      m_events.pop_front();
+    }
+  }
+
+  OrderOutcome Accept(const EndpointId& id, const fleet::EngineOrder& order) {
+    const OrderOutcome outcome = Decide(id, order);
+    Note(id, outcome == OrderOutcome::kAccepted ? "accepts" : "rejects", order);
+    return outcome;
+  }
+
+  OrderOutcome Decide(const EndpointId& id, const fleet::EngineOrder& order) {
+    FakeEngine& engine = m_engines[id];
+    if (engine.m_running || order.m_expected_orders != engine.m_accepted) {
+      return OrderOutcome::kConflict;
+    }
+    const bool load = order.m_operation == OrderOperation::kLoad;
+    const bool held = engine.m_models.contains(order.m_model);
+    if (order.m_adapter.empty() && held == load) {
+      return OrderOutcome::kAlreadyHolds;
+    }
+    if (!order.m_adapter.empty() && load && !held) {
+      return OrderOutcome::kRefused;
+    }
+    ++engine.m_accepted;
+    if (!order.m_adapter.empty()) {
+      if (order.m_operation == OrderOperation::kLoad) {
+        engine.m_arriving[{order.m_model, order.m_adapter}] =
+            m_now + m_adapter_load;
+      } else if (engine.m_arriving.contains({order.m_model, order.m_adapter})) {
+        --engine.m_accepted;
+        return OrderOutcome::kAlreadyHolds;
+      } else {
+        engine.m_adapters.erase({order.m_model, order.m_adapter});
+      }
+      m_most_adapters = std::max(
+          m_most_adapters, engine.m_adapters.size() + engine.m_arriving.size());
+      return OrderOutcome::kAccepted;
+    }
+    const bool near = engine.m_on_disk.contains(order.m_model);
+    m_store_loads +=
+        order.m_operation == OrderOperation::kLoad && !near ? 1 : 0;
+    engine.m_running = Running{
+        .m_order = order,
+        .m_done_at = m_now + (order.m_operation == OrderOperation::kUnload
+                                  ? Duration(milliseconds(200))
+                              : near ? Duration(milliseconds(800))
+                                     : Duration(seconds(6)))};
+    CheckMemory(id);
+    return OrderOutcome::kAccepted;
+  }
+
+  void CompleteOrders() {
+    for (auto& [id, engine] : m_engines) {
+      std::erase_if(engine.m_arriving, [&, &engine = engine](const auto& one) {
+        if (one.second > m_now) {
+          return false;
+        }
+        engine.m_adapters.insert(one.first);
+        return true;
+      });
+      if (!engine.m_running || engine.m_running->m_done_at > m_now) {
+        continue;
+      }
+      const fleet::EngineOrder order = engine.m_running->m_order;
+      engine.m_running.reset();
+      if (order.m_operation == OrderOperation::kLoad) {
+        engine.m_models.insert(order.m_model);
+        engine.m_on_disk.insert(order.m_model);
+      } else {
+        engine.m_models.erase(order.m_model);
+        std::erase_if(engine.m_adapters, [&](const auto& held) {
+          return held.first == order.m_model;
+        });
+        std::erase_if(engine.m_arriving, [&](const auto& one) {
+          return one.first.first == order.m_model;
+        });
+      }
+      Publish(id);
+    }
+  }
+
+  void CheckMemory(const EndpointId& id) {
+    const FakeEngine& engine = m_engines[id];
+    std::set<ModelId> models = engine.m_models;
+    if (engine.m_running &&
+        engine.m_running->m_order.m_operation == OrderOperation::kLoad) {
+      models.insert(engine.m_running->m_order.m_model);
+    }
+    double used = 0;
+    for (const ModelId& model : models) {
+      used += m_spec.m_models.at(model).m_megabytes;
+    }
+    m_most_used = std::max(m_most_used, used);
+  }
+
+  MonotonicTime m_now{seconds(100)};
+  fleet::EngineSpec m_spec;
+  std::map<EndpointId, fleet::EndpointEntry> m_entries;
+  ModelDemand m_demand;
+  EnginePlanner m_planner;
+  std::map<EndpointId, FakeEngine> m_engines;
+  // From a change at an engine until its registration is seen here.
+  Duration m_registration_lag{};
+  std::deque<std::pair<MonotonicTime, fleet::EndpointEntry>> m_registrations;
+  Duration m_adapter_load{};
+  // Reports show the engine as it was a step ago.
+  bool m_old_reports = false;
+  std::map<EndpointId, fleet::EngineReport> m_snapshots;
+  std::map<ModelDemand::Key, int> m_wants;
+  std::map<std::pair<EndpointId, ModelId>, int> m_running;
+  std::vector<PlannedOrder> m_orders;
+  std::deque<std::pair<MonotonicTime, PlannedOrder>> m_late;
+  std::deque<std::string> m_events;
+  int m_store_loads = 0;
+  double m_most_used = 0;
+  std::size_t m_most_adapters = 0;
+};
+
+}  // namespace hickoryloft::placement
+
+#endif  // TESTS_PLACEMENT_PLANNER_WORLD_H_
--- a/Utilities/check-structure.sh
+++ b/Utilities/check-structure.sh
@@ -55,6 +55,13 @@
 adapter_lines=$(cat platform/*.cc platform/*.h | wc -l)
 [ "$adapter_lines" -le "$max_adapter_lines" ] || fail "platform/ has $adapter_lines lines; the limit is $max_adapter_lines"
 
+# rc::check only returns whether its property holds.
+while IFS= read -r line; do
+  fail "$line: the result of rc::check is dropped; wrap it in CHECK or REQUIRE"
+done < <(grep -rnE '^ *rc::check\(' Tests --include='*.cc' -B1 | awk '
+  /^[^:]+-[0-9]+-/ {before = $0}
+  /^[^:]+:[0-9]+:/ {if (before !~ /(=|\()$/) print $0}' || true)
+
 while read -r lines file; do
   [ "$lines" -le "$max_lines" ] || fail "$file has $lines lines; the limit is $max_lines"
 done < <(git ls-files -z --cached --others --exclude-standard '*.cc' '*.h' '*.py' '*.sh' '*.pml' |
