logs: a table of fields that the compiler checks; loftctl explain; more metrics

Cause: field names were free text, told in one paragraph of OPERATIONS.md, and a request's lines had to be joined by hand. Lines longer than PIPE_BUF are dropped and counted. Followers of the key-value service take changes each 0.3 of the drain bound, not each 0.6 s: the same at a bound of 2 s, 0.9 s at 3 s. A specification of the giver of orders, with its broken variants.

--- a/Source/admission/retry_budget.cc
+++ b/Source/admission/retry_budget.cc
@@ -9,14 +9,18 @@
   m_requests.push_back(now);
 }
 
-bool RetryBudget::TakeRetry(std::size_t hosts, MonotonicTime now) {
+double RetryBudget::Left(std::size_t hosts, MonotonicTime now) {
   Forget(now);
   const double own_share =
       m_limits.m_extra / static_cast<double>(std::max<std::size_t>(1, hosts));
   const double allowed =
       kUsedPart *
       (m_limits.m_ratio * static_cast<double>(m_requests.size()) + own_share);
-  if (static_cast<double>(m_retries.size() + 1) > allowed) {
+  return allowed - static_cast<double>(m_retries.size());
+}
+
+bool RetryBudget::TakeRetry(std::size_t hosts, MonotonicTime now) {
+  if (Left(hosts, now) < 1) {
     return false;
   }
   m_retries.push_back(now);
--- a/Source/admission/retry_budget.h
+++ b/Source/admission/retry_budget.h
@@ -31,6 +31,8 @@
   // Takes one second send. Precondition of a true result being safe: `hosts`
   // is the number of hosts that serve. Returns whether it may be made.
   bool TakeRetry(std::size_t hosts, MonotonicTime now);
+  // Returns how many second sends may be made now.
+  double Left(std::size_t hosts, MonotonicTime now);
 
  private:
   void Forget(MonotonicTime now);
--- a/Source/base/bounded_sink.cc
+++ b/Source/base/bounded_sink.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <climits>
 #include <utility>
 
 namespace hickoryloft {
@@ -25,7 +26,8 @@
   return std::exchange(m_dropped, 0);
 }
 
-BoundedSink::BoundedSink(int descriptor) : m_descriptor(descriptor) {
+BoundedSink::BoundedSink(int descriptor, DropNotice notice)
+    : m_descriptor(descriptor), m_notice(std::move(notice)) {
   const int flags = fcntl(descriptor, F_GETFL);
   if (flags >= 0) {
     fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
@@ -36,11 +38,12 @@
   spdlog::memory_buf_t formatted;
   formatter_->format(message, formatted);
   if (m_dropped > 0) {
-    const std::string notice =
-        "{\"part\":\"log\",\"message\":\"lines dropped, the reader of the log "
-        "left no room\",\"count\":" +
-        std::to_string(m_dropped) + "}\n";
-    if (Write(notice)) {
+    const std::string body = m_notice(m_dropped);
+    spdlog::details::log_msg notice = message;
+    notice.payload = body;
+    spdlog::memory_buf_t line;
+    formatter_->format(notice, line);
+    if (Write({line.data(), line.size()})) {
       m_dropped = 0;
     }
   }
@@ -50,6 +53,10 @@
 }
 
 bool BoundedSink::Write(std::string_view line) {
+  // A longer one could be written in part.
+  if (line.size() > PIPE_BUF) {
+    return false;
+  }
   for (;;) {
     const ssize_t written = write(m_descriptor, line.data(), line.size());
     if (written >= 0 || errno != EINTR) {
--- a/Source/base/bounded_sink.h
+++ b/Source/base/bounded_sink.h
@@ -8,6 +8,7 @@
 #include <spdlog/sinks/base_sink.h>
 
 #include <cstdint>
+#include <functional>
 #include <mutex>
 #include <string>
 #include <string_view>
@@ -42,12 +43,16 @@
 };
 
 // Writes each line with one system call to a descriptor that is switched to
-// non-blocking mode. A line for which the reader leaves no room is dropped and
-// counted; the next line that fits is preceded by the count. Thread-safe.
+// non-blocking mode. A line of more than PIPE_BUF bytes, or for which the
+// reader leaves no room is dropped and counted; the next line that fits is
+// preceded by the count. Thread-safe.
 class BoundedSink : public spdlog::sinks::base_sink<std::mutex> {
  public:
+  // Returns the body of the line that tells how many were dropped.
+  using DropNotice = std::function<std::string(std::uint64_t dropped)>;
+
   // Does not own `descriptor`.
-  explicit BoundedSink(int descriptor);
+  BoundedSink(int descriptor, DropNotice notice);
 
  protected:
   void sink_it_(const spdlog::details::log_msg& message) override;
@@ -57,6 +62,7 @@
   bool Write(std::string_view line);
 
   int m_descriptor;
+  DropNotice m_notice;
   std::uint64_t m_dropped = 0;
 };
 
--- a/Source/base/log.cc
+++ b/Source/base/log.cc
@@ -96,24 +96,30 @@
 
 }  // namespace
 
-LogField::LogField(std::string_view key, std::string_view value)
-    : m_key(key), m_value(value) {}
-LogField::LogField(std::string_view key, const char* value)
-    : m_key(key), m_value(value) {}
-LogField::LogField(std::string_view key, std::int64_t value)
-    : m_key(key), m_value(std::to_string(value)), m_number(true) {}
-LogField::LogField(std::string_view key, std::uint64_t value)
-    : m_key(key), m_value(std::to_string(value)), m_number(true) {}
-LogField::LogField(std::string_view key, int value)
-    : m_key(key), m_value(std::to_string(value)), m_number(true) {}
-LogField::LogField(std::string_view key, double value)
-    : m_key(key), m_value(std::to_string(value)), m_number(true) {}
+LogField::LogField(LogKey key, std::string_view value)
+    : m_key(key.name()), m_value(value) {}
+LogField::LogField(LogKey key, const char* value)
+    : m_key(key.name()), m_value(value) {}
+LogField::LogField(LogKey key, std::int64_t value)
+    : m_key(key.name()), m_value(std::to_string(value)), m_number(true) {}
+LogField::LogField(LogKey key, std::uint64_t value)
+    : m_key(key.name()), m_value(std::to_string(value)), m_number(true) {}
+LogField::LogField(LogKey key, int value)
+    : m_key(key.name()), m_value(std::to_string(value)), m_number(true) {}
+LogField::LogField(LogKey key, double value)
+    : m_key(key.name()), m_value(std::to_string(value)), m_number(true) {}
 
 void ConfigureLogs(LogLevel level, LogFormat format) {
   LogState& state = State();
   state.m_format = format;
   state.m_logger = std::make_shared<spdlog::logger>(
-      "hickoryloft", std::make_shared<BoundedSink>(STDOUT_FILENO));
+      "hickoryloft",
+      std::make_shared<BoundedSink>(STDOUT_FILENO, [](std::uint64_t dropped) {
+        return Line("log",
+                    "lines dropped, the reader of the log "
+                    "left no room",
+                    {{"count", dropped}});
+      }));
   state.m_logger->set_pattern(
       format == LogFormat::kText
           ? "%Y-%m-%d %H:%M:%S.%e %l %v"
--- a/Source/base/log.h
+++ b/Source/base/log.h
@@ -9,19 +9,22 @@
 #include <string>
 #include <string_view>
 
+#include "base/log_fields.h"
+
 namespace hickoryloft {
 
 enum class LogLevel { kDebug, kInfo, kWarn, kError };
 enum class LogFormat { kText, kJson };
 
-// One key=value field of a log line.
+// One key=value field of a log line. The key must be one of kLogFields, which
+// the compiler checks.
 struct LogField {
-  LogField(std::string_view key, std::string_view value);
-  LogField(std::string_view key, const char* value);
-  LogField(std::string_view key, std::int64_t value);
-  LogField(std::string_view key, std::uint64_t value);
-  LogField(std::string_view key, int value);
-  LogField(std::string_view key, double value);
+  LogField(LogKey key, std::string_view value);
+  LogField(LogKey key, const char* value);
+  LogField(LogKey key, std::int64_t value);
+  LogField(LogKey key, std::uint64_t value);
+  LogField(LogKey key, int value);
+  LogField(LogKey key, double value);
 
   std::string m_key;
   std::string m_value;
--- a/Source/fleet/configuration.h
+++ b/Source/fleet/configuration.h
@@ -4,6 +4,8 @@
 #ifndef SOURCE_FLEET_CONFIGURATION_H_
 #define SOURCE_FLEET_CONFIGURATION_H_
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -22,6 +24,12 @@
   kStreaming,      // Answered by events; at most once unless resumable.
 };
 
+constexpr const char* ToText(RequestKind kind) {
+  constexpr std::array<const char*, 3> kNames = {"idempotent", "non_idempotent",
+                                                 "streaming"};
+  return kNames.at(static_cast<std::size_t>(kind));
+}
+
 // One target of a route and its share of the route's requests.
 struct RouteTarget {
   ServiceId m_service;
--- a/Source/fleet/endpoint_entry.h
+++ b/Source/fleet/endpoint_entry.h
@@ -3,6 +3,8 @@
 #ifndef SOURCE_FLEET_ENDPOINT_ENTRY_H_
 #define SOURCE_FLEET_ENDPOINT_ENTRY_H_
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -19,6 +21,12 @@
 // Where the weights of a model can be loaded from, fastest first.
 enum class WeightTier { kHostMemory, kDisk, kStore };
 
+constexpr const char* ToText(WeightTier tier) {
+  constexpr std::array<const char*, 3> kNames = {"host_memory", "disk",
+                                                 "weight_store"};
+  return kNames.at(static_cast<std::size_t>(tier));
+}
+
 // One endpoint, as its last registration describes it.
 struct EndpointEntry {
   EndpointId m_id;
--- a/Source/fleet/knowledge_feed.cc
+++ b/Source/fleet/knowledge_feed.cc
@@ -17,10 +17,6 @@
 // Endpoints register again within about two seconds of the service's return.
 constexpr Duration kReturnPeriod = seconds(3);
 
-// Between batches of changes, so that changes that come together cost one call.
-constexpr Duration kEagerPause = milliseconds(20);
-constexpr Duration kLazyPause = milliseconds(600);
-
 const Logger kLog("knowledge");
 
 }  // namespace
@@ -93,13 +89,13 @@
         kLog.Warn("watch ended, reading again", {{"reason", error.what()}});
         m_retry = m_loop.After(Duration{}, [this] { ReadAll(); });
       });
-  SetEager(m_eager);
+  SetBatchPause(m_batch_pause);
 }
 
-void KnowledgeFeed::SetEager(bool eager) {
-  m_eager = eager;
+void KnowledgeFeed::SetBatchPause(Duration pause) {
+  m_batch_pause = pause;
   if (m_watch) {
-    m_watch->SetBatchPause(eager ? kEagerPause : kLazyPause);
+    m_watch->SetBatchPause(pause);
   }
 }
 
--- a/Source/fleet/knowledge_feed.h
+++ b/Source/fleet/knowledge_feed.h
@@ -35,9 +35,9 @@
 
   void Start();
 
-  // The giver of orders follows changes at once; others are told of loads by
-  // it, and follow the rest within a part of every bound.
-  void SetEager(bool eager);
+  // Sets the time between batches of changes, so that changes that come
+  // together cost one call.
+  void SetBatchPause(Duration pause);
 
   // Null until the first configuration has been read.
   const std::shared_ptr<const ConfigurationView>& configuration() const {
@@ -75,7 +75,7 @@
   EndpointDirectory m_directory;
   std::map<std::string, keyvalue::KeyValue> m_own_keys;
   bool m_complete = false;
-  bool m_eager = true;
+  Duration m_batch_pause{};
   MonotonicTime m_current_as_of;
   // When the service was last seen to work again after a silence.
   MonotonicTime m_recovered_at;
--- a/Source/host/frontend.cc
+++ b/Source/host/frontend.cc
@@ -37,7 +37,7 @@
   RequestFlow::Admitted admitted;
   const auto rejection = Admit(exchange->request(), admitted);
   if (rejection) {
-    Reject(*exchange, admitted.m_request.m_id, *rejection);
+    Reject(*exchange, admitted, *rejection);
     return;
   }
   const fleet::CallerRequest& request = admitted.m_request;
@@ -212,10 +212,12 @@
 }
 
 void Frontend::Reject(http::ServerExchange& exchange,
-                      const std::string& request_id,
+                      const RequestFlow::Admitted& admitted,
                       const Rejection& rejection) {
   kLog.Info("rejected",
-            {{"id", request_id},
+            {{"id", admitted.m_request.m_id},
+             {"account", admitted.m_account.value()},
+             {"model", admitted.m_request.m_model.value()},
              {"status", rejection.m_status},
              {"reason", rejection.m_reason},
              {"retry_after_ms",
@@ -224,6 +226,10 @@
                                  ? ToMillis(m_context.m_knowledge.Age()).count()
                                  : -1}});
   m_context.m_metrics.CountRefusal(rejection.m_reason);
+  m_context.m_metrics.CountOutcome(
+      admitted.m_route == nullptr ? "unknown"
+                                  : fleet::ToText(admitted.m_route->m_kind),
+      admitted.m_account, "rejected");
   http::HeaderFields headers = {{"Content-Type", "application/problem+json"}};
   if (rejection.m_retry_after) {
     headers.push_back(RetryAfterField(*rejection.m_retry_after));
@@ -310,6 +316,13 @@
   Reconsider();
 }
 
+void Frontend::MeasureAccounts() {
+  for (auto& [account, quota] : m_quotas) {
+    m_context.m_metrics.SetAccountTokens(account,
+                                         quota.Level(m_context.m_loop.Now()));
+  }
+}
+
 void Frontend::TakeOthers(const OthersView& others) {
   const MonotonicTime now = m_context.m_loop.Now();
   for (auto& [account, quota] : m_quotas) {
--- a/Source/host/frontend.h
+++ b/Source/host/frontend.h
@@ -39,6 +39,9 @@
   // Takes what the other hosts have admitted.
   void TakeOthers(const OthersView& others);
 
+  // Sets the metrics of the accounts' rates.
+  void MeasureAccounts();
+
   std::size_t open() const { return m_flows.size(); }
   std::size_t waiting() const { return m_waiting.size(); }
   // Adds what this host's report says of requests.
@@ -62,7 +65,7 @@
   // Whether an unknown route or key may merely be newer than this host's view.
   bool MayBeOutdated() const;
   void Reject(http::ServerExchange& exchange,
-              const std::string& request_id,
+              const RequestFlow::Admitted& admitted,
               const Rejection& rejection);
   void Wait(RequestFlow& flow);
   void End(RequestFlow& flow);
--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -29,6 +29,11 @@
 // A host whose knowledge is older asks for no new connections: its requests
 // will be refused soon.
 constexpr double kReadyAgePart = 0.55;
+// The giver of orders follows changes at once, others are told of loads by it;
+// the rest they learn within this part of the shortest bound, which is that of
+// leaving endpoints.
+constexpr Duration kHolderBatchPause = milliseconds(20);
+constexpr double kFollowPart = 0.3;
 // Changes that come together make one plan.
 constexpr Duration kPlanDelay = milliseconds(6);
 // After SIGTERM callers still come for about two readiness checks.
@@ -137,7 +142,8 @@
                },
            .m_avoided =
                [this](const EndpointId& id) { return AvoidedForPlacement(id); },
-           .m_host = m_settings.m_host},
+           .m_host = m_settings.m_host,
+           .m_metrics = m_metrics},
           [this] { AnnounceNews(); }),
       m_callers(loop,
                 m_settings.m_callers.m_address,
@@ -156,6 +162,7 @@
           m_settings.m_metrics.m_address,
           m_settings.m_metrics.m_port,
           [this](const std::shared_ptr<http::ServerExchange>& read) {
+            MeasureLevels();
             read->Answer(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                          m_metrics.registry().ToPrometheusText());
           }) {
@@ -277,7 +284,10 @@
   m_exchange.SetHolder(Holder());
   const bool holder_elsewhere =
       !Holder().empty() && Holder() != m_settings.m_host;
-  m_knowledge.SetEager(!holder_elsewhere);
+  m_knowledge.SetBatchPause(
+      holder_elsewhere
+          ? FromSeconds(kFollowPart * ToSeconds(m_settings.m_bounds.m_drain))
+          : kHolderBatchPause);
   m_holder_lease.Observe(keys.contains(kHolderKey), CandidatePatience());
 }
 
@@ -399,6 +409,15 @@
   return witnesses >= kWitnesses;
 }
 
+void HostDaemon::MeasureLevels() {
+  m_frontend.MeasureAccounts();
+  for (auto& [service, budget] : m_retry_budgets) {
+    m_metrics.SetRetryBudget(
+        service, budget.Left(m_exchange.peers().size() + 1, m_loop.Now()));
+  }
+  m_metrics.MeasureMemory();
+}
+
 void HostDaemon::Tick() {
   const MonotonicTime now = m_loop.Now();
   m_metrics.m_loop_delay.Record(std::max(Duration{}, now - m_tick_due));
--- a/Source/host/host_daemon.h
+++ b/Source/host/host_daemon.h
@@ -95,6 +95,8 @@
   bool KeysCurrent() const;
   bool AvoidedForPlacement(const EndpointId& id) const;
   void Tick();
+  // Sets the metrics that are only worked out when they are read.
+  void MeasureLevels();
   void ContinueStop();
 };
 
--- a/Source/host/host_metrics.cc
+++ b/Source/host/host_metrics.cc
@@ -1,5 +1,10 @@
 #include "host/host_metrics.h"
 
+#include <unistd.h>
+
+#include <cstdint>
+#include <fstream>
+
 namespace hickoryloft::host {
 
 HostMetrics::HostMetrics()
@@ -29,18 +34,60 @@
       m_configuration_version(
           m_registry.GetGauge("loft_configuration_version",
                               "The configuration in force.")),
-      m_holds_lease(m_registry.GetGauge(
-          "loft_holds_placement_lease",
-          "1 while this host may give orders to engines.")) {}
+      m_holds_lease(
+          m_registry.GetGauge("loft_holds_placement_lease",
+                              "1 while this host may give orders to engines.")),
+      m_resident_bytes(m_registry.GetGauge("loft_resident_bytes",
+                                           "Memory of the process.")) {}
 
 void HostMetrics::CountOutcome(const std::string& kind,
+                               const ClientAccountId& account,
                                const std::string& outcome) {
   m_registry
-      .GetCounter("loft_requests_total", "Requests that are over.",
-                  {{"kind", kind}, {"outcome", outcome}})
+      .GetCounter(
+          "loft_requests_total", "Requests that are over.",
+          {{"kind", kind}, {"account", account.value()}, {"outcome", outcome}})
       .Add();
 }
 
+void HostMetrics::CountOrder(const std::string& operation,
+                             const std::string& tier,
+                             const std::string& outcome) {
+  m_registry
+      .GetCounter(
+          "loft_orders_total", "Orders given to engines.",
+          {{"operation", operation}, {"tier", tier}, {"outcome", outcome}})
+      .Add();
+}
+
+void HostMetrics::SetAccountTokens(const ClientAccountId& account,
+                                   double tokens) {
+  m_registry
+      .GetGauge("loft_account_tokens",
+                "Tokens that a client account has left, as this host knows.",
+                {{"account", account.value()}})
+      .Set(tokens);
+}
+
+void HostMetrics::SetRetryBudget(const ServiceId& service, double sends) {
+  m_registry
+      .GetGauge("loft_retry_budget_sends",
+                "Second sends that this host may still make now.",
+                {{"service", service.value()}})
+      .Set(sends);
+}
+
+void HostMetrics::MeasureMemory() {
+  // Pages in all, pages resident, and others.
+  std::ifstream file("/proc/self/statm");
+  std::uint64_t pages = 0;
+  std::uint64_t resident = 0;
+  if (file >> pages >> resident) {
+    m_resident_bytes.Set(static_cast<double>(resident) *
+                         static_cast<double>(sysconf(_SC_PAGESIZE)));
+  }
+}
+
 void HostMetrics::CountRefusal(const std::string& reason) {
   m_registry
       .GetCounter("loft_refusals_total", "Requests that this host refused.",
--- a/Source/host/host_metrics.h
+++ b/Source/host/host_metrics.h
@@ -5,17 +5,31 @@
 
 #include <string>
 
+#include "base/ids.h"
 #include "metrics/registry.h"
 
 namespace hickoryloft::host {
 
-// Use on the loop's thread only. Labels are routes' kinds, outcomes and
-// reasons, so their number is bounded; no request ids, no models.
+// Use on the loop's thread only. Labels are routes' kinds, client accounts,
+// services, outcomes and reasons, so their number is bounded; no request ids,
+// no models.
 class HostMetrics {
  public:
   HostMetrics();
 
-  void CountOutcome(const std::string& kind, const std::string& outcome);
+  void CountOutcome(const std::string& kind,
+                    const ClientAccountId& account,
+                    const std::string& outcome);
+  // `tier` is empty for orders that load no model.
+  void CountOrder(const std::string& operation,
+                  const std::string& tier,
+                  const std::string& outcome);
+  // Sets the tokens that an account has left on this host's copy of its rate.
+  void SetAccountTokens(const ClientAccountId& account, double tokens);
+  // Sets how many second sends this host may still make now.
+  void SetRetryBudget(const ServiceId& service, double sends);
+  // Reads the process's memory from the kernel.
+  void MeasureMemory();
   void CountRefusal(const std::string& reason);
   void CountSend(bool again);
 
@@ -36,6 +50,7 @@
   metrics::Gauge& m_caller_connections;
   metrics::Gauge& m_configuration_version;
   metrics::Gauge& m_holds_lease;
+  metrics::Gauge& m_resident_bytes;
 };
 
 }  // namespace hickoryloft::host
--- /dev/null
+++ b/Source/host/host_settings.cc
@@ -0,0 +1,40 @@
+#include "host/host_settings.h"
+
+#include <nlohmann/json.hpp>
+
+namespace hickoryloft::host {
+
+namespace {
+
+std::string ToText(const SocketName& socket) {
+  return socket.m_address + ":" + std::to_string(socket.m_port);
+}
+
+}  // namespace
+
+std::string ToText(const HostSettings& settings) {
+  const FleetBounds& bounds = settings.m_bounds;
+  const nlohmann::ordered_json json = {
+      {"host", settings.m_host.value()},
+      {"failure_domain", settings.m_failure_domain.value()},
+      {"capacity_cores", settings.m_capacity},
+      {"address", settings.m_address},
+      {"callers", ToText(settings.m_callers)},
+      {"readiness", ToText(settings.m_readiness)},
+      {"metrics", ToText(settings.m_metrics)},
+      {"peer_port", settings.m_peer_port},
+      {"key_value_service", ToText(settings.m_key_value_service)},
+      {"min_lease_ms", ToMillis(settings.m_min_lease).count()},
+      {"bounds",
+       {{"key_withdrawal_ms", ToMillis(bounds.m_key_withdrawal).count()},
+        {"strict_withdrawal", bounds.m_strict_withdrawal},
+        {"drain_ms", ToMillis(bounds.m_drain).count()},
+        {"stop_grace_ms", ToMillis(bounds.m_stop_grace).count()},
+        {"retry_ratio", bounds.m_retry_ratio},
+        {"retry_window_ms", ToMillis(bounds.m_retry_window).count()},
+        {"retry_extra", bounds.m_retry_extra},
+        {"holder_gap_ms", ToMillis(bounds.m_holder_gap).count()}}}};
+  return json.dump(2);
+}
+
+}  // namespace hickoryloft::host
--- a/Source/host/host_settings.h
+++ b/Source/host/host_settings.h
@@ -47,6 +47,10 @@
   FleetBounds m_bounds;
 };
 
+// Returns the settings in force as JSON, under the product's names.
+// Thread-safe.
+std::string ToText(const HostSettings& settings);
+
 }  // namespace hickoryloft::host
 
 #endif  // SOURCE_HOST_HOST_SETTINGS_H_
--- a/Source/host/order_desk.cc
+++ b/Source/host/order_desk.cc
@@ -114,13 +114,14 @@
                             {"operation", ToText(order.m_operation)},
                             {"model", order.m_model.value()},
                             {"adapter", order.m_adapter.value()},
+                            {"tier", planned.m_tier},
                             {"expected_orders", order.m_expected_orders},
                             {"fence", order.m_fence},
                             {"holds", planned.m_holds},
                             {"reason", planned.m_reason}});
   m_engines.SendOrder(
       *address, order,
-      [this, service, engine = planned.m_engine, order,
+      [this, service, engine = planned.m_engine, order, tier = planned.m_tier,
        sent = m_loop.Now()](fleet::OrderOutcome outcome) {
         kLog.Info("order answered",
                   {{"engine", engine.value()},
@@ -129,6 +130,8 @@
                    {"adapter", order.m_adapter.value()},
                    {"outcome", ToText(outcome)},
                    {"after_ms", ToMillis(m_loop.Now() - sent).count()}});
+        m_inputs.m_metrics.CountOrder(ToText(order.m_operation), tier,
+                                      ToText(outcome));
         if (order.m_fence != m_planned_fence) {
           return;
         }
--- a/Source/host/order_desk.h
+++ b/Source/host/order_desk.h
@@ -10,6 +10,7 @@
 #include "base/event_loop.h"
 #include "fleet/knowledge_feed.h"
 #include "fleet/protocols.h"
+#include "host/host_metrics.h"
 #include "membership/holder_lease.h"
 #include "placement/engine_planner.h"
 
@@ -26,6 +27,7 @@
     std::function<int(const EndpointId&, const ModelId&)> m_running;
     std::function<bool(const EndpointId&)> m_avoided;
     HostId m_host;
+    HostMetrics& m_metrics;
   };
 
   // Calls `changed` when adapters or leaving models have changed.
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -45,18 +45,6 @@
   EndSend();
 }
 
-const char* RequestFlow::KindName() const {
-  switch (m_admitted.m_route->m_kind) {
-    case fleet::RequestKind::kIdempotent:
-      return "idempotent";
-    case fleet::RequestKind::kNonIdempotent:
-      return "non_idempotent";
-    case fleet::RequestKind::kStreaming:
-      return "streaming";
-  }
-  return "unknown";
-}
-
 Duration RequestFlow::Waited() const {
   return m_context.m_loop.Now() - m_admitted.m_request.m_received_at;
 }
@@ -266,12 +254,12 @@
   m_ran_at.insert(m_endpoint);
   const bool success = m_head.m_status / 100 == 2;
   if (success && (!m_facts.m_signed || m_facts.m_encoded)) {
-    m_context.m_health.RecordFailure(m_endpoint, m_context.m_loop.Now());
+    AvoidEndpoint();
     Recover(/*may_have_run=*/true, "answer_not_the_endpoints");
     return;
   }
   if (m_head.m_status >= 500) {
-    m_context.m_health.RecordFailure(m_endpoint, m_context.m_loop.Now());
+    AvoidEndpoint();
     if (MayRepeat() && m_sends < kMaxSends) {
       Recover(/*may_have_run=*/true, "endpoint_failed");
       return;
@@ -307,7 +295,7 @@
     m_context.m_replicas.NoteLack(m_endpoint, request.m_model,
                                   request.m_adapter, now);
   } else {
-    m_context.m_health.RecordFailure(m_endpoint, now);
+    AvoidEndpoint();
   }
   Recover(/*may_have_run=*/false, "endpoint_refused");
 }
@@ -317,7 +305,7 @@
   if (may_have_run) {
     m_ran_at.insert(m_endpoint);
   }
-  m_context.m_health.RecordFailure(m_endpoint, m_context.m_loop.Now());
+  AvoidEndpoint();
   kLog.Warn("send failed", {{"id", m_admitted.m_request.m_id},
                             {"endpoint", m_endpoint.value()},
                             {"may_have_run", may_have_run ? 1 : 0},
@@ -326,6 +314,14 @@
   Recover(may_have_run, "connection_failed");
 }
 
+void RequestFlow::AvoidEndpoint() {
+  const Duration pause =
+      m_context.m_health.RecordFailure(m_endpoint, m_context.m_loop.Now());
+  kLog.Info("endpoint avoided", {{"id", m_admitted.m_request.m_id},
+                                 {"endpoint", m_endpoint.value()},
+                                 {"for_ms", ToMillis(pause).count()}});
+}
+
 bool RequestFlow::MayRepeat() const {
   const fleet::Route& route = *m_admitted.m_route;
   const bool repeatable =
@@ -403,7 +399,7 @@
   const bool sent = m_phase == Phase::kSent || m_phase == Phase::kStreaming;
   if (sent) {
     m_ran_at.insert(m_endpoint);
-    m_context.m_health.RecordFailure(m_endpoint, m_context.m_loop.Now());
+    AvoidEndpoint();
   }
   EndSend();
   if (m_stream_started) {
@@ -446,7 +442,8 @@
   if (outcome == "answered") {
     m_context.m_metrics.m_whole_answer.Record(Waited());
   }
-  m_context.m_metrics.CountOutcome(KindName(), outcome);
+  m_context.m_metrics.CountOutcome(fleet::ToText(m_admitted.m_route->m_kind),
+                                   m_admitted.m_account, outcome);
   kLog.Info("over", {{"id", m_admitted.m_request.m_id},
                      {"outcome", outcome},
                      {"reason", reason},
--- a/Source/host/request_flow.h
+++ b/Source/host/request_flow.h
@@ -75,6 +75,8 @@
   void OnBytes(std::string_view bytes);
   void OnDone();
   void OnFailed(const Error& error);
+  // Avoids the endpoint of the current send for a while.
+  void AvoidEndpoint();
   void OnNotExecuted(int status);
   void OnCallerLeft();
   void OnDeadline();
@@ -91,7 +93,6 @@
                  std::optional<Duration> retry_after);
   void Finish(const std::string& outcome, const std::string& reason);
   Duration Waited() const;
-  const char* KindName() const;
 
   RequestContext& m_context;
   std::shared_ptr<http::ServerExchange> m_exchange;
--- a/Source/placement/engine_planner.cc
+++ b/Source/placement/engine_planner.cc
@@ -401,6 +401,10 @@
                    .m_adapter = order.m_adapter,
                    .m_expected_orders = *ledger.m_accepted_orders},
        .m_reason = std::move(reason)});
+  if (order.m_adapter.empty() &&
+      order.m_operation == fleet::OrderOperation::kLoad) {
+    actions.m_orders.back().m_tier = fleet::ToText(order.m_tier);
+  }
   for (const auto& [model, adapters] : view.m_entries.at(engine).m_models) {
     actions.m_orders.back().m_holds += model.value() + " ";
   }
--- a/Source/placement/engine_planner.h
+++ b/Source/placement/engine_planner.h
@@ -24,6 +24,8 @@
   fleet::EngineOrder m_order;  // Without holder and fence.
   std::string m_reason;        // For the log.
   std::string m_holds;         // Models of the engine, for the log.
+  // Where a model is loaded from, for the log; empty for other orders.
+  std::string m_tier;
 };
 // A model that callers wait for and that no engine can take now.
 struct UnplacedModel {
--- a/Source/routing/endpoint_health.cc
+++ b/Source/routing/endpoint_health.cc
@@ -14,8 +14,8 @@
   known->second.m_failed_part *= 1 - 1 / kMemory;
 }
 
-void EndpointHealth::RecordFailure(const EndpointId& endpoint,
-                                   MonotonicTime now) {
+Duration EndpointHealth::RecordFailure(const EndpointId& endpoint,
+                                       MonotonicTime now) {
   constexpr int kMostDoublings = 5;
   Record& record = m_records[endpoint];
   record.m_failed_part *=
@@ -28,6 +28,7 @@
     pause = kLongestPause;
   }
   record.m_avoid_until = std::max(record.m_avoid_until, now + pause);
+  return record.m_avoid_until - now;
 }
 
 bool EndpointHealth::Avoided(const EndpointId& endpoint,
--- a/Source/routing/endpoint_health.h
+++ b/Source/routing/endpoint_health.h
@@ -28,7 +28,8 @@
   static constexpr Duration kForgetTime = seconds(10);
 
   void RecordSuccess(const EndpointId& endpoint);
-  void RecordFailure(const EndpointId& endpoint, MonotonicTime now);
+  // Returns for how long the endpoint is avoided from now on.
+  Duration RecordFailure(const EndpointId& endpoint, MonotonicTime now);
   void Forget(const EndpointId& endpoint) { m_records.erase(endpoint); }
 
   // Whether the endpoint should be used only if there is no other.
--- a/Source/tools/ctl/commands.cc
+++ b/Source/tools/ctl/commands.cc
@@ -1,17 +1,20 @@
 #include "tools/ctl/commands.h"
 
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
 
 #include "base/error.h"
 #include "base/hashing.h"
+#include "base/log_fields.h"
 #include "base/random.h"
 #include "documents/diff_documents.h"
 #include "documents/parse_document.h"
 #include "settings/settings_file.h"
 #include "tools/ctl/admin_client.h"
 #include "tools/ctl/document_edit.h"
+#include "tools/ctl/log_timeline.h"
 
 namespace hickoryloft::tools {
 
@@ -173,4 +176,34 @@
   std::cout << nlohmann::json::parse(status).dump(kIndent) << '\n';
 }
 
+void ExplainRequest(const CtlOptions& options) {
+  LogTimeline timeline(options.m_request_id);
+  for (const std::string& path : options.m_logs) {
+    std::ifstream file(path);
+    if (!file) {
+      throw Error(ErrorCode::kInvalidArgument, "cannot read " + path);
+    }
+    timeline.Read(file, std::filesystem::path(path).stem().string());
+  }
+  if (options.m_logs.empty()) {
+    timeline.Read(std::cin, "stdin");
+  }
+  if (timeline.skipped_lines() > 0) {
+    std::cerr << "loftctl: " << timeline.skipped_lines()
+              << " lines are not log lines and were skipped\n";
+  }
+  timeline.Print(std::cout);
+}
+
+void PrintLogFields(const CtlOptions& /*options*/) {
+  std::cout
+      << "# Fields of log lines\n\n"
+         "Each line also has `time` (UTC), `level`, `part` and `message`. "
+         "Numbers are written as numbers.\n\n"
+         "| field | meaning |\n| --- | --- |\n";
+  for (const LogFieldInfo& field : kLogFields) {
+    std::cout << "| `" << field.m_name << "` | " << field.m_meaning << " |\n";
+  }
+}
+
 }  // namespace hickoryloft::tools
--- a/Source/tools/ctl/commands.h
+++ b/Source/tools/ctl/commands.h
@@ -4,6 +4,7 @@
 #define SOURCE_TOOLS_CTL_COMMANDS_H_
 
 #include <string>
+#include <vector>
 
 #include "base/time.h"
 
@@ -21,6 +22,8 @@
   std::string m_key_name;
   std::string m_endpoint;
   bool m_draining = true;
+  std::string m_request_id;
+  std::vector<std::string> m_logs;  // Files; none: standard input.
   long long m_if_revision = -1;  // -1: the revision that the tool reads first.
 };
 
@@ -43,6 +46,11 @@
 // Prints members, claims and documents as one coordinator knows them.
 void PrintStatus(const CtlOptions& options);
 
+// Prints one request's timeline from the logs of several hosts.
+void ExplainRequest(const CtlOptions& options);
+// Prints the reference page of log fields.
+void PrintLogFields(const CtlOptions& options);
+
 }  // namespace hickoryloft::tools
 
 #endif  // SOURCE_TOOLS_CTL_COMMANDS_H_
--- /dev/null
+++ b/Source/tools/ctl/log_timeline.cc
@@ -0,0 +1,189 @@
+#include "tools/ctl/log_timeline.h"
+
+#include <algorithm>
+#include <array>
+#include <ctime>
+#include <utility>
+
+#include "base/error.h"
+
+namespace hickoryloft::tools {
+
+namespace {
+
+using nlohmann::ordered_json;
+
+// Lines of the same host that do not name an endpoint or a model and may still
+// explain a request.
+constexpr std::array<const char*, 7> kHostParts = {
+    "main", "host", "knowledge", "store", "holder", "membership", "log"};
+
+// The last word before the line itself.
+std::string LastWord(const std::string& text) {
+  const std::size_t end = text.find_last_not_of(" \t");
+  if (end == std::string::npos) {
+    return "";
+  }
+  const std::size_t space = text.find_last_of(" \t", end);
+  const std::size_t begin = space == std::string::npos ? 0 : space + 1;
+  return text.substr(begin, end + 1 - begin);
+}
+
+}  // namespace
+
+LogTimeline::LogTimeline(std::string request_id)
+    : m_request_id(std::move(request_id)) {}
+
+std::optional<LogTimeline::Time> LogTimeline::ParseTime(
+    const ordered_json& fields) {
+  const std::string text = Text(fields, "time");
+  std::tm parts{};
+  const char* rest = strptime(text.c_str(), "%Y-%m-%dT%H:%M:%S", &parts);
+  if (rest == nullptr) {
+    return std::nullopt;
+  }
+  const std::string fraction = rest;
+  milliseconds millis{};
+  if (fraction.size() == 4 && fraction[0] == '.') {
+    millis = milliseconds(std::strtol(fraction.c_str() + 1, nullptr, 10));
+  }
+  return Time(std::chrono::seconds(timegm(&parts)) + millis);
+}
+
+std::string LogTimeline::Text(const ordered_json& fields, const char* name) {
+  const auto field = fields.find(name);
+  return field != fields.end() && field->is_string() ? field->get<std::string>()
+                                                     : "";
+}
+
+void LogTimeline::Read(std::istream& lines, const std::string& source) {
+  std::string text;
+  while (std::getline(lines, text)) {
+    const std::size_t begin = text.find('{');
+    if (begin == std::string::npos) {
+      m_skipped += text.empty() ? 0 : 1;
+      continue;
+    }
+    ordered_json fields =
+        ordered_json::parse(text.substr(begin), nullptr, false);
+    const auto time = fields.is_object() ? ParseTime(fields) : std::nullopt;
+    if (!time) {
+      ++m_skipped;
+      continue;
+    }
+    const std::string id = Text(fields, "id");
+    if (!id.empty() && id != m_request_id) {
+      continue;
+    }
+    const std::string host = LastWord(text.substr(0, begin));
+    m_lines.push_back({.m_time = *time,
+                       .m_host = host.empty() ? source : host,
+                       .m_fields = std::move(fields),
+                       .m_own = !id.empty()});
+  }
+}
+
+LogTimeline::Scope LogTimeline::FindScope() const {
+  Scope scope{.m_begin = Time::max(), .m_end = Time::min()};
+  for (const Line& line : m_lines) {
+    if (!line.m_own) {
+      continue;
+    }
+    scope.m_begin = std::min(scope.m_begin, line.m_time);
+    scope.m_end = std::max(scope.m_end, line.m_time);
+    scope.m_hosts.insert(line.m_host);
+    scope.m_endpoints.insert(Text(line.m_fields, "endpoint"));
+    scope.m_models.insert(Text(line.m_fields, "model"));
+  }
+  scope.m_endpoints.erase("");
+  scope.m_models.erase("");
+  if (scope.m_hosts.empty()) {
+    throw Error(ErrorCode::kNotFound, "no line has the request id '" +
+                                          m_request_id +
+                                          "'; give the logs of all hosts");
+  }
+  scope.m_begin -= ToMillis(kContext);
+  return scope;
+}
+
+bool LogTimeline::Belongs(const Line& line, const Scope& scope) {
+  if (line.m_own) {
+    return true;
+  }
+  if (line.m_time < scope.m_begin || line.m_time > scope.m_end) {
+    return false;
+  }
+  const std::string endpoint = Text(line.m_fields, "endpoint");
+  const std::string engine = Text(line.m_fields, "engine");
+  const std::string model = Text(line.m_fields, "model");
+  if (endpoint.empty() && engine.empty() && model.empty()) {
+    const std::string part = Text(line.m_fields, "part");
+    return scope.m_hosts.contains(line.m_host) &&
+           std::find(kHostParts.begin(), kHostParts.end(), part) !=
+               kHostParts.end();
+  }
+  return scope.m_models.contains(model) ||
+         (scope.m_hosts.contains(line.m_host) &&
+          scope.m_endpoints.contains(endpoint)) ||
+         scope.m_endpoints.contains(engine);
+}
+
+void LogTimeline::PrintLine(const Line& line, std::ostream& out) {
+  const std::string time = Text(line.m_fields, "time");
+  out << time.substr(std::min<std::size_t>(time.size(), 11)) << "  "
+      << (line.m_own ? "* " : "  ") << line.m_host << "  "
+      << Text(line.m_fields, "part") << ": " << Text(line.m_fields, "message");
+  for (const auto& [name, value] : line.m_fields.items()) {
+    if (name == "time" || name == "level" || name == "part" ||
+        name == "message" || name == "id") {
+      continue;
+    }
+    out << ' ' << name << '='
+        << (value.is_string() ? value.get<std::string>() : value.dump());
+  }
+  out << '\n';
+}
+
+void LogTimeline::PrintOutcome(const std::vector<const Line*>& lines,
+                               std::ostream& out) const {
+  const Line* last = nullptr;
+  bool dropped = false;
+  for (const Line* line : lines) {
+    last = line->m_own ? line : last;
+    dropped = dropped || Text(line->m_fields, "part") == "log";
+  }
+  const std::string message = Text(last->m_fields, "message");
+  out << "request " << m_request_id << ": ";
+  if (message == "over") {
+    out << Text(last->m_fields, "outcome");
+  } else if (message == "rejected") {
+    out << message;
+  } else {
+    out << "its end is not in these logs";
+  }
+  const std::string reason = Text(last->m_fields, "reason");
+  out << (reason.empty() ? "" : ", " + reason) << '\n';
+  if (dropped) {
+    out << "lines were dropped at the time; some may be missing here\n";
+  }
+}
+
+void LogTimeline::Print(std::ostream& out) const {
+  const Scope scope = FindScope();
+  std::vector<const Line*> lines;
+  for (const Line& line : m_lines) {
+    if (Belongs(line, scope)) {
+      lines.push_back(&line);
+    }
+  }
+  std::stable_sort(lines.begin(), lines.end(),
+                   [](const Line* left, const Line* right) {
+                     return left->m_time < right->m_time;
+                   });
+  for (const Line* line : lines) {
+    PrintLine(*line, out);
+  }
+  PrintOutcome(lines, out);
+}
+
+}  // namespace hickoryloft::tools
--- a/Source/tools/ctl/main.cc
+++ b/Source/tools/ctl/main.cc
@@ -19,7 +19,8 @@
     "  loftctl --operator-key-file op.key key issue jarro recife-counter "
     "till-2\n"
     "  loftctl --operator-key-file op.key endpoint drain jarro engine-3\n"
-    "  loftctl --operator-key-file op.key status --json\n";
+    "  loftctl --operator-key-file op.key status --json\n"
+    "  loftctl explain 9c41d07be2a35f68 logs/*.log\n";
 
 // Holds the parser, the options that it fills, and the command it chose.
 struct CommandLine {
@@ -119,6 +120,22 @@
   status->add_flag("--json", line.m_options.m_json, "Print JSON on one line");
 }
 
+void AddLogCommands(CommandLine& line) {
+  using namespace hickoryloft::tools;
+  CLI::App* explain = AddCommand(
+      line, &line.m_app, "explain",
+      "Show what became of a request, from the hosts' logs", &ExplainRequest);
+  explain
+      ->add_option("request", line.m_options.m_request_id, "The request's id")
+      ->required();
+  explain
+      ->add_option("file", line.m_options.m_logs,
+                   "Logs of all hosts; without any, standard input is read")
+      ->check(CLI::ExistingFile);
+  AddCommand(line, &line.m_app, "log-fields",
+             "Print the fields that log lines may have", &PrintLogFields);
+}
+
 void AddGlobalOptions(CommandLine& line) {
   line.m_app.set_version_flag("--version",
                               std::string("loftctl ") + HICKORYLOFT_VERSION);
@@ -147,6 +164,7 @@
   AddDocumentCommands(line);
   AddKeyCommands(line);
   AddOtherCommands(line);
+  AddLogCommands(line);
   try {
     line.m_app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
--- /dev/null
+++ b/Specs/order_giver.pml
@@ -0,0 +1,266 @@
+// The giver of orders: two hosts compete for one lease in the key-value service;
+// its holder orders one engine to load and unload models of one size. Orders may
+// stay unanswered and be carried out late. Times are kept as what is left of
+// them. See docs/design/specifications.md for what is left out.
+//
+// RUN: -DTTL=2 -DGAP=2 -DCAPACITY=2 -DORDERS=3
+// VARIANT: LAPSE_FROM_REPLY
+// VARIANT: NO_GAP
+// VARIANT: NO_ORDER_NUMBER
+// VARIANT: TRUST_BUSY_REPORT
+// VARIANT: TRUST_REGISTRATION
+
+/* TTL: the lease; GAP: between orders of two holders; CAPACITY: models that the
+   engine has room for; ORDERS: orders of a run. */
+#define NOBODY 2
+#define UNKNOWN 255
+
+mtype = { none, sending, unanswered, running };
+mtype = { no_answer, accepted, conflict };
+
+/* The key-value service. */
+byte owner = NOBODY;
+byte lease_left = 0;
+
+/* The engine. A late order is one that it left unanswered. */
+byte orders_accepted = 0;
+byte held = 1;
+bool busy = false;
+bool busy_load = false;
+bool late = false;
+byte late_number = 0;
+bool late_load = false;
+#ifdef TRUST_REGISTRATION
+byte registered = 1;      /* What its registration lists. */
+#endif
+
+/* The hosts. */
+bool holds[2];
+byte valid_left[2];
+byte gap_left[2];
+bool take_sent[2];
+bool renewal_sent[2];
+bool renewal_done[2];
+byte call_left[2];        /* TTL less the time since the call was sent. */
+byte known_orders[2];     /* What the engine has accepted, or UNKNOWN. */
+byte known_used[2];       /* Room taken, with what the open order may add. */
+mtype open[2] = none;
+bool open_load[2];
+bool on_way[2];           /* The open order is on its way to the engine. */
+mtype answer[2] = no_answer;
+
+/* Of the orders sent so far. */
+byte last_sender = NOBODY;
+byte since_last = 0;
+
+#define may_order(h) (holds[h] && valid_left[h] > 0 && gap_left[h] == 0)
+
+#ifdef NO_ORDER_NUMBER
+#define number_fits(n) true
+#else
+#define number_fits(n) (n == orders_accepted)
+#endif
+
+inline pass(time) {
+  if
+  :: time > 0 -> time--
+  :: else
+  fi
+}
+
+inline forget(h) {
+  known_orders[h] = UNKNOWN;
+  known_used[h] = 0;
+  open[h] = none;
+  on_way[h] = false;
+  answer[h] = no_answer
+}
+
+/* The engine begins to carry an order out. */
+inline accept(load) {
+  orders_accepted++;
+  busy = true;
+  busy_load = load;
+  assert(!load || held < CAPACITY)
+}
+
+inline send(h) {
+  assert(last_sender == NOBODY || last_sender == h || since_last >= GAP);
+  last_sender = h;
+  since_last = 0;
+  on_way[h] = true;
+  open[h] = sending
+}
+
+proctype Host(byte me) {
+end:
+  do
+  /* The lease. */
+  :: atomic { !holds[me] && !take_sent[me] && !renewal_sent[me] &&
+       !renewal_done[me] && call_left[me] == 0 && owner == NOBODY ->
+       take_sent[me] = true; call_left[me] = TTL }
+  :: atomic { holds[me] && !renewal_sent[me] && !renewal_done[me] &&
+       valid_left[me] > 0 ->
+       renewal_sent[me] = true; call_left[me] = TTL }
+  :: atomic { renewal_done[me] ->
+       if
+       /* The reply is lost. */
+       :: skip
+#ifdef LAPSE_FROM_REPLY
+       :: holds[me] -> valid_left[me] = TTL
+#else
+       :: holds[me] && valid_left[me] < call_left[me] ->
+         valid_left[me] = call_left[me]
+#endif
+       fi;
+       renewal_done[me] = false; call_left[me] = 0 }
+  :: atomic { holds[me] && valid_left[me] == 0 ->
+       holds[me] = false;
+       forget(me) }
+
+  /* Orders. */
+  :: atomic { may_order(me) && open[me] == none && known_orders[me] == UNKNOWN ->
+#ifdef TRUST_BUSY_REPORT
+       known_orders[me] = orders_accepted; known_used[me] = held
+#else
+       if
+       :: !busy -> known_orders[me] = orders_accepted; known_used[me] = held
+       :: else
+       fi
+#endif
+     }
+  :: atomic { may_order(me) && open[me] == none && known_orders[me] < ORDERS &&
+       known_used[me] < CAPACITY ->
+       known_used[me]++; open_load[me] = true; send(me) }
+  :: atomic { may_order(me) && open[me] == none && known_orders[me] < ORDERS &&
+       known_used[me] > 0 ->
+       open_load[me] = false; send(me) }
+  :: atomic { may_order(me) && open[me] == unanswered -> send(me) }
+  :: atomic { open[me] == sending && answer[me] == accepted ->
+       answer[me] = no_answer; open[me] = running; known_orders[me]++ }
+  :: atomic { open[me] == sending && answer[me] == conflict ->
+       answer[me] = no_answer; open[me] = running }
+  :: atomic { open[me] == sending && answer[me] == no_answer && !on_way[me] ->
+       open[me] = unanswered }
+#ifdef TRUST_REGISTRATION
+  /* The registration may be older than what a report has told. */
+  :: atomic { open[me] == none && known_orders[me] != UNKNOWN ->
+       known_used[me] = registered }
+#endif
+  /* The report shows what became of the order. */
+  :: atomic { may_order(me) && open[me] == running && !busy ->
+       known_orders[me] = orders_accepted; known_used[me] = held;
+       open[me] = none }
+  od
+}
+
+proctype Engine() {
+  byte h;
+end:
+  do
+  :: atomic { on_way[0] || on_way[1] ->
+       if
+       :: on_way[0] -> h = 0
+       :: on_way[1] -> h = 1
+       fi;
+       on_way[h] = false;
+       if
+       :: busy || !number_fits(known_orders[h]) ->
+         if
+         :: answer[h] = conflict
+         :: skip
+         fi
+       :: !busy && number_fits(known_orders[h]) ->
+         if
+         :: accept(open_load[h]); answer[h] = accepted
+         /* The answer is lost. */
+         :: accept(open_load[h])
+         /* Neither answered nor carried out yet. */
+         :: !late -> late = true; late_number = known_orders[h];
+           late_load = open_load[h]
+         fi
+       fi;
+       h = 0 }
+  :: atomic { late ->
+       late = false;
+       if
+       :: !busy && number_fits(late_number) -> accept(late_load)
+       :: else
+       fi;
+       late_number = 0; late_load = false }
+  :: atomic { busy ->
+       busy = false;
+       if
+       :: busy_load -> held++
+       :: !busy_load && held > 0 -> held--
+       :: else
+       fi;
+       busy_load = false }
+#ifdef TRUST_REGISTRATION
+  :: atomic { registered != held -> registered = held }
+#endif
+  od
+}
+
+proctype Network() {
+  byte h;
+end:
+  do
+  :: atomic {
+       pass(lease_left);
+       if
+       :: lease_left == 0 -> owner = NOBODY
+       :: else
+       fi;
+       pass(valid_left[0]); pass(valid_left[1]);
+       pass(gap_left[0]); pass(gap_left[1]);
+       pass(call_left[0]); pass(call_left[1]);
+       if
+       :: since_last < GAP -> since_last++
+       :: else
+       fi }
+  :: atomic { (take_sent[0] || take_sent[1]) ->
+       if
+       :: take_sent[0] -> h = 0
+       :: take_sent[1] -> h = 1
+       fi;
+       take_sent[h] = false;
+       if
+       :: owner == NOBODY ->
+         owner = h; lease_left = TTL;
+         if
+         /* The reply is lost; the key ends with its lease. */
+         :: skip
+         :: holds[h] = true; valid_left[h] = call_left[h];
+#ifndef NO_GAP
+           gap_left[h] = GAP
+#endif
+         fi
+       :: else
+       fi;
+       call_left[h] = 0; h = 0 }
+  :: atomic { (renewal_sent[0] || renewal_sent[1]) ->
+       if
+       :: renewal_sent[0] -> h = 0
+       :: renewal_sent[1] -> h = 1
+       fi;
+       renewal_sent[h] = false;
+       if
+       :: owner == h -> lease_left = TTL; renewal_done[h] = true
+       :: owner != h -> call_left[h] = 0
+       /* The call is lost. */
+       :: call_left[h] = 0
+       fi;
+       h = 0 }
+  od
+}
+
+init {
+  atomic {
+    known_orders[0] = UNKNOWN; known_orders[1] = UNKNOWN;
+    run Host(0);
+    run Host(1);
+    run Engine();
+    run Network()
+  }
+}
--- /dev/null
+++ b/Tests/tools/log_timeline_test.cc
@@ -0,0 +1,79 @@
+#include "tools/ctl/log_timeline.h"
+
+#include <catch2/catch.hpp>
+#include <sstream>
+
+#include "base/error.h"
+
+using namespace hickoryloft;
+using namespace hickoryloft::tools;
+
+namespace {
+
+// Two hosts' lines: host a takes the request, host b gives the order that it
+// waits for.
+constexpr char kHostA[] =
+    R"({"time":"2026-10-23T11:04:00.000","level":"warn","part":"knowledge","message":"key-value service back","away_ms":6331}
+{"time":"2026-10-23T11:04:05.000","level":"info","part":"admission","message":"admitted","id":"r1","model":"m7","account":"clinic"}
+{"time":"2026-10-23T11:04:05.000","level":"info","part":"admission","message":"admitted","id":"other","model":"m7"}
+{"time":"2026-10-23T11:04:05.001","level":"info","part":"admission","message":"waiting","id":"r1","model":"m7"}
+not a log line
+{"time":"2026-10-23T11:04:08.000","level":"info","part":"request","message":"sent","id":"r1","endpoint":"e3","send":1}
+{"time":"2026-10-23T11:04:09.000","level":"info","part":"request","message":"over","id":"r1","outcome":"broken_off","reason":"connection_failed"}
+)";
+constexpr char kHostB[] =
+    R"({"time":"2026-10-23T11:04:05.020","level":"info","part":"orders","message":"order given","engine":"e3","model":"m7","operation":"load"}
+{"time":"2026-10-23T11:04:05.020","level":"info","part":"orders","message":"order given","engine":"e9","model":"m8","operation":"load"}
+{"time":"2026-10-23T11:05:05.020","level":"info","part":"orders","message":"order given","engine":"e3","model":"m7","operation":"unload"}
+)";
+
+std::string Explain(const std::string& id) {
+  LogTimeline timeline(id);
+  std::istringstream a(kHostA);
+  timeline.Read(a, "a");
+  std::istringstream b(kHostB);
+  timeline.Read(b, "b");
+  std::ostringstream out;
+  timeline.Print(out);
+  CHECK(timeline.skipped_lines() == 1);
+  return out.str();
+}
+
+}  // namespace
+
+TEST_CASE("A request's timeline joins hosts, engines and models") {
+  CHECK(Explain("r1") ==
+        "11:04:00.000    a  knowledge: key-value service back away_ms=6331\n"
+        "11:04:05.000  * a  admission: admitted model=m7 account=clinic\n"
+        "11:04:05.001  * a  admission: waiting model=m7\n"
+        "11:04:05.020    b  orders: order given engine=e3 model=m7 "
+        "operation=load\n"
+        "11:04:08.000  * a  request: sent endpoint=e3 send=1\n"
+        "11:04:09.000  * a  request: over outcome=broken_off "
+        "reason=connection_failed\n"
+        "request r1: broken_off, connection_failed\n");
+}
+
+TEST_CASE("A request without an end is told as such") {
+  const std::string text = Explain("other");
+  CHECK(text.find("request other: its end is not in these logs\n") !=
+        std::string::npos);
+}
+
+TEST_CASE("An id that no log has is an error that names it") {
+  CHECK_THROWS_WITH(Explain("r2"), Catch::Matchers::Contains("'r2'"));
+}
+
+TEST_CASE("A collector's prefix names the host") {
+  LogTimeline timeline("r1");
+  std::istringstream lines(
+      "  2.21 edge-1 {\"time\":\"2026-10-23T11:04:17.216\",\"part\":"
+      "\"admission\",\"message\":\"rejected\",\"id\":\"r1\",\"reason\":"
+      "\"no_route\"}\n");
+  timeline.Read(lines, "file");
+  std::ostringstream out;
+  timeline.Print(out);
+  CHECK(out.str() ==
+        "11:04:17.216  * edge-1  admission: rejected reason=no_route\n"
+        "request r1: rejected, no_route\n");
+}
--- a/Utilities/generate-settings-reference.sh
+++ b/Utilities/generate-settings-reference.sh
@@ -1,9 +1,11 @@
 #!/usr/bin/env bash
-# Writes docs/operators/settings.md from the tables that check the settings; with --check it only compares.
+# Writes docs/operators/settings.md from the tables that check the settings, and docs/operators/log-fields.md from the table that
+# loggers check; with --check it only compares.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 readonly page=docs/operators/settings.md
+readonly log_page=docs/operators/log-fields.md
 
 reference() {
   cat <<TEXT
@@ -22,6 +24,8 @@
 
 if [ "${1:-}" = --check ]; then
   diff <(reference) "$page" || { echo "$page is out of date; run $0"; exit 1; }
+  diff <(build/bin/loftctl log-fields) "$log_page" || { echo "$log_page is out of date; run $0"; exit 1; }
 else
   reference >"$page"
+  build/bin/loftctl log-fields >"$log_page"
 fi
