host: a stopping host refuses connections before it waits for the store

Change: the listener is closed first, the process ends when the registration has ended and nothing is open, or 0.2 s before the grace is over.

--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -38,7 +38,10 @@
 constexpr Duration kPlanDelay = milliseconds(6);
 // After SIGTERM callers still come for about two readiness checks.
 constexpr Duration kStopLinger = milliseconds(2600);
+// Before the end of the grace: what is still open is aborted, and the process
+// ends.
 constexpr Duration kStopReserve = milliseconds(600);
+constexpr Duration kStopLast = milliseconds(200);
 
 const Logger kLog("host");
 
@@ -461,18 +464,27 @@
     return;
   }
   m_callers.CloseIdle();
-  const bool late = passed > m_settings.m_bounds.m_stop_grace - kStopReserve;
+  const Duration grace = m_settings.m_bounds.m_stop_grace;
   // A connection stays until its caller has read the last answer.
   const bool busy = m_frontend.open() > 0 || m_callers.connections() > 0;
-  if (busy && !late) {
+  if (busy && passed <= grace - kStopReserve) {
     return;
   }
-  m_stop_tick.reset();
-  m_frontend.AbortAll();
-  m_registration.End([this] {
+  // Whoever connects from now on is refused before it has sent anything; the
+  // registration may take long to end.
+  m_callers.StopListening();
+  if (!m_registration_ending) {
+    m_registration_ending = true;
+    m_registration.End([this] { m_registration_ended = true; });
+  }
+  if (passed > grace - kStopReserve) {
+    m_frontend.AbortAll();
+  }
+  if ((m_registration_ended && !busy) || passed > grace - kStopLast) {
+    m_stop_tick.reset();
     kLog.Info("stopped", {{"host", m_settings.m_host.value()}});
     m_loop.Stop();
-  });
+  }
 }
 
 }  // namespace hickoryloft::host
--- a/Source/host/host_daemon.h
+++ b/Source/host/host_daemon.h
@@ -66,6 +66,8 @@
   std::unique_ptr<Timer> m_tick;
   std::unique_ptr<Timer> m_plan_soon;
   std::unique_ptr<Timer> m_stop_tick;
+  bool m_registration_ending = false;
+  bool m_registration_ended = false;
   MonotonicTime m_tick_due;
   MonotonicTime m_stop_began;
   bool m_stopping = false;
--- a/Source/http/server.cc
+++ b/Source/http/server.cc
@@ -37,7 +37,7 @@
 }
 
 Server::~Server() {
-  evconnlistener_free(m_listener);
+  StopListening();
   const auto connections = std::move(m_connections);
   m_connections.clear();
   for (const auto& connection : connections) {
@@ -60,6 +60,12 @@
   m_connections.erase(connection);
 }
 
+void Server::StopListening() {
+  if (m_listener != nullptr) {
+    evconnlistener_free(std::exchange(m_listener, nullptr));
+  }
+}
+
 void Server::CloseIdle() {
   std::vector<std::shared_ptr<ServerConnection>> idle;
   for (const auto& connection : m_connections) {
--- a/Source/http/server.h
+++ b/Source/http/server.h
@@ -53,6 +53,8 @@
   // From now on every answer closes its connection.
   void BeginDrain() { m_draining = true; }
   bool draining() const { return m_draining; }
+  // Refuses connections from now on.
+  void StopListening();
   // Closes the connections on which no request is being read or answered.
   void CloseIdle();
 
--- a/StandIns/jarro_main.cc
+++ b/StandIns/jarro_main.cc
@@ -55,6 +55,10 @@
       for (const auto& server : m_servers) {
         server->BreakOffAfter(4);
       }
+    } else if (target == "/control/slow-answers") {
+      for (const auto& server : m_servers) {
+        server->AnswerAfter(milliseconds(800));
+      }
     } else if (target == "/control/drain-ledger-1") {
       m_servers[2]->Register("draining");
     } else if (target == "/control/seen") {
--- a/StandIns/jarro_server.cc
+++ b/StandIns/jarro_server.cc
@@ -166,8 +166,15 @@
            signature);
     return;
   }
-  exchange->Answer(200, {{"Request-Id", id}, {"Server-Signature", signature}},
-                   "done " + id);
+  const auto answer = [exchange, id, signature] {
+    exchange->Answer(200, {{"Request-Id", id}, {"Server-Signature", signature}},
+                     "done " + id);
+  };
+  if (m_work > Duration(0)) {
+    m_timers.push_back(m_loop.After(m_work, answer));
+  } else {
+    answer();
+  }
 }
 
 void JarroServer::Stream(const Exchange& exchange,
--- a/StandIns/jarro_server.h
+++ b/StandIns/jarro_server.h
@@ -34,6 +34,8 @@
   void Register(const std::string& state);
   // Breaks the next answers off after this many events; negative: never.
   void BreakOffAfter(int events) { m_break_after = events; }
+  // Answers that are no streams are sent this long after their request.
+  void AnswerAfter(Duration work) { m_work = work; }
 
   // Ids, accounts and keys of requests that it ran, and orders that it got.
   nlohmann::json Seen() const;
@@ -55,6 +57,7 @@
   std::int64_t m_orders = 0;
   bool m_busy = false;
   int m_break_after = -1;
+  Duration m_work{};
   std::map<std::string, std::set<std::string>> m_adapters;
   nlohmann::json m_runs = nlohmann::json::array();
   nlohmann::json m_order_log = nlohmann::json::array();
--- a/Tests/process/jarro_test.py
+++ b/Tests/process/jarro_test.py
@@ -183,6 +183,19 @@
         harness.wait_for(lambda: not fleet.ready(0), 2, "not ready")
         self.assertEqual(fleet.hosts[0].wait(), 0)
 
+    def test_stop_during_a_store_outage_cuts_nothing(self):
+        """LOST on swt-visits, hunt-e31e-3: a request came while the stopping
+        host waited for the store to end its registration."""
+        fleet = self.fleet
+        fleet.control("slow-answers")
+        fleet.control("silent")
+        fleet.hosts[0].signal(signal.SIGTERM)
+        time.sleep(3)  # Past the time in which the host serves as before.
+        reply = fleet.ask("/open/one", 0, key=None, request_id="late")
+        ran = "late" in [run["id"] for run in fleet.runs()]
+        self.assertEqual(ran, reply.status == 200, reply)
+        self.assertEqual(fleet.hosts[0].wait(), 0)
+
 
 class Program(unittest.TestCase):
 
