--- a/Source/host/order_desk.cc
+++ b/Source/host/order_desk.cc
@@ -12,6 +12,9 @@
 
 // The planner counts an adapter as present a little sooner.
 constexpr Duration kAdapterLoad = milliseconds(17);
+// A model that stays without an engine is told of again after this long; plans
+// are made many times a second.
+constexpr Duration kUnplacedLogPause = seconds(1);
 
 const Logger kLog("orders");
 
@@ -75,7 +78,22 @@
   for (const placement::PlannedOrder& order : actions.m_orders) {
     GiveOrder(service.m_id, order);
   }
-  for (const placement::UnplacedModel& unplaced : actions.m_unplaced) {
+  LogUnplaced(actions.m_unplaced);
+  if (!actions.m_orders.empty() || actions.m_settled) {
+    m_changed();
+  }
+}
+
+void OrderDesk::LogUnplaced(
+    const std::vector<placement::UnplacedModel>& models) {
+  const MonotonicTime now = m_loop.Now();
+  std::erase_if(m_unplaced_told, [&](const auto& told) {
+    return now - told.second >= kUnplacedLogPause;
+  });
+  for (const placement::UnplacedModel& unplaced : models) {
+    if (!m_unplaced_told.emplace(unplaced.m_model, now).second) {
+      continue;
+    }
     kLog.Info("no engine for a model",
               {{"model", unplaced.m_model.value()},
                {"waiting", unplaced.m_waiting},
@@ -84,9 +102,6 @@
                {"paused", unplaced.m_paused},
                {"all_models_in_use", unplaced.m_all_in_use}});
   }
-  if (!actions.m_orders.empty() || actions.m_settled) {
-    m_changed();
-  }
 }
 
 std::optional<endpoint::EndpointAddress> OrderDesk::AddressOf(
--- a/Source/host/order_desk.h
+++ b/Source/host/order_desk.h
@@ -50,6 +50,7 @@
                  const placement::PlannedOrder& planned);
   // Plans again when adapters that are being loaded are there.
   void PlanForAdapters();
+  void LogUnplaced(const std::vector<placement::UnplacedModel>& models);
   void AskReport(const ServiceId& service, const EndpointId& engine);
   std::optional<endpoint::EndpointAddress> AddressOf(
       const EndpointId& engine) const;
@@ -60,6 +61,8 @@
   std::function<void()> m_changed;
   FencingNumber m_planned_fence = 0;
   std::map<ServiceId, std::unique_ptr<placement::EnginePlanner>> m_planners;
+  // When it was last logged that a model has no engine.
+  std::map<ModelId, MonotonicTime> m_unplaced_told;
   std::unique_ptr<Timer> m_tick;
   std::unique_ptr<Timer> m_soon;
 };
