host: models of an engine that refuses connections are loaded elsewhere at once

Change: a refused connection is not tried again before the endpoint's pause is over, so the request waits; and it counts as two hosts' word, so that the giver of orders loads the model elsewhere. A failure that may be the host's own link still needs a second host.

--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -328,8 +328,8 @@
     counts.m_uses[{use.m_endpoint, use.m_model}] = use.m_running;
   }
   for (const auto& [id, entry] : m_knowledge.directory().entries()) {
-    if (m_health.Avoided(id, m_loop.Now())) {
-      counts.m_avoided[id] = 1;
+    if (const int witnesses = m_health.Witnesses(id, m_loop.Now())) {
+      counts.m_avoided[id] = witnesses;
     }
   }
   m_frontend.AddCounts(counts);
@@ -403,13 +403,11 @@
 }
 
 bool HostDaemon::AvoidedForPlacement(const EndpointId& id) const {
-  // One host's failures may be its own links'.
-  constexpr int kWitnesses = 2;
   const auto others = m_avoided_by_others.find(id);
   const int witnesses =
-      (m_health.Avoided(id, m_loop.Now()) ? 1 : 0) +
+      m_health.Witnesses(id, m_loop.Now()) +
       (others == m_avoided_by_others.end() ? 0 : others->second);
-  return witnesses >= kWitnesses;
+  return witnesses >= routing::EndpointHealth::kDecisiveWitnesses;
 }
 
 void HostDaemon::MeasureLevels() {
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -305,7 +305,10 @@
   if (may_have_run) {
     m_ran_at.insert(m_endpoint);
   }
-  AvoidEndpoint();
+  // A connection that fails before its time-out was refused.
+  const bool refused =
+      !may_have_run && m_context.m_loop.Now() - m_sent_at < kConnectTimeout;
+  AvoidEndpoint(refused);
   kLog.Warn("send failed", {{"id", m_admitted.m_request.m_id},
                             {"endpoint", m_endpoint.value()},
                             {"may_have_run", may_have_run ? 1 : 0},
@@ -314,9 +317,11 @@
   Recover(may_have_run, "connection_failed");
 }
 
-void RequestFlow::AvoidEndpoint() {
+void RequestFlow::AvoidEndpoint(bool refused) {
+  const MonotonicTime now = m_context.m_loop.Now();
   const Duration pause =
-      m_context.m_health.RecordFailure(m_endpoint, m_context.m_loop.Now());
+      refused ? m_context.m_health.RecordRefusal(m_endpoint, now)
+              : m_context.m_health.RecordFailure(m_endpoint, now);
   kLog.Info("endpoint avoided", {{"id", m_admitted.m_request.m_id},
                                  {"endpoint", m_endpoint.value()},
                                  {"for_ms", ToMillis(pause).count()}});
@@ -345,7 +350,7 @@
     kLog.Info("sending again", {{"id", m_admitted.m_request.m_id},
                                 {"reason", reason},
                                 {"sends", m_sends}});
-    if (!may_have_run && !m_admitted.m_request.m_model.empty()) {
+    if (!may_have_run && !free && !m_admitted.m_request.m_model.empty()) {
       // The model may come back to the endpoint that lacks it.
       m_tried.erase(m_endpoint);
     }
--- a/Source/host/request_flow.h
+++ b/Source/host/request_flow.h
@@ -76,7 +76,7 @@
   void OnDone();
   void OnFailed(const Error& error);
   // Avoids the endpoint of the current send for a while.
-  void AvoidEndpoint();
+  void AvoidEndpoint(bool refused = false);
   void OnNotExecuted(int status);
   void OnCallerLeft();
   void OnDeadline();
--- a/Source/routing/endpoint_health.cc
+++ b/Source/routing/endpoint_health.cc
@@ -11,6 +11,7 @@
     return;
   }
   known->second.m_failures_in_row = 0;
+  known->second.m_refused = false;
   known->second.m_failed_part *= 1 - 1 / kMemory;
 }
 
@@ -21,6 +22,7 @@
   record.m_failed_part *=
       std::exp(-ToSeconds(now - record.m_failed_at) / ToSeconds(kForgetTime));
   record.m_failed_at = now;
+  record.m_refused = false;
   record.m_failed_part += (1 - record.m_failed_part) / kMemory;
   const int doublings = std::min(record.m_failures_in_row++, kMostDoublings);
   Duration pause = std::min(kLongestPause, kFirstPause * (1 << doublings));
@@ -31,6 +33,21 @@
   return record.m_avoid_until - now;
 }
 
+Duration EndpointHealth::RecordRefusal(const EndpointId& endpoint,
+                                       MonotonicTime now) {
+  const Duration pause = RecordFailure(endpoint, now);
+  m_records[endpoint].m_refused = true;
+  return pause;
+}
+
+int EndpointHealth::Witnesses(const EndpointId& endpoint,
+                              MonotonicTime now) const {
+  if (!Avoided(endpoint, now)) {
+    return 0;
+  }
+  return m_records.at(endpoint).m_refused ? kDecisiveWitnesses : 1;
+}
+
 bool EndpointHealth::Avoided(const EndpointId& endpoint,
                              MonotonicTime now) const {
   const auto known = m_records.find(endpoint);
--- a/Source/routing/endpoint_health.h
+++ b/Source/routing/endpoint_health.h
@@ -30,14 +30,22 @@
   void RecordSuccess(const EndpointId& endpoint);
   // Returns for how long the endpoint is avoided from now on.
   Duration RecordFailure(const EndpointId& endpoint, MonotonicTime now);
+  // As RecordFailure, for a connection that the endpoint refused.
+  Duration RecordRefusal(const EndpointId& endpoint, MonotonicTime now);
   void Forget(const EndpointId& endpoint) { m_records.erase(endpoint); }
 
   // Whether the endpoint should be used only if there is no other.
   bool Avoided(const EndpointId& endpoint, MonotonicTime now) const;
+  // Returns how many hosts' word this host's view counts for: a failure may be
+  // due to its own links, a refusal only to the endpoint. 0: not avoided.
+  int Witnesses(const EndpointId& endpoint, MonotonicTime now) const;
+  // From this many on an endpoint is taken to fail all hosts.
+  static constexpr int kDecisiveWitnesses = 2;
 
  private:
   struct Record {
     int m_failures_in_row = 0;
+    bool m_refused = false;  // The last failure was a refusal.
     double m_failed_part = 0;
     MonotonicTime m_failed_at;
     MonotonicTime m_avoid_until;
--- a/StandIns/jarro_main.cc
+++ b/StandIns/jarro_main.cc
@@ -24,7 +24,7 @@
     AddServer(loop, {.m_id = "engine-2",
                      .m_service = "llm",
                      .m_models = {"m2", "m4"},
-                     .m_on_disk = {"m2", "m4"},
+                     .m_on_disk = {"m1", "m2", "m4"},
                      .m_engine = true});
     AddServer(loop, {.m_id = "ledger-1", .m_service = "ledger"});
     AddServer(loop, {.m_id = "ledger-2", .m_service = "ledger"});
@@ -55,6 +55,8 @@
       for (const auto& server : m_servers) {
         server->BreakOffAfter(4);
       }
+    } else if (target == "/control/crash-engine-1") {
+      m_servers[0]->Crash();
     } else if (target == "/control/slow-answers") {
       for (const auto& server : m_servers) {
         server->AnswerAfter(milliseconds(800));
--- a/StandIns/jarro_server.h
+++ b/StandIns/jarro_server.h
@@ -34,6 +34,12 @@
   void Register(const std::string& state);
   // Breaks the next answers off after this many events; negative: never.
   void BreakOffAfter(int events) { m_break_after = events; }
+  // Refuses connections and closes idle ones, as after a crash; its
+  // registration stays.
+  void Crash() {
+    m_http.StopListening();
+    m_http.CloseIdle();
+  }
   // Answers that are no streams are sent this long after their request.
   void AnswerAfter(Duration work) { m_work = work; }
 
--- a/Tests/process/jarro_test.py
+++ b/Tests/process/jarro_test.py
@@ -165,6 +165,15 @@
         return [order for server in self.fleet.seen()["servers"]
                 for order in server["orders"]]
 
+    def test_models_of_a_crashed_engine_are_loaded_elsewhere(self):
+        """The only engine that holds a model refuses connections; its
+        registration stays."""
+        fleet = self.fleet
+        self.assertEqual(fleet.chat("m1").status, 200)
+        fleet.control("crash-engine-1")
+        reply = fleet.chat("m1")
+        self.assertEqual((reply.status, len(reply.events())), (200, 12), reply)
+
     def test_planned_stop_cuts_nothing(self):
         fleet = self.fleet
         self.assertEqual(fleet.chat("m1").status, 200)
--- a/Tests/routing/endpoint_selection_test.cc
+++ b/Tests/routing/endpoint_selection_test.cc
@@ -57,6 +57,23 @@
   CHECK_FALSE(health.Avoided(id, now + EndpointHealth::kFirstPause));
 }
 
+// Servers crash, and their registrations lapse only seconds later: the one host
+// whose request met the crash is enough for their models to be placed
+// elsewhere.
+TEST_CASE("A refused connection counts more than a failure") {
+  EndpointHealth health;
+  const EndpointId id("crashed");
+  MonotonicTime now{seconds(10)};
+  CHECK(health.Witnesses(id, now) == 0);
+  health.RecordFailure(id, now);
+  CHECK(health.Witnesses(id, now) == 1);
+  const Duration pause = health.RecordRefusal(id, now);
+  CHECK(health.Witnesses(id, now) == EndpointHealth::kDecisiveWitnesses);
+  CHECK(health.Witnesses(id, now + pause) == 0);
+  health.RecordFailure(id, now);
+  CHECK(health.Witnesses(id, now) == 1);
+}
+
 // A server whose health check is good fails two requests in five.
 TEST_CASE("An endpoint that fails a part of its requests is avoided") {
   EndpointHealth health;
