--- a/Source/placement/engine_answers.cc
+++ b/Source/placement/engine_answers.cc
@@ -33,11 +33,13 @@
       ++*ledger.m_accepted_orders;
       break;
     case fleet::OrderOutcome::kAlreadyHolds:
-      // An adapter that no request uses is unloaded at once, which counts as
-      // an accepted order.
       ledger.m_target = ModelId();
-      if (open.m_operation == fleet::OrderOperation::kUnload &&
-          !open.m_adapter.empty()) {
+      if (open.m_adapter.empty()) {
+        TakeHeld(engine, ledger,
+                 open.m_operation == fleet::OrderOperation::kLoad, now);
+      } else if (open.m_operation == fleet::OrderOperation::kUnload) {
+        // An adapter that no request uses is unloaded at once, which counts as
+        // an accepted order.
         ++*ledger.m_accepted_orders;
       }
       SettleAdapter(ledger, now);
@@ -69,6 +71,21 @@
   }
 }
 
+void EnginePlanner::TakeHeld(const EndpointId& engine,
+                             EngineLedger& ledger,
+                             bool held,
+                             MonotonicTime now) {
+  const ModelId& model = ledger.m_open->m_model;
+  if (held) {
+    ledger.m_reported_models.insert(model);
+    ledger.m_absent_models.erase(model);
+  } else {
+    ledger.m_reported_models.erase(model);
+    ledger.m_absent_models.insert(model);
+  }
+  m_recent_models[{engine, model}] = {held, now};
+}
+
 void EnginePlanner::TakeReport(const EndpointId& engine,
                                const Result<fleet::EngineReport>& report,
                                MonotonicTime now) {
@@ -93,6 +110,7 @@
     const ModelId& model = listed.first;
     const std::unordered_set<AdapterId>& adapters = listed.second;
     ledger.m_reported_models.insert(model);
+    ledger.m_absent_models.erase(model);
     auto& held = ledger.m_adapters[model];
     std::erase_if(
         held, [&](const auto& one) { return !adapters.contains(one.first); });
--- a/Source/placement/engine_choice.cc
+++ b/Source/placement/engine_choice.cc
@@ -130,8 +130,8 @@
       view.m_spec.m_megabytes - UsedMegabytes(entry, ledger, view.m_spec);
   double lost_rate = 0;
   if (free < spec.m_megabytes) {
-    auto victims =
-        ChooseVictims(view, entry, spec.m_megabytes - free, now, lost_rate);
+    auto victims = ChooseVictims(view, entry, ledger, spec.m_megabytes - free,
+                                 now, lost_rate);
     if (!victims) {
       return std::nullopt;
     }
@@ -149,6 +149,7 @@
 std::optional<std::vector<ModelId>> EnginePlanner::ChooseVictims(
     const PlanningView& view,
     const fleet::EndpointEntry& entry,
+    const EngineLedger& ledger,
     double needed,
     MonotonicTime now,
     double& lost_rate) const {
@@ -159,7 +160,7 @@
   };
   std::vector<Idle> idle;
   for (const auto& [model, adapters] : entry.m_models) {
-    if (view.m_running(entry.m_id, model) > 0) {
+    if (view.m_running(entry.m_id, model) > 0 || !ledger.Holds(entry, model)) {
       continue;
     }
     const auto spec = view.m_spec.m_models.find(model);
--- a/Source/placement/engine_ledger.cc
+++ b/Source/placement/engine_ledger.cc
@@ -46,7 +46,9 @@
                      const fleet::EngineSpec& spec) {
   std::unordered_set<ModelId> models = ledger.m_reported_models;
   for (const auto& [model, adapters] : entry.m_models) {
-    models.insert(model);
+    if (ledger.Holds(entry, model)) {
+      models.insert(model);
+    }
   }
   if (ledger.m_open && ledger.m_open->m_adapter.empty() &&
       ledger.m_open->m_operation == fleet::OrderOperation::kLoad) {
--- a/Source/placement/engine_ledger.h
+++ b/Source/placement/engine_ledger.h
@@ -43,6 +43,9 @@
   // What the last report listed, less what was unloaded since: it may be ahead
   // of the registration for as long as the store takes to pass changes on.
   std::unordered_set<ModelId> m_reported_models;
+  // Registered models that the engine has said it does not hold: the
+  // registration is late.
+  std::unordered_set<ModelId> m_absent_models;
   MonotonicTime m_reported_at;
   std::optional<OpenOrder> m_open;
   // The model that the next orders make room for.
@@ -54,6 +57,11 @@
 
   bool m_adopted = false;  // The registration's adapters have been taken over.
 
+  // Whether the engine of `entry` holds `model`, as far as is known.
+  bool Holds(const fleet::EndpointEntry& entry, const ModelId& model) const {
+    return entry.m_models.contains(model) && !m_absent_models.contains(model);
+  }
+
   int AdapterCount() const;
   // Returns the adapter that was loaded first; one that may still be on its way
   // cannot be unloaded.
--- a/Source/placement/engine_planner.cc
+++ b/Source/placement/engine_planner.cc
@@ -100,7 +100,7 @@
     const fleet::EndpointEntry& entry = view.m_entries.at(id);
     if (Usable(entry) && !view.m_avoided(id)) {
       for (const auto& [model, adapters] : entry.m_models) {
-        ++m_present[model];
+        m_present[model] += ledger.Holds(entry, model) ? 1 : 0;
       }
     }
   }
@@ -138,6 +138,9 @@
     std::erase_if(ledger.m_adapters, [&](const auto& known) {
       return !entry.m_models.contains(known.first);
     });
+    std::erase_if(ledger.m_absent_models, [&](const ModelId& model) {
+      return !entry.m_models.contains(model);
+    });
     // Later, orders and reports are ahead of the registration.
     if (std::exchange(ledger.m_adopted, true)) {
       continue;
@@ -235,7 +238,7 @@
     const bool unloading =
         ledger.m_open && ledger.m_open->m_model == model &&
         ledger.m_open->m_operation == fleet::OrderOperation::kUnload;
-    if (entry.m_models.contains(model) && !unloading && !view.m_avoided(id)) {
+    if (ledger.Holds(entry, model) && !unloading && !view.m_avoided(id)) {
       ++replicas.m_present;
       replicas.m_running += view.m_running(id, model);
       replicas.m_with_room +=
@@ -327,8 +330,7 @@
   std::optional<EndpointId> best;
   for (const auto& [id, ledger] : m_ledgers) {
     const fleet::EndpointEntry& entry = view.m_entries.at(id);
-    if (!Usable(entry) || view.m_avoided(id) ||
-        !entry.m_models.contains(model)) {
+    if (!Usable(entry) || view.m_avoided(id) || !ledger.Holds(entry, model)) {
       continue;
     }
     const auto held = ledger.m_adapters.find(model);
--- a/Source/placement/engine_planner.h
+++ b/Source/placement/engine_planner.h
@@ -121,6 +121,12 @@
                        EngineLedger& ledger,
                        MonotonicTime now,
                        PlannedActions& actions);
+  // The engine has answered that it holds the open order's model, or that it
+  // does not; the registration may be late.
+  void TakeHeld(const EndpointId& engine,
+                EngineLedger& ledger,
+                bool held,
+                MonotonicTime now);
   // Ends the open order, which has had its effect.
   static void SettleAdapter(EngineLedger& ledger, MonotonicTime now);
   Replicas CountReplicas(const PlanningView& view, const ModelId& model) const;
@@ -154,6 +160,7 @@
   std::optional<std::vector<ModelId>> ChooseVictims(
       const PlanningView& view,
       const fleet::EndpointEntry& entry,
+      const EngineLedger& ledger,
       double needed,
       MonotonicTime now,
       double& lost_rate) const;
--- a/Tests/placement/engine_planner_test.cc
+++ b/Tests/placement/engine_planner_test.cc
@@ -160,6 +160,25 @@
       {Model(0), AdapterId("a8")}));
 }
 
+// Orders on swt-visits-grown scale-2, 200 a second: the giver's view of the
+// registrations stood still, and a model that had made way was told to go again
+// and again.
+TEST_CASE("A model that the engine does not hold is told to go once") {
+  PlannerWorld world(1, 10);
+  RandomEngine random(1);
+  world.Hold(0, {0, 2});
+  world.KeepOnDisk(0, {4});
+  world.m_registration_lag = seconds(60);
+  world.m_engines[Engine(0)].m_models.erase(Model(2));
+  world.m_running[{Engine(0), Model(0)}] = 1;
+  world.Want(4, 1);
+  for (int i = 0; i < 30; ++i) {
+    world.Step(milliseconds(100), 0, random);
+  }
+  CHECK(world.m_orders.size() == 2);
+  CHECK(world.m_engines[Engine(0)].m_models.contains(Model(4)));
+}
+
 // The weight of a loaded model counts until its registration shows, however
 // long the store takes to pass that on.
 TEST_CASE("What an engine reported counts until its registration shows it") {
