--- a/Source/host/host_metrics.cc
+++ b/Source/host/host_metrics.cc
@@ -5,8 +5,16 @@
 #include <cstdint>
 #include <fstream>
 
+#include "base/log.h"
+
 namespace hickoryloft::host {
 
+namespace {
+
+const Logger kLog("metrics");
+
+}  // namespace
+
 HostMetrics::HostMetrics()
     : m_queue_time(m_registry.GetLatency(
           "loft_queue_seconds",
@@ -79,13 +87,17 @@
 
 void HostMetrics::MeasureMemory() {
   // Pages in all, pages resident, and others.
-  std::ifstream file("/proc/self/statm");
+  static constexpr char kPath[] = "/proc/self/statm";
+  std::ifstream file(kPath);
   std::uint64_t pages = 0;
   std::uint64_t resident = 0;
-  if (file >> pages >> resident) {
-    m_resident_bytes.Set(static_cast<double>(resident) *
-                         static_cast<double>(sysconf(_SC_PAGESIZE)));
+  if (!(file >> pages >> resident)) {
+    kLog.Warn("memory not measured, its metric is old",
+              {{"reason", std::string("cannot read ") + kPath}});
+    return;
   }
+  m_resident_bytes.Set(static_cast<double>(resident) *
+                       static_cast<double>(sysconf(_SC_PAGESIZE)));
 }
 
 void HostMetrics::CountRefusal(const std::string& reason) {
