quota: hosts that do not hear of each other share the burst, not only the rate

Ruled out: late reports (the hosts of both sides admitted evenly through the window). Change: while hosts are silent, the level and its cap are cut to the share of those that are heard of.

--- a/Source/admission/token_quota.cc
+++ b/Source/admission/token_quota.cc
@@ -19,7 +19,11 @@
   const double passed = ToSeconds(now - m_at);
   m_at = now;
   const double usable = m_limit.m_tokens_per_second * (1 - m_silent_part);
-  m_level = std::min(m_limit.m_burst_tokens, m_level + passed * usable);
+  m_level = std::min(Burst(), m_level + passed * usable);
+}
+
+double TokenQuota::Burst() const {
+  return m_limit.m_burst_tokens * (1 - m_silent_part);
 }
 
 std::optional<Duration> TokenQuota::Take(double tokens, MonotonicTime now) {
@@ -29,7 +33,7 @@
   }
   const double level = Level(now);
   // A request larger than the burst is admitted from a full bucket.
-  const double needed = std::min(tokens, m_limit.m_burst_tokens);
+  const double needed = std::min(tokens, Burst());
   if (level < needed) {
     return FromSeconds((needed - level) / m_limit.m_tokens_per_second);
   }
@@ -40,7 +44,7 @@
 
 void TokenQuota::PutBack(double tokens, MonotonicTime now) {
   Refill(now);
-  m_level = std::min(m_limit.m_burst_tokens, m_level + tokens);
+  m_level = std::min(Burst(), m_level + tokens);
   m_admitted -= tokens;
 }
 
@@ -51,8 +55,7 @@
   if (now - m_others_at > kLongestGap) {
     m_level = std::min(m_level, kStartingLevel * m_limit.m_burst_tokens);
   } else if (epoch == m_epoch) {
-    m_level =
-        std::min(m_limit.m_burst_tokens, m_level - (total - m_others_total));
+    m_level = std::min(Burst(), m_level - (total - m_others_total));
   }
   m_epoch = epoch;
   m_others_at = now;
@@ -63,9 +66,16 @@
                             std::size_t hosts,
                             MonotonicTime now) {
   Refill(now);
-  m_silent_part = hosts == 0 ? 0
-                             : static_cast<double>(std::min(silent, hosts)) /
-                                   static_cast<double>(hosts);
+  // This host hears itself.
+  const double part = hosts == 0
+                          ? 0
+                          : static_cast<double>(std::min(silent, hosts - 1)) /
+                                static_cast<double>(hosts);
+  if (part > m_silent_part && m_level > 0) {
+    // What is there is spent on both sides; each keeps its hosts' share.
+    m_level *= (1 - part) / (1 - m_silent_part);
+  }
+  m_silent_part = part;
 }
 
 double TokenQuota::Level(MonotonicTime now) {
--- a/Source/admission/token_quota.h
+++ b/Source/admission/token_quota.h
@@ -19,8 +19,8 @@
 // One host's copy of an account's bucket. Every host takes from its copy what
 // it admits itself and, as reports arrive, what the others admitted, so all
 // copies agree but for the age of the reports. Hosts that run but are not heard
-// of are assumed to use an equal share of the rate each. Not thread-safe; the
-// times given must not decrease.
+// of are assumed to use an equal share of the rate and the burst each. Not
+// thread-safe; the times given must not decrease.
 class TokenQuota {
  public:
   // Part of the burst that a host may admit before the others should hear of
@@ -66,6 +66,8 @@
 
  private:
   void Refill(MonotonicTime now);
+  // Returns the part of the burst that the hosts which are heard of may use.
+  double Burst() const;
 
   QuotaLimit m_limit;
   double m_level;
--- a/Tests/admission/token_quota_test.cc
+++ b/Tests/admission/token_quota_test.cc
@@ -20,8 +20,9 @@
 // account is used much.
 class Fleet {
  public:
-  explicit Fleet(std::size_t hosts)
-      : m_quotas(hosts, TokenQuota(kLimit, MonotonicTime{})),
+  explicit Fleet(std::size_t hosts, const QuotaLimit& limit = kLimit)
+      : m_limit(limit),
+        m_quotas(hosts, TokenQuota(limit, MonotonicTime{})),
         m_reported(hosts),
         m_cut(hosts, false),
         m_regular_at(hosts),
@@ -67,9 +68,11 @@
     return used;
   }
 
-  static double Allowed() {
-    return (kLimit.m_tokens_per_second * ToSeconds(kWindow) +
-            kLimit.m_burst_tokens) *
+  void Split(std::size_t first_of_rest) { m_split = first_of_rest; }
+
+  double Allowed() const {
+    return (m_limit.m_tokens_per_second * ToSeconds(kWindow) +
+            m_limit.m_burst_tokens) *
                1.1 +
            17000;
   }
@@ -82,7 +85,8 @@
       if (other == host) {
         continue;
       }
-      if (m_cut[host] || m_cut[other]) {
+      if (m_cut[host] || m_cut[other] ||
+          (host < m_split) != (other < m_split)) {
         ++silent;
       } else {
         others += m_reported[other];
@@ -92,10 +96,12 @@
     m_quotas[host].SetSilence(silent, m_quotas.size(), m_now);
   }
 
+  QuotaLimit m_limit;
   MonotonicTime m_now;
   std::vector<TokenQuota> m_quotas;
   std::vector<double> m_reported;
   std::vector<bool> m_cut;
+  std::size_t m_split = 0;  // The hosts before it hear only of each other.
   std::vector<MonotonicTime> m_regular_at;
   std::vector<MonotonicTime> m_urgent_at;
   std::uint64_t m_epochs = 1;
@@ -115,7 +121,7 @@
       fleet.Ask(host, 500);  // 350,000 tokens a second.
     }
     used = fleet.Used();
-    REQUIRE(used <= Fleet::Allowed());
+    REQUIRE(used <= fleet.Allowed());
   }
   CHECK(used >= 0.95 * kLimit.m_tokens_per_second * ToSeconds(kWindow));
 }
@@ -146,11 +152,29 @@
       for (std::size_t host = 0; host < 7; ++host) {
         fleet.Ask(host, 300);
       }
-      RC_ASSERT(fleet.Used() <= Fleet::Allowed());
+      RC_ASSERT(fleet.Used() <= fleet.Allowed());
     }
   }));
 }
 
+// QUOTA on swt-visits-grown scale-2: a third of the hosts were cut off from the
+// rest while an account asked for many times its usual; both sides had the
+// whole burst.
+TEST_CASE("Two sides that do not hear of each other share the burst") {
+  Fleet fleet(12, {.m_tokens_per_second = 126000, .m_burst_tokens = 252000});
+  for (int step = 0; step < 200; ++step) {
+    fleet.Advance(milliseconds(10));  // The bucket is full.
+  }
+  fleet.Split(4);
+  for (int step = 0; step < 1200; ++step) {
+    fleet.Advance(milliseconds(10));
+    for (std::size_t host = 0; host < 12 && step >= 100; ++host) {
+      fleet.Ask(host, 2000);
+    }
+    REQUIRE(fleet.Used() <= fleet.Allowed());
+  }
+}
+
 TEST_CASE("A request that never ran gives its tokens back") {
   MonotonicTime now;
   TokenQuota quota(kLimit, now);
