membership: the pace of the store's watch is decided in one place; shared sums once

A reading of the change as a newcomer: announcements and what engines hold are state without a socket, and lay in the daemon's package; sums over reporters that fall silent stood in ModelDemand and in FleetLoad; a constant was left without a use. The pace of the watch was spread over constants of the daemon, and with a bound of 3 s on withdrawn keys a relay's group would have gone not ready.

No check changed; a test of the walk over holders now asks the map itself, since the walk is in EndpointFinder.

--- a/Source/host/endpoint_finder.cc
+++ b/Source/host/endpoint_finder.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <vector>
 
-#include "host/replica_map.h"
 #include "routing/endpoint_selector.h"
 
 namespace hickoryloft::host {
@@ -29,13 +28,23 @@
       take(entry);
     }
   };
-  if (!m_need.m_model.empty()) {
-    m_context.m_replicas.ForEachHolder(directory, m_need.m_model, take_ready);
+  if (m_need.m_model.empty()) {
+    for (const EndpointId& id : directory.EndpointsOf(m_need.m_service)) {
+      take_ready(*directory.Find(id));
+    }
     return;
   }
-  for (const EndpointId& id : directory.EndpointsOf(m_need.m_service)) {
+  const auto& registered = directory.HoldersOf(m_need.m_model);
+  for (const EndpointId& id : registered) {
     take_ready(*directory.Find(id));
   }
+  for (const EndpointId& id :
+       m_context.m_replicas.AnnouncedHolders(m_need.m_model)) {
+    const fleet::EndpointEntry* entry = directory.Find(id);
+    if (entry != nullptr && !registered.contains(id)) {
+      take_ready(*entry);
+    }
+  }
 }
 
 bool EndpointFinder::Serves(const fleet::EndpointEntry& entry) const {
--- a/Source/host/fleet_exchange.cc
+++ b/Source/host/fleet_exchange.cc
@@ -198,7 +198,7 @@
   if (relays.empty()) {
     return;
   }
-  const NewsPosition news = m_events.m_news_position();
+  const placement::NewsPosition news = m_events.m_news_position();
   wire::GroupReportT report;
   report.relay = m_host.value();
   report.epoch = m_epoch;
@@ -287,7 +287,7 @@
 }
 
 void FleetExchange::TakeNews(const wire::PlacementNewsT& news) {
-  const NewsUpdate update = FromRow(news);
+  const placement::NewsUpdate update = FromRow(news);
   if (const auto told = m_told.find(HostId(news.host)); told != m_told.end()) {
     told->second.m_position =
         std::max(told->second.m_position, update.m_position);
@@ -298,7 +298,7 @@
 }
 
 void FleetExchange::SendNews(const std::vector<HostId>& targets) {
-  const NewsPosition position = m_events.m_news_position();
+  const placement::NewsPosition position = m_events.m_news_position();
   for (const HostId& target : targets) {
     Told* told = ToldOf(target);
     if (told == nullptr || told->m_position >= position) {
@@ -361,7 +361,8 @@
   SendChanges(leaf);
 }
 
-void FleetExchange::HelpLaggingRelay(const HostId& relay, NewsPosition known) {
+void FleetExchange::HelpLaggingRelay(const HostId& relay,
+                                     placement::NewsPosition known) {
   Told& told = m_told[relay];
   const bool lags = known < m_events.m_news_position();
   if (lags && known == std::exchange(told.m_reported, known)) {
--- a/Source/host/fleet_exchange.h
+++ b/Source/host/fleet_exchange.h
@@ -14,10 +14,10 @@
 #include "base/event_loop.h"
 #include "fleet/change_log.h"
 #include "host/peer_links.h"
-#include "host/placement_news.h"
 #include "membership/group_demand.h"
 #include "membership/report_aggregator.h"
 #include "membership/report_groups.h"
+#include "placement/placement_news.h"
 
 namespace hickoryloft::host {
 
@@ -51,10 +51,12 @@
     std::function<void(const HostId& relay, membership::EngineDemand demand)>
         m_demand;
     // Takes news. Returns whether they told something new.
-    std::function<bool(const NewsUpdate&)> m_news;
+    std::function<bool(const placement::NewsUpdate&)> m_news;
     // Returns what a host that knows `known` should be told.
-    std::function<std::optional<NewsUpdate>(NewsPosition known)> m_news_since;
-    std::function<NewsPosition()> m_news_position;
+    std::function<std::optional<placement::NewsUpdate>(
+        placement::NewsPosition known)>
+        m_news_since;
+    std::function<placement::NewsPosition()> m_news_position;
     // What this host knows of the key-value service.
     std::function<StoreKnowledge()> m_store_knowledge;
     // Returns the changes after `known`, if this host has them.
@@ -106,9 +108,9 @@
   // What a partner has been told of the news, on one connection to it.
   struct Told {
     std::uint64_t m_connection = 0;
-    NewsPosition m_position;
+    placement::NewsPosition m_position;
     // What a relay's last report said that it knows.
-    NewsPosition m_reported;
+    placement::NewsPosition m_reported;
     // The same for changes of the key-value service.
     Revision m_store_revision = 0;
     Revision m_reported_revision = 0;
@@ -138,7 +140,7 @@
   void NoteLeafRevision(const HostId& leaf, Revision revision);
   // A relay that still lacks news after a whole interval has lost touch with
   // the giver of orders; this host passes them on.
-  void HelpLaggingRelay(const HostId& relay, NewsPosition known);
+  void HelpLaggingRelay(const HostId& relay, placement::NewsPosition known);
   // Passes an urgent report of another group on to this group.
   void ForwardToLeaves();
   void ShowOthersAsRelay();
--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -5,6 +5,7 @@
 
 #include "base/hashing.h"
 #include "base/log.h"
+#include "membership/watch_pace.h"
 
 namespace hickoryloft::host {
 
@@ -26,22 +27,6 @@
 // A host whose knowledge is older asks for no new connections: its requests
 // will be refused soon.
 constexpr double kReadyAgePart = 0.55;
-// The giver of orders learns of loads from the engines and tells the others;
-// the rest these learn within this part of the shortest bound, which is that of
-// leaving endpoints.
-constexpr Duration kHolderBatchPause = milliseconds(250);
-constexpr double kFollowPart = 0.3;
-constexpr Duration kLongestFollowPause = milliseconds(1500);
-// Each sign that nothing has changed costs a call, and proves how recent the
-// view is; what is left of the bound on withdrawn keys covers a lost answer. A
-// relay's proofs reach its group half a second later.
-constexpr Duration kQuietWait = milliseconds(1500);
-constexpr double kQuietPart = 0.3;
-constexpr Duration kFeederQuietWait = milliseconds(800);
-constexpr double kFeederQuietPart = 0.16;
-// A relay's batches reach its whole group, so they may come more often.
-constexpr double kRelayFollowPart = 0.2;
-constexpr Duration kLongestRelayPause = milliseconds(800);
 // Registrations that come together make one view of the members.
 constexpr Duration kMemberDelay = milliseconds(50);
 // After SIGTERM callers still come for about two readiness checks.
@@ -103,9 +88,11 @@
                  TakeDemand(relay, std::move(demand));
                },
            .m_news =
-               [this](const NewsUpdate& update) { return TakeNews(update); },
+               [this](const placement::NewsUpdate& update) {
+                 return TakeNews(update);
+               },
            .m_news_since =
-               [this](NewsPosition known) {
+               [this](placement::NewsPosition known) {
                  return m_replicas.log().Since(known, m_loop.Now());
                },
            .m_news_position = [this] { return m_replicas.log().position(); },
@@ -281,22 +268,14 @@
   m_exchange.SetHolder(Holder());
   const bool holder_elsewhere =
       !Holder().empty() && Holder() != m_settings.m_host;
-  const Duration withdrawal = m_settings.m_bounds.m_key_withdrawal;
-  m_knowledge.SetQuietWait(
-      m_exchange.feeds()
-          ? std::min<Duration>(
-                kFeederQuietWait,
-                FromSeconds(kFeederQuietPart * ToSeconds(withdrawal)))
-          : std::min<Duration>(
-                kQuietWait, FromSeconds(kQuietPart * ToSeconds(withdrawal))));
-  const double drain = ToSeconds(m_settings.m_bounds.m_drain);
-  const Duration follow =
-      m_exchange.feeds()
-          ? std::min<Duration>(kLongestRelayPause,
-                               FromSeconds(kRelayFollowPart * drain))
-          : std::min<Duration>(kLongestFollowPause,
-                               FromSeconds(kFollowPart * drain));
-  m_knowledge.SetBatchPause(holder_elsewhere ? follow : kHolderBatchPause);
+  const membership::WatchPace pace = membership::PaceOf(
+      !holder_elsewhere    ? membership::WatchRole::kGiver
+      : m_exchange.feeds() ? membership::WatchRole::kFeeder
+                           : membership::WatchRole::kFollower,
+      {.m_drain = m_settings.m_bounds.m_drain,
+       .m_key_withdrawal = m_settings.m_bounds.m_key_withdrawal});
+  m_knowledge.SetBatchPause(pace.m_batch_pause);
+  m_knowledge.SetQuietWait(pace.m_quiet_wait);
   const bool taken = m_knowledge.own_keys().contains(kHolderKey);
   m_holder_lease.Observe(taken, taken ? Duration{} : CandidatePatience());
 }
@@ -347,7 +326,7 @@
   if (!m_holder_lease.valid()) {
     return;  // An answer has come after the right was given up.
   }
-  PlacementNews news;
+  placement::PlacementNews news;
   for (const auto& [service, planner] : m_orders.planners()) {
     for (const auto& [engine, models] : planner->Adapters()) {
       for (const auto& [model, names] : models) {
@@ -359,8 +338,8 @@
     for (const auto& [engine, model] : planner->Leaving()) {
       news.m_leaving.emplace(engine, model);
     }
-    for (const auto& [key, present] :
-         planner->RecentModels(m_loop.Now() - ReplicaMap::kNewsLife)) {
+    for (const auto& [key, present] : planner->RecentModels(
+             m_loop.Now() - placement::ReplicaMap::kNewsLife)) {
       news.m_models[key] = present;
     }
   }
@@ -397,7 +376,7 @@
   m_orders.PlanSoon();
 }
 
-bool HostDaemon::TakeNews(const NewsUpdate& update) {
+bool HostDaemon::TakeNews(const placement::NewsUpdate& update) {
   if (!m_replicas.Take(update, m_loop.Now())) {
     return false;
   }
--- a/Source/host/host_daemon.h
+++ b/Source/host/host_daemon.h
@@ -12,10 +12,10 @@
 #include "host/frontend.h"
 #include "host/member_view.h"
 #include "host/order_desk.h"
-#include "host/replica_map.h"
 #include "http/server.h"
 #include "membership/holder_lease.h"
 #include "membership/registration.h"
+#include "placement/replica_map.h"
 
 namespace hickoryloft::host {
 
@@ -51,7 +51,7 @@
   fleet::KnowledgeFeed m_knowledge;
   routing::FleetLoad m_load;
   routing::EndpointHealth m_health;
-  ReplicaMap m_replicas;
+  placement::ReplicaMap m_replicas;
   placement::ModelDemand m_demand;
   std::unordered_map<ServiceId, admission::RetryBudget> m_retry_budgets;
   // How many other hosts avoid an endpoint.
@@ -90,7 +90,7 @@
   membership::EngineDemand TakeOwnDemand();
   void TakeOthers(const OthersView& others);
   void TakeDemand(const HostId& relay, membership::EngineDemand demand);
-  bool TakeNews(const NewsUpdate& update);
+  bool TakeNews(const placement::NewsUpdate& update);
   StoreKnowledge KnowledgeOfStore() const;
   // The engines hold something else than was announced.
   void AnnounceNews();
--- a/Source/host/report_codec.cc
+++ b/Source/host/report_codec.cc
@@ -98,12 +98,12 @@
   return demand;
 }
 
-wire::PlacementNewsT ToRow(const NewsUpdate& update) {
+wire::PlacementNewsT ToRow(const placement::NewsUpdate& update) {
   wire::PlacementNewsT row;
   row.fence = update.m_position.m_fence;
   row.number = update.m_position.m_number;
   row.whole = update.m_whole;
-  for (const PlacementChange& change : update.m_changes) {
+  for (const placement::PlacementChange& change : update.m_changes) {
     auto entry = std::make_unique<wire::PlacementChangeRowT>();
     entry->number = change.m_number;
     entry->fact = static_cast<wire::PlacementFact>(change.m_fact);
@@ -116,8 +116,8 @@
   return row;
 }
 
-NewsUpdate FromRow(const wire::PlacementNewsT& row) {
-  NewsUpdate update{
+placement::NewsUpdate FromRow(const wire::PlacementNewsT& row) {
+  placement::NewsUpdate update{
       .m_position = {.m_fence = row.fence, .m_number = row.number},
       .m_whole = row.whole};
   for (const auto& change : row.changes) {
@@ -126,7 +126,7 @@
     }
     update.m_changes.push_back(
         {.m_number = change->number,
-         .m_fact = static_cast<PlacementFact>(change->fact),
+         .m_fact = static_cast<placement::PlacementFact>(change->fact),
          .m_endpoint = EndpointId(change->endpoint),
          .m_model = ModelId(change->model),
          .m_adapter = AdapterId(change->adapter),
--- a/Source/host/report_codec.h
+++ b/Source/host/report_codec.h
@@ -6,8 +6,8 @@
 #include <memory>
 
 #include "fleet/change_log.h"
-#include "host/placement_news.h"
 #include "membership/fleet_counts.h"
+#include "placement/placement_news.h"
 #include "wire/frame.h"
 
 namespace hickoryloft::host {
@@ -21,9 +21,9 @@
     const membership::EngineDemand& demand);
 membership::EngineDemand FromRow(const wire::EngineDemandRowT& row);
 
-wire::PlacementNewsT ToRow(const NewsUpdate& update);
+wire::PlacementNewsT ToRow(const placement::NewsUpdate& update);
 // Changes of a kind that this version does not know are left out.
-NewsUpdate FromRow(const wire::PlacementNewsT& row);
+placement::NewsUpdate FromRow(const wire::PlacementNewsT& row);
 
 wire::StoreChangesT ToRow(const fleet::ChangeSpan& span);
 fleet::ChangeSpan FromRow(const wire::StoreChangesT& row);
--- a/Source/host/request_context.h
+++ b/Source/host/request_context.h
@@ -14,13 +14,13 @@
 #include "fleet/protocols.h"
 #include "host/host_metrics.h"
 #include "host/host_settings.h"
+#include "placement/replica_map.h"
 #include "routing/endpoint_health.h"
 #include "routing/fleet_load.h"
 
 namespace hickoryloft::host {
 
 class RequestFlow;
-class ReplicaMap;
 
 // Refers to parts of the daemon, which outlive the requests. Use on the loop's
 // thread only.
@@ -32,7 +32,7 @@
   endpoint::HttpClient& m_client;
   routing::FleetLoad& m_load;
   routing::EndpointHealth& m_health;
-  ReplicaMap& m_replicas;
+  placement::ReplicaMap& m_replicas;
   RandomEngine& m_random;
   HostMetrics& m_metrics;
   // The budget for second sends to a service.
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -6,7 +6,6 @@
 
 #include "base/log.h"
 #include "host/endpoint_finder.h"
-#include "host/replica_map.h"
 #include "host/retry_after.h"
 
 namespace hickoryloft::host {
--- /dev/null
+++ b/Source/membership/watch_pace.cc
@@ -0,0 +1,68 @@
+#include "membership/watch_pace.h"
+
+#include <algorithm>
+
+namespace hickoryloft::membership {
+
+namespace {
+
+// Parts of the bounds and a limit, for the pause and for the wait. Together
+// with the time that a report takes to its group, the parts of the bound on
+// keys stay below the half from which a host asks for no new connections.
+struct RoleLimits {
+  double m_drain_part = 0;
+  double m_pause_part = 0;
+  Duration m_longest_pause{};
+  double m_wait_part = 0;
+  Duration m_longest_wait{};
+};
+
+// The giver of orders learns of loads from the engines; leaving engines and
+// restarts matter to it most.
+constexpr RoleLimits kGiver{.m_drain_part = 0.3,
+                            .m_pause_part = 0.2,
+                            .m_longest_pause = milliseconds(250),
+                            .m_wait_part = 0.3,
+                            .m_longest_wait = milliseconds(1500)};
+// Its view is half a second older by the time that its group has it.
+constexpr RoleLimits kFeeder{.m_drain_part = 0.2,
+                             .m_pause_part = 0.16,
+                             .m_longest_pause = milliseconds(800),
+                             .m_wait_part = 0.16,
+                             .m_longest_wait = milliseconds(800)};
+constexpr RoleLimits kFollower{.m_drain_part = 0.3,
+                               .m_pause_part = 0.24,
+                               .m_longest_pause = milliseconds(1500),
+                               .m_wait_part = 0.3,
+                               .m_longest_wait = milliseconds(1500)};
+
+const RoleLimits& LimitsOf(WatchRole role) {
+  switch (role) {
+    case WatchRole::kGiver:
+      return kGiver;
+    case WatchRole::kFeeder:
+      return kFeeder;
+    case WatchRole::kFollower:
+      return kFollower;
+  }
+  return kFollower;
+}
+
+Duration Part(double part, Duration bound) {
+  return FromSeconds(part * ToSeconds(bound));
+}
+
+}  // namespace
+
+WatchPace PaceOf(WatchRole role, const WatchBounds& bounds) {
+  const RoleLimits& limits = LimitsOf(role);
+  return {.m_batch_pause =
+              std::min({limits.m_longest_pause,
+                        Part(limits.m_drain_part, bounds.m_drain),
+                        Part(limits.m_pause_part, bounds.m_key_withdrawal)}),
+          .m_quiet_wait =
+              std::min(limits.m_longest_wait,
+                       Part(limits.m_wait_part, bounds.m_key_withdrawal))};
+}
+
+}  // namespace hickoryloft::membership
--- a/Source/placement/engine_ledger.h
+++ b/Source/placement/engine_ledger.h
@@ -90,10 +90,6 @@
       MonotonicTime now) const;
 };
 
-// An accepted order whose effect has not shown after the time of its load and
-// this long is looked up in the engine's report.
-constexpr Duration kOrderEffectSlack = seconds(2);
-
 // A registration shows a change within this time, unless the store is slow.
 constexpr Duration kRegistrationLag = seconds(3);
 
--- a/Source/placement/model_demand.cc
+++ b/Source/placement/model_demand.cc
@@ -9,15 +9,6 @@
   return std::exp(-ToSeconds(passed) / ToSeconds(kRateMemory));
 }
 
-void ModelDemand::AddWaiting(const std::map<Key, int>& waiting, int sign) {
-  for (const auto& [key, count] : waiting) {
-    const auto sum = m_waiting.try_emplace(key, 0).first;
-    if ((sum->second += sign * count) == 0) {
-      m_waiting.erase(sum);
-    }
-  }
-}
-
 void ModelDemand::TakeReport(const HostId& relay,
                              const std::vector<ModelWant>& wants,
                              MonotonicTime now) {
@@ -34,25 +25,7 @@
       rate.m_at = now;
     }
   }
-  Group& group = m_groups[relay];
-  AddWaiting(group.m_waiting, -1);
-  AddWaiting(waiting, 1);
-  group = {.m_heard_at = now, .m_waiting = std::move(waiting)};
-}
-
-void ModelDemand::Expire(MonotonicTime now) {
-  std::erase_if(m_groups, [&](const auto& entry) {
-    if (now - entry.second.m_heard_at <= kWaitingLife) {
-      return false;
-    }
-    AddWaiting(entry.second.m_waiting, -1);
-    return true;
-  });
-}
-
-int ModelDemand::Waiting(const Key& key) const {
-  const auto waiting = m_waiting.find(key);
-  return waiting == m_waiting.end() ? 0 : waiting->second;
+  m_waiting.Take(relay, std::move(waiting), now);
 }
 
 double ModelDemand::Rate(const Key& key, MonotonicTime now) const {
@@ -64,8 +37,8 @@
 
 std::vector<ModelDemand::Want> ModelDemand::Waiting() const {
   std::vector<Want> wants;
-  wants.reserve(m_waiting.size());
-  for (const auto& [key, waiting] : m_waiting) {
+  wants.reserve(m_waiting.totals().size());
+  for (const auto& [key, waiting] : m_waiting.totals()) {
     wants.push_back({.m_key = key, .m_waiting = waiting});
   }
   return wants;
--- a/Source/placement/model_demand.h
+++ b/Source/placement/model_demand.h
@@ -10,6 +10,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "routing/reported_levels.h"
 
 namespace hickoryloft::placement {
 
@@ -29,9 +30,6 @@
   // The memory of the rate: a few times the pause between requests for a
   // rarely used model, so that recent use decides which model makes way.
   static constexpr Duration kRateMemory = seconds(12);
-  // A group that has not reported for this long has no requests waiting: a few
-  // report intervals.
-  static constexpr Duration kWaitingLife = milliseconds(1500);
 
   // Returns the part of a rate's memory that is left after `passed`.
   static double Decay(Duration passed);
@@ -56,31 +54,23 @@
                   const std::vector<ModelWant>& wants,
                   MonotonicTime now);
   // Drops the reports of groups that have been silent. Rates are kept.
-  void Expire(MonotonicTime now);
+  void Expire(MonotonicTime now) { m_waiting.Expire(now); }
 
   // Requests that wait, over all hosts.
-  int Waiting(const Key& key) const;
+  int Waiting(const Key& key) const { return m_waiting.Total(key); }
   // Arrivals a second, lately.
   double Rate(const Key& key, MonotonicTime now) const;
   // All keys for which requests wait.
   std::vector<Want> Waiting() const;
 
  private:
-  struct Group {
-    MonotonicTime m_heard_at;
-    std::map<Key, int> m_waiting;
-  };
   struct DecayingRate {
     double m_per_second = 0;
     MonotonicTime m_at;
   };
 
-  std::map<HostId, Group> m_groups;
-  // Sums over m_groups.
-  std::map<Key, int> m_waiting;
+  routing::ReportedLevels<Key> m_waiting;
   std::map<Key, DecayingRate> m_rates;
-
-  void AddWaiting(const std::map<Key, int>& waiting, int sign);
 };
 
 }  // namespace hickoryloft::placement
--- a/Source/host/news_log.cc
+++ b/Source/placement/news_log.cc
@@ -1,9 +1,9 @@
-#include "host/news_log.h"
+#include "placement/news_log.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace hickoryloft::host {
+namespace hickoryloft::placement {
 
 NewsLog::State NewsLog::StateOf(const PlacementNews& news, MonotonicTime now) {
   State state;
@@ -153,4 +153,4 @@
   return Holds({PlacementFact::kLeaving, endpoint, model, {}});
 }
 
-}  // namespace hickoryloft::host
+}  // namespace hickoryloft::placement
--- a/Source/host/news_log.h
+++ b/Source/placement/news_log.h
@@ -1,17 +1,17 @@
 // The announcements of the giver of orders as a log, so that a partner is sent
 // what has changed and not everything again.
 
-#ifndef SOURCE_HOST_NEWS_LOG_H_
-#define SOURCE_HOST_NEWS_LOG_H_
+#ifndef SOURCE_PLACEMENT_NEWS_LOG_H_
+#define SOURCE_PLACEMENT_NEWS_LOG_H_
 
 #include <deque>
 #include <map>
 #include <optional>
 
 #include "base/time.h"
-#include "host/placement_news.h"
+#include "placement/placement_news.h"
 
-namespace hickoryloft::host {
+namespace hickoryloft::placement {
 
 // Every host that knows a position has the same state there, by whatever way
 // the changes came. Not thread-safe; the times given must not decrease.
@@ -76,6 +76,6 @@
   std::deque<PlacementChange> m_changes;
 };
 
-}  // namespace hickoryloft::host
+}  // namespace hickoryloft::placement
 
-#endif  // SOURCE_HOST_NEWS_LOG_H_
+#endif  // SOURCE_PLACEMENT_NEWS_LOG_H_
--- a/Source/host/placement_news.h
+++ b/Source/placement/placement_news.h
@@ -1,7 +1,7 @@
 // What the giver of orders announces ahead of engines' registrations.
 
-#ifndef SOURCE_HOST_PLACEMENT_NEWS_H_
-#define SOURCE_HOST_PLACEMENT_NEWS_H_
+#ifndef SOURCE_PLACEMENT_PLACEMENT_NEWS_H_
+#define SOURCE_PLACEMENT_PLACEMENT_NEWS_H_
 
 #include <compare>
 #include <cstdint>
@@ -13,7 +13,7 @@
 
 #include "base/ids.h"
 
-namespace hickoryloft::host {
+namespace hickoryloft::placement {
 
 enum class PlacementFact : std::uint8_t {
   kAdapter,  // The engine holds the adapter.
@@ -65,6 +65,6 @@
   std::map<Model, bool> m_models;  // Loaded or unloaded lately.
 };
 
-}  // namespace hickoryloft::host
+}  // namespace hickoryloft::placement
 
-#endif  // SOURCE_HOST_PLACEMENT_NEWS_H_
+#endif  // SOURCE_PLACEMENT_PLACEMENT_NEWS_H_
--- a/Source/host/replica_map.cc
+++ b/Source/placement/replica_map.cc
@@ -1,6 +1,6 @@
-#include "host/replica_map.h"
+#include "placement/replica_map.h"
 
-namespace hickoryloft::host {
+namespace hickoryloft::placement {
 
 bool ReplicaMap::Announce(FencingNumber fence,
                           const PlacementNews& state,
@@ -82,24 +82,18 @@
   return adapter.empty() || m_log.HoldsAdapter(entry.m_id, model, adapter);
 }
 
-void ReplicaMap::ForEachHolder(
-    const fleet::EndpointDirectory& directory,
-    const ModelId& model,
-    const std::function<void(const fleet::EndpointEntry&)>& take) const {
-  const auto& registered = directory.HoldersOf(model);
-  for (const EndpointId& id : registered) {
-    take(*directory.Find(id));
-  }
+std::vector<EndpointId> ReplicaMap::AnnouncedHolders(
+    const ModelId& model) const {
+  std::vector<EndpointId> holders;
   const auto known = m_models.find(model);
-  if (known == m_models.end()) {
-    return;
-  }
-  for (const auto& [id, announced] : known->second.m_announced) {
-    const fleet::EndpointEntry* entry = directory.Find(id);
-    if (announced.m_present && entry != nullptr && !registered.contains(id)) {
-      take(*entry);
+  if (known != m_models.end()) {
+    for (const auto& [id, announced] : known->second.m_announced) {
+      if (announced.m_present) {
+        holders.push_back(id);
+      }
     }
   }
+  return holders;
 }
 
-}  // namespace hickoryloft::host
+}  // namespace hickoryloft::placement
--- a/Source/host/replica_map.h
+++ b/Source/placement/replica_map.h
@@ -1,20 +1,20 @@
 // Which endpoints hold a model or an adapter, from registrations and from what
 // the giver of orders announces ahead of them.
 
-#ifndef SOURCE_HOST_REPLICA_MAP_H_
-#define SOURCE_HOST_REPLICA_MAP_H_
+#ifndef SOURCE_PLACEMENT_REPLICA_MAP_H_
+#define SOURCE_PLACEMENT_REPLICA_MAP_H_
 
-#include <functional>
 #include <map>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "base/ids.h"
 #include "base/time.h"
-#include "fleet/endpoint_directory.h"
-#include "host/news_log.h"
+#include "fleet/endpoint_entry.h"
+#include "placement/news_log.h"
 
-namespace hickoryloft::host {
+namespace hickoryloft::placement {
 
 // Not thread-safe; the times given must not decrease.
 class ReplicaMap {
@@ -49,12 +49,9 @@
   bool Holds(const fleet::EndpointEntry& entry,
              const ModelId& model,
              MonotonicTime now) const;
-  // Calls `take` for each endpoint of `directory` that may hold `model`: those
-  // that have registered it, and those that it is announced for.
-  void ForEachHolder(
-      const fleet::EndpointDirectory& directory,
-      const ModelId& model,
-      const std::function<void(const fleet::EndpointEntry&)>& take) const;
+  // Returns the endpoints that `model` is announced for, ahead of their
+  // registrations or not.
+  std::vector<EndpointId> AnnouncedHolders(const ModelId& model) const;
 
  private:
   struct Announced {
@@ -77,6 +74,6 @@
   std::unordered_map<ModelId, OfModel> m_models;
 };
 
-}  // namespace hickoryloft::host
+}  // namespace hickoryloft::placement
 
-#endif  // SOURCE_HOST_REPLICA_MAP_H_
+#endif  // SOURCE_PLACEMENT_REPLICA_MAP_H_
--- a/Source/routing/fleet_load.cc
+++ b/Source/routing/fleet_load.cc
@@ -41,31 +41,6 @@
   m_others.insert(running.begin(), running.end());
 }
 
-void FleetLoad::AddUses(const EndpointUses& uses, int sign) {
-  for (const auto& [key, running] : uses) {
-    AddTo(m_by_model, key, sign * running);
-  }
-}
-
-void FleetLoad::TakeGroupUses(const HostId& relay,
-                              EndpointUses uses,
-                              MonotonicTime now) {
-  Group& group = m_groups[relay];
-  AddUses(group.m_uses, -1);
-  AddUses(uses, 1);
-  group = {.m_heard_at = now, .m_uses = std::move(uses)};
-}
-
-void FleetLoad::ExpireGroupUses(MonotonicTime now) {
-  std::erase_if(m_groups, [&](const auto& entry) {
-    if (now - entry.second.m_heard_at <= kUsesLife) {
-      return false;
-    }
-    AddUses(entry.second.m_uses, -1);
-    return true;
-  });
-}
-
 int FleetLoad::Total(const EndpointId& endpoint) const {
   const EndpointKey key = KeyOf(endpoint);
   const auto own = m_own_totals.find(key);
@@ -77,10 +52,8 @@
 int FleetLoad::Total(const EndpointId& endpoint, const ModelId& model) const {
   const std::pair key(endpoint, model);
   const auto own = m_own.find(key);
-  const auto reported = m_by_model.find(key);
   // The groups' reports include this host's.
-  return std::max(own == m_own.end() ? 0 : own->second,
-                  reported == m_by_model.end() ? 0 : reported->second);
+  return std::max(own == m_own.end() ? 0 : own->second, m_by_model.Total(key));
 }
 
 }  // namespace hickoryloft::routing
--- a/Source/routing/fleet_load.h
+++ b/Source/routing/fleet_load.h
@@ -11,6 +11,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "routing/reported_levels.h"
 
 namespace hickoryloft::routing {
 
@@ -31,10 +32,6 @@
 // thread-safe; the times given must not decrease.
 class FleetLoad {
  public:
-  // A group that has not reported its uses for this long counts as idle: a few
-  // report intervals.
-  static constexpr Duration kUsesLife = milliseconds(1500);
-
   void Begin(const EndpointId& endpoint, const ModelId& model);
   void End(const EndpointId& endpoint, const ModelId& model);
 
@@ -42,8 +39,12 @@
   void TakeOthers(const EndpointLevels& running);
   // Replaces what the group of `relay` reported before of single models. Only
   // the giver of orders is told.
-  void TakeGroupUses(const HostId& relay, EndpointUses uses, MonotonicTime now);
-  void ExpireGroupUses(MonotonicTime now);
+  void TakeGroupUses(const HostId& relay,
+                     EndpointUses uses,
+                     MonotonicTime now) {
+    m_by_model.Take(relay, std::move(uses), now);
+  }
+  void ExpireGroupUses(MonotonicTime now) { m_by_model.Expire(now); }
 
   // Requests at the endpoint, from all hosts.
   int Total(const EndpointId& endpoint) const;
@@ -56,19 +57,10 @@
   }
 
  private:
-  struct Group {
-    MonotonicTime m_heard_at;
-    EndpointUses m_uses;
-  };
-
   EndpointUses m_own;
   std::unordered_map<EndpointKey, int> m_own_totals;
   std::unordered_map<EndpointKey, int> m_others;
-  std::map<HostId, Group> m_groups;
-  // Sums over m_groups.
-  EndpointUses m_by_model;
-
-  void AddUses(const EndpointUses& uses, int sign);
+  ReportedLevels<EndpointUses::key_type> m_by_model;
 };
 
 }  // namespace hickoryloft::routing
--- /dev/null
+++ b/Source/routing/reported_levels.h
@@ -0,0 +1,70 @@
+// Levels that groups of hosts report, summed over the groups.
+
+#ifndef SOURCE_ROUTING_REPORTED_LEVELS_H_
+#define SOURCE_ROUTING_REPORTED_LEVELS_H_
+
+#include <map>
+#include <utility>
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace hickoryloft::routing {
+
+// Each report replaces the reporter's last one; a reporter that falls silent
+// counts as idle. Not thread-safe; the times given must not decrease.
+template <typename Key>
+class ReportedLevels {
+ public:
+  using Levels = std::map<Key, int>;
+
+  // A reporter that has not been heard for this long is silent: a few report
+  // intervals.
+  static constexpr Duration kLife = milliseconds(1500);
+
+  void Take(const HostId& reporter, Levels levels, MonotonicTime now) {
+    Report& report = m_reports[reporter];
+    Add(report.m_levels, -1);
+    Add(levels, 1);
+    report = {.m_heard_at = now, .m_levels = std::move(levels)};
+  }
+
+  void Expire(MonotonicTime now) {
+    std::erase_if(m_reports, [&](const auto& entry) {
+      if (now - entry.second.m_heard_at <= kLife) {
+        return false;
+      }
+      Add(entry.second.m_levels, -1);
+      return true;
+    });
+  }
+
+  int Total(const Key& key) const {
+    const auto total = m_totals.find(key);
+    return total == m_totals.end() ? 0 : total->second;
+  }
+  // Keys whose total is zero are left out.
+  const Levels& totals() const { return m_totals; }
+
+ private:
+  struct Report {
+    MonotonicTime m_heard_at;
+    Levels m_levels;
+  };
+
+  void Add(const Levels& levels, int sign) {
+    for (const auto& [key, level] : levels) {
+      const auto total = m_totals.try_emplace(key, 0).first;
+      if ((total->second += sign * level) == 0) {
+        m_totals.erase(total);
+      }
+    }
+  }
+
+  std::map<HostId, Report> m_reports;
+  Levels m_totals;
+};
+
+}  // namespace hickoryloft::routing
+
+#endif  // SOURCE_ROUTING_REPORTED_LEVELS_H_
--- a/Tests/host/report_codec_test.cc
+++ b/Tests/host/report_codec_test.cc
@@ -31,28 +31,29 @@
 }
 
 TEST_CASE("News survive the wire") {
-  const NewsUpdate update{.m_position = {.m_fence = 4, .m_number = 7},
-                          .m_whole = true,
-                          .m_changes = {{.m_number = 6,
-                                         .m_fact = PlacementFact::kAdapter,
-                                         .m_endpoint = EndpointId("e"),
-                                         .m_model = ModelId("m"),
-                                         .m_adapter = AdapterId("a1"),
-                                         .m_holds = true},
-                                        {.m_number = 7,
-                                         .m_fact = PlacementFact::kModel,
-                                         .m_endpoint = EndpointId("e"),
-                                         .m_model = ModelId("old"),
-                                         .m_holds = false}}};
-  const NewsUpdate back = FromRow(ToRow(update));
+  const placement::NewsUpdate update{
+      .m_position = {.m_fence = 4, .m_number = 7},
+      .m_whole = true,
+      .m_changes = {{.m_number = 6,
+                     .m_fact = placement::PlacementFact::kAdapter,
+                     .m_endpoint = EndpointId("e"),
+                     .m_model = ModelId("m"),
+                     .m_adapter = AdapterId("a1"),
+                     .m_holds = true},
+                    {.m_number = 7,
+                     .m_fact = placement::PlacementFact::kModel,
+                     .m_endpoint = EndpointId("e"),
+                     .m_model = ModelId("old"),
+                     .m_holds = false}}};
+  const placement::NewsUpdate back = FromRow(ToRow(update));
   CHECK(back.m_position == update.m_position);
   CHECK(back.m_whole);
   CHECK(back.m_changes == update.m_changes);
 }
 
 TEST_CASE("A kind of news that is not known is left out") {
-  wire::PlacementNewsT row =
-      ToRow(NewsUpdate{.m_changes = {{.m_fact = PlacementFact::kModel}}});
+  wire::PlacementNewsT row = ToRow(placement::NewsUpdate{
+      .m_changes = {{.m_fact = placement::PlacementFact::kModel}}});
   row.changes[0]->fact = static_cast<wire::PlacementFact>(200);
   CHECK(FromRow(row).m_changes.empty());
 }
--- a/Tests/host/news_log_test.cc
+++ b/Tests/placement/news_log_test.cc
@@ -1,7 +1,7 @@
 // News of engines are spread as changes; a fleet of 60 machines with 375
 // adapters filled links of 10 Mbit/s when they went whole.
 
-#include "host/news_log.h"
+#include "placement/news_log.h"
 
 #include <rapidcheck.h>
 
@@ -9,7 +9,7 @@
 #include <string>
 
 using namespace hickoryloft;
-using namespace hickoryloft::host;
+using namespace hickoryloft::placement;
 
 namespace {
 
--- a/Tests/host/replica_map_test.cc
+++ b/Tests/placement/replica_map_test.cc
@@ -1,9 +1,9 @@
-#include "host/replica_map.h"
+#include "placement/replica_map.h"
 
 #include <catch2/catch.hpp>
 
 using namespace hickoryloft;
-using namespace hickoryloft::host;
+using namespace hickoryloft::placement;
 
 namespace {
 
@@ -59,22 +59,18 @@
 // A request is matched against the few endpoints that may hold its model; a
 // walk over all of a fleet of hundreds for each waiting request took most of a
 // host's processor.
-TEST_CASE("Holders are found without a walk over the fleet") {
-  fleet::EndpointDirectory directory;
+TEST_CASE("Announced holders of a model are found without a walk") {
+  ReplicaMap map;
+  PlacementNews news;
   for (int i = 0; i < 300; ++i) {
-    fleet::EndpointEntry entry{.m_id = EndpointId("e" + std::to_string(i))};
-    entry.m_models[ModelId("m" + std::to_string(i / 2))];
-    directory.Put(entry);
+    news.m_models[{EndpointId("e" + std::to_string(i)),
+                   ModelId("m" + std::to_string(i / 2))}] = i != 5;
   }
-  ReplicaMap map;
-  map.Announce(1, {.m_models = {{{EndpointId("e9"), ModelId("m0")}, true}}},
-               kNow);
-  std::set<std::string> seen;
-  map.ForEachHolder(directory, ModelId("m0"),
-                    [&](const fleet::EndpointEntry& entry) {
-                      CHECK(seen.insert(entry.m_id.value()).second);
-                    });
-  CHECK(seen == std::set<std::string>{"e0", "e1", "e9"});
+  map.Announce(1, news, kNow);
+  CHECK(map.AnnouncedHolders(ModelId("m0")) ==
+        std::vector{EndpointId("e0"), EndpointId("e1")});
+  CHECK(map.AnnouncedHolders(ModelId("m2")) == std::vector{EndpointId("e4")});
+  CHECK(map.AnnouncedHolders(ModelId("none")).empty());
 }
 
 // LOST on jarro-ne trouble-2: an engine's report came milliseconds after the
--- a/Tests/routing/endpoint_selection_test.cc
+++ b/Tests/routing/endpoint_selection_test.cc
@@ -119,7 +119,8 @@
   // This host's own request is in its group's report, or will be.
   load.Begin(e, m);
   CHECK(load.Total(e, m) == 4);
-  load.ExpireGroupUses(now + FleetLoad::kUsesLife + milliseconds(1));
+  load.ExpireGroupUses(now + ReportedLevels<EndpointUses::key_type>::kLife +
+                       milliseconds(1));
   CHECK(load.Total(e, m) == 3);
   load.ExpireGroupUses(now + seconds(5));
   CHECK(load.Total(e, m) == 1);
