Log the source and the view's age with removed and lapsed registrations

To tell a host that lost the service from one whose relay lost it, the lines 'endpoint removed' and 'endpoint registration lapsed' now have the source of the change and the age of the view, and 'key-value service back' and 'watch ... resumed' tell since when this host asked the service itself. No logic is changed. The manual key-value service of the relay tests moves to a header that a test of outages can share.

--- a/Source/fleet/fleet_state_feed.cc
+++ b/Source/fleet/fleet_state_feed.cc
@@ -26,6 +26,10 @@
 // disconnected from the service.
 constexpr Duration kMaxProofAge = milliseconds(2400);
 
+// Where a change was received from, for the log.
+constexpr char kFromWatch[] = "own watch";
+constexpr char kFromHosts[] = "other hosts";
+
 const Logger kLog("knowledge");
 
 }  // namespace
@@ -41,6 +45,7 @@
 
 void FleetStateFeed::Start() {
   m_lapse_timer = m_loop.Every(kLapseCheckInterval, [this] { RemoveLapsed(); });
+  m_asking_since = m_loop.Now();
   ReadAll();
 }
 
@@ -123,7 +128,7 @@
 void FleetStateFeed::ApplyBatch(const keyvalue::WatchBatch& batch) {
   RecordProof(batch.m_current_as_of);
   const Revision from = m_revision;
-  ApplyEvents(batch.m_events, batch.m_revision);
+  ApplyEvents(batch.m_events, batch.m_revision, kFromWatch);
   if (m_events.m_batch_applied) {
     m_events.m_batch_applied(from, batch);
   }
@@ -133,7 +138,7 @@
   if (!m_watch || span.m_from > m_revision) {
     return;  // This host's watch or a later span has the changes.
   }
-  ApplyEvents(span.m_events, span.m_to);
+  ApplyEvents(span.m_events, span.m_to, kFromHosts);
   if (span.m_read_from_service) {
     ResumeWatch("a change is too large to be forwarded between hosts");
   }
@@ -162,14 +167,18 @@
     return;
   }
   m_proof_timer.reset();
+  m_asking_since = m_loop.Now();
   kLog.Info("watch of the key-value service resumed",
-            {{"reason", reason}, {"revision", m_revision}});
+            {{"reason", reason},
+             {"revision", m_revision},
+             {"view_age_ms", ToMillis(Age()).count()}});
   m_watch->Resume(m_revision);
 }
 
 void FleetStateFeed::ApplyEvents(
     const std::vector<keyvalue::WatchEvent>& events,
-    Revision revision) {
+    Revision revision,
+    const char* source) {
   bool own_keys_changed = false;
   for (const keyvalue::WatchEvent& event : events) {
     // A change may arrive both from the watch and from other hosts.
@@ -178,7 +187,7 @@
     }
     own_keys_changed |=
         m_decoder.Classify(event.m_item.m_key) == ItemClass::kOther;
-    ApplyEvent(event);
+    ApplyEvent(event, source);
   }
   m_revision = std::max(m_revision, revision);
   if (own_keys_changed) {
@@ -186,7 +195,8 @@
   }
 }
 
-void FleetStateFeed::ApplyEvent(const keyvalue::WatchEvent& event) {
+void FleetStateFeed::ApplyEvent(const keyvalue::WatchEvent& event,
+                                const char* source) {
   const keyvalue::KeyValue& item = event.m_item;
   switch (m_decoder.Classify(item.m_key)) {
     case ItemClass::kConfiguration:
@@ -206,7 +216,10 @@
       kLog.Info(change == EndpointDirectory::Change::kLapsed
                     ? "endpoint registration lapsed; kept for a grace period"
                     : "endpoint removed",
-                {{"endpoint", id.value()}, {"revision", item.m_mod_revision}});
+                {{"endpoint", id.value()},
+                 {"revision", item.m_mod_revision},
+                 {"source", source},
+                 {"view_age_ms", ToMillis(Age()).count()}});
       m_events.m_endpoint_changed(id);
       break;
     }
@@ -282,7 +295,9 @@
 void FleetStateFeed::RecordProof(MonotonicTime as_of) {
   if (m_complete && m_loop.Now() - m_current_as_of > kOutageAge) {
     kLog.Warn("key-value service back",
-              {{"away_ms", ToMillis(m_loop.Now() - m_current_as_of).count()}});
+              {{"away_ms", ToMillis(m_loop.Now() - m_current_as_of).count()},
+               {"asked_for_ms",
+                ToMillis(m_loop.Now() - m_asking_since).count()}});
     m_recovered_at = m_loop.Now();
   }
   m_current_as_of = std::max(m_current_as_of, as_of);
--- a/Source/fleet/fleet_state_feed.h
+++ b/Source/fleet/fleet_state_feed.h
@@ -86,10 +86,11 @@
   void BeginWatch(Revision revision);
   void ApplyBatch(const keyvalue::WatchBatch& batch);
   // Applies the events that are newer than the current revision, and advances
-  // it to `revision`.
+  // it to `revision`. `source` is logged as their origin.
   void ApplyEvents(const std::vector<keyvalue::WatchEvent>& events,
-                   Revision revision);
-  void ApplyEvent(const keyvalue::WatchEvent& event);
+                   Revision revision,
+                   const char* source);
+  void ApplyEvent(const keyvalue::WatchEvent& event, const char* source);
   void ResumeWatch(const std::string& reason);
   void ApplyConfiguration(const keyvalue::KeyValue& item);
   bool ApplyEndpoint(const keyvalue::KeyValue& item);
@@ -109,6 +110,9 @@
   Duration m_batch_pause{};
   Duration m_poll_wait = seconds(1);
   MonotonicTime m_current_as_of;
+  // When this host's own calls began, or were resumed after other hosts' proofs
+  // had replaced them.
+  MonotonicTime m_asking_since;
   // When the service last answered again after an outage.
   MonotonicTime m_recovered_at;
   std::unique_ptr<keyvalue::Watch> m_watch;
--- a/Tests/fleet/relayed_changes_test.cc
+++ b/Tests/fleet/relayed_changes_test.cc
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <map>
 
+#include "Tests/fleet/manual_key_value_service.h"
 #include "fleet/fleet_state_feed.h"
 
 using namespace hickoryloft;
@@ -30,80 +31,9 @@
   }
 };
 
-// A key-value service that keeps its history and delivers changes on request.
-class Service : public keyvalue::KeyValueService {
- public:
-  class ManualWatch : public keyvalue::Watch {
-   public:
-    explicit ManualWatch(Service& service) : m_service(service) {}
-    void Pause(Revision /*known*/) override { m_service.m_paused = true; }
-    void Resume(Revision /*known*/) override { m_service.m_paused = false; }
-
-   private:
-    Service& m_service;
-  };
-
-  void Put(const std::string& key, const std::string& value) {
-    m_history.push_back(
-        {.m_item = {
-             .m_key = key, .m_value = value, .m_mod_revision = ++m_revision}});
-  }
-  keyvalue::WatchBatch After(Revision known, MonotonicTime as_of) const {
-    keyvalue::WatchBatch batch{.m_revision = m_revision,
-                               .m_current_as_of = as_of};
-    for (const keyvalue::WatchEvent& event : m_history) {
-      if (event.m_item.m_mod_revision > known) {
-        batch.m_events.push_back(event);
-      }
-    }
-    return batch;
-  }
-  std::map<std::string, std::string> StateAt(Revision revision) const {
-    std::map<std::string, std::string> state;
-    for (const keyvalue::WatchEvent& event : m_history) {
-      if (event.m_item.m_mod_revision <= revision &&
-          event.m_item.m_key != "config") {
-        state[event.m_item.m_key] = event.m_item.m_value;
-      }
-    }
-    return state;
-  }
-
-  void Get(const std::string&, Callback<keyvalue::ReadReply>) override {}
-  void GetPrefix(const std::string&,
-                 Callback<keyvalue::ReadReply> callback) override {
-    keyvalue::ReadReply reply{.m_revision = m_revision,
-                              .m_current_as_of = MonotonicClock::now()};
-    for (const keyvalue::WatchEvent& event : m_history) {
-      std::erase_if(reply.m_items, [&](const keyvalue::KeyValue& item) {
-        return item.m_key == event.m_item.m_key;
-      });
-      reply.m_items.push_back(event.m_item);
-    }
-    callback(std::move(reply));
-  }
-  void Swap(keyvalue::CompareAndSwap, Callback<keyvalue::SwapReply>) override {}
-  void GrantLease(Duration, Callback<keyvalue::LeaseReply>) override {}
-  void KeepAlive(keyvalue::LeaseId, Callback<keyvalue::LeaseReply>) override {}
-  void RevokeLease(keyvalue::LeaseId, Callback<Done>) override {}
-  std::unique_ptr<keyvalue::Watch> WatchPrefix(
-      const std::string&,
-      Revision,
-      std::function<void(keyvalue::WatchBatch)> changed,
-      std::function<void(Error)>) override {
-    m_changed = std::move(changed);
-    return std::make_unique<ManualWatch>(*this);
-  }
-
-  std::vector<keyvalue::WatchEvent> m_history;
-  Revision m_revision = 0;
-  std::function<void(keyvalue::WatchBatch)> m_changed;
-  bool m_paused = false;
-};
-
 // A host with its change log and its own copy of the service's history.
 struct Host {
-  explicit Host(Service& history) {
+  explicit Host(ManualKeyValueService& history) {
     m_service.m_history = history.m_history;
     m_service.m_revision = history.m_revision;
     m_feed.Start();
@@ -117,7 +47,7 @@
   }
 
   EventLoop m_loop;
-  Service m_service;
+  ManualKeyValueService m_service;
   KeysOnlyDecoder m_decoder;
   ChangeLog m_log;
   FleetStateFeed m_feed{
@@ -142,7 +72,7 @@
 
 TEST_CASE("A host never reports a revision whose changes it is missing") {
   CHECK(rc::check([] {
-    Service truth;
+    ManualKeyValueService truth;
     truth.Put("config", "1");
     truth.Put("k0", "0");
     Host relay(truth);
@@ -203,7 +133,7 @@
 }
 
 TEST_CASE("A host resumes its watch when proofs stop or are too old") {
-  Service truth;
+  ManualKeyValueService truth;
   truth.Put("config", "1");
   Host leaf(truth);
   const MonotonicTime now = leaf.m_loop.Now();
@@ -220,7 +150,7 @@
 }
 
 TEST_CASE("A change too large to forward resumes the watch at once") {
-  Service truth;
+  ManualKeyValueService truth;
   truth.Put("config", "1");
   Host leaf(truth);
   leaf.m_feed.ApplyProof(truth.m_revision, leaf.m_loop.Now());
