Test, failing: an outage of the relay alone does not delay a departure

Callers' requests reached a server after it had left (DRAIN). The test has a host whose relay lost the key-value service while the service answers the host itself: after 3.2 s the host asks the service, takes the age of the relay's view for an outage, and keeps the deleted registration for 1.8 to 2.0 s more. It fails on this code; its counterpart, a registration that lapsed in a real outage, passes.

--- a/Source/fleet/fleet_state_feed.cc
+++ b/Source/fleet/fleet_state_feed.cc
@@ -294,10 +294,10 @@
 
 void FleetStateFeed::RecordProof(MonotonicTime as_of) {
   if (m_complete && m_loop.Now() - m_current_as_of > kOutageAge) {
-    kLog.Warn("key-value service back",
-              {{"away_ms", ToMillis(m_loop.Now() - m_current_as_of).count()},
-               {"asked_for_ms",
-                ToMillis(m_loop.Now() - m_asking_since).count()}});
+    kLog.Warn(
+        "key-value service back",
+        {{"away_ms", ToMillis(m_loop.Now() - m_current_as_of).count()},
+         {"asked_for_ms", ToMillis(m_loop.Now() - m_asking_since).count()}});
     m_recovered_at = m_loop.Now();
   }
   m_current_as_of = std::max(m_current_as_of, as_of);
--- a/Tests/fleet/fleet_state_feed_test.cc
+++ b/Tests/fleet/fleet_state_feed_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "Tests/fleet/plain_decoder.h"
 #include "keyvalue/memory_key_value_service.h"
 
 using namespace hickoryloft;
@@ -9,32 +10,6 @@
 
 namespace {
 
-// Keys "config" and "e/<id>"; a configuration's value is its version.
-class PlainDecoder : public FleetDecoder {
- public:
-  ItemClass Classify(const std::string& key) const override {
-    if (key == "config") {
-      return ItemClass::kConfiguration;
-    }
-    return key.starts_with("e/") ? ItemClass::kEndpoint : ItemClass::kOther;
-  }
-  EndpointId EndpointOf(const std::string& key) const override {
-    return EndpointId(key.substr(2));
-  }
-  Configuration DecodeConfiguration(const std::string& value) const override {
-    if (value == "broken") {
-      throw Error(ErrorCode::kProtocol, "broken");
-    }
-    return {.m_version = std::stoll(value)};
-  }
-  EndpointEntry DecodeEndpoint(const keyvalue::KeyValue& item) const override {
-    if (item.m_value == "broken") {
-      throw Error(ErrorCode::kProtocol, "broken");
-    }
-    return {.m_id = EndpointOf(item.m_key)};
-  }
-};
-
 struct Host {
   Host() { m_feed.Start(); }
 
--- a/Tests/fleet/manual_key_value_service.h
+++ b/Tests/fleet/manual_key_value_service.h
@@ -29,6 +29,11 @@
         {.m_item = {
              .m_key = key, .m_value = value, .m_mod_revision = ++m_revision}});
   }
+  void Delete(const std::string& key) {
+    m_history.push_back(
+        {.m_deleted = true,
+         .m_item = {.m_key = key, .m_mod_revision = ++m_revision}});
+  }
   keyvalue::WatchBatch After(Revision known, MonotonicTime as_of) const {
     keyvalue::WatchBatch batch{.m_revision = m_revision,
                                .m_current_as_of = as_of};
@@ -44,7 +49,10 @@
     for (const keyvalue::WatchEvent& event : m_history) {
       if (event.m_item.m_mod_revision <= revision &&
           event.m_item.m_key != "config") {
-        state[event.m_item.m_key] = event.m_item.m_value;
+        state.erase(event.m_item.m_key);
+        if (!event.m_deleted) {
+          state[event.m_item.m_key] = event.m_item.m_value;
+        }
       }
     }
     return state;
@@ -59,7 +67,9 @@
       std::erase_if(reply.m_items, [&](const keyvalue::KeyValue& item) {
         return item.m_key == event.m_item.m_key;
       });
-      reply.m_items.push_back(event.m_item);
+      if (!event.m_deleted) {
+        reply.m_items.push_back(event.m_item);
+      }
     }
     callback(std::move(reply));
   }
--- /dev/null
+++ b/Tests/fleet/outage_detection_test.cc
@@ -0,0 +1,100 @@
+// Whether a deleted registration counts as a departure or as a lapse, by what
+// the host knows of the service at that time.
+
+#include <catch2/catch.hpp>
+
+#include "Tests/fleet/manual_key_value_service.h"
+#include "Tests/fleet/plain_decoder.h"
+#include "fleet/fleet_state_feed.h"
+
+using namespace hickoryloft;
+using namespace hickoryloft::fleet;
+
+namespace {
+
+const EndpointId kEndpoint("a");
+constexpr Duration kReportInterval = milliseconds(250);
+constexpr Duration kStep = milliseconds(10);
+
+// A host with one registered endpoint, and its view of the service.
+struct Host {
+  Host() {
+    m_service.Put("config", "1");
+    m_service.Put("e/a", "fine");
+    m_feed.Start();
+  }
+
+  // Runs the loop until `done` returns true, or for `limit`.
+  void RunUntil(const std::function<bool()>& done, Duration limit) {
+    const auto end = m_loop.After(limit, [this] { m_loop.Stop(); });
+    const auto step = m_loop.Every(kStep, [&] {
+      if (done()) {
+        m_loop.Stop();
+      }
+    });
+    m_loop.Run();
+  }
+  void RunFor(Duration time) {
+    RunUntil([] { return false; }, time);
+  }
+  // The service answers the host's own watch.
+  void AnswerWatch() {
+    m_service.m_changed(m_service.After(m_feed.revision(), m_loop.Now()));
+  }
+  // The host receives reports of a relay whose view stays as of `as_of`, until
+  // it asks the service itself.
+  void ReceiveOldProofs(MonotonicTime as_of) {
+    const Revision revision = m_feed.revision();
+    m_feed.ApplyProof(revision, as_of);
+    REQUIRE(m_service.m_paused);
+    const auto reports = m_loop.Every(
+        kReportInterval, [&] { m_feed.ApplyProof(revision, as_of); });
+    RunUntil([this] { return !m_service.m_paused; }, seconds(5));
+    REQUIRE_FALSE(m_service.m_paused);
+  }
+  bool Knows(const EndpointId& id) const {
+    return m_feed.directory().Find(id) != nullptr;
+  }
+
+  EventLoop m_loop;
+  ManualKeyValueService m_service;
+  PlainDecoder m_decoder;
+  FleetStateFeed m_feed{m_loop,
+                        m_service,
+                        m_decoder,
+                        {.m_configuration_changed = [] {},
+                         .m_endpoint_changed = [](const EndpointId&) {},
+                         .m_own_keys_changed = [] {}}};
+};
+
+}  // namespace
+
+// Guards against requests to an endpoint that has left, from hosts whose relay
+// had lost the service (DRAIN on jarro-ne-large and bdpc-loft-grown).
+TEST_CASE("An outage of the relay alone does not delay a departure") {
+  Host host;
+  host.ReceiveOldProofs(host.m_loop.Now());
+  host.m_service.Delete("e/a");
+  host.AnswerWatch();
+  CHECK_FALSE(host.Knows(kEndpoint));
+}
+
+// The counterpart: what must go on working when the service itself was away.
+TEST_CASE("A registration that lapsed in an outage is kept") {
+  Host host;
+  host.AnswerWatch();
+  host.RunFor(milliseconds(3500));  // No answer of the service.
+  host.m_service.Delete("e/a");
+  host.AnswerWatch();
+  CHECK(host.Knows(kEndpoint));
+  SECTION("until the endpoint registers again") {
+    host.m_service.Put("e/a", "fine");
+    host.AnswerWatch();
+    host.RunFor(milliseconds(2500));
+    CHECK(host.Knows(kEndpoint));
+  }
+  SECTION("for about two seconds") {
+    host.RunFor(milliseconds(2500));
+    CHECK_FALSE(host.Knows(kEndpoint));
+  }
+}
