Count only the host's own unanswered calls as an outage of the service

Callers' requests reached a server after it had left (DRAIN). A host that gets its changes through a relay took the age of the relay's view for an outage of the key-value service, and then kept registrations that had really been deleted for a grace period of 1.8 to 2.0 s: with the lag of up to 3.4 s before, that passes a bound of 3 or 4 s.

An outage is now what this host's own calls show: they must have been unanswered, and asked for longer than an answer takes.

--- a/Source/fleet/fleet_state_feed.cc
+++ b/Source/fleet/fleet_state_feed.cc
@@ -15,6 +15,9 @@
 // Without changes, the copy is confirmed every two seconds at most. A higher
 // age means that the service was unavailable.
 constexpr Duration kOutageAge = milliseconds(2600);
+// A call that asks for no wait is answered within this time, also by a slow
+// service.
+constexpr Duration kAnswerLimit = milliseconds(600);
 // Endpoints register again within about two seconds after an outage ends.
 constexpr Duration kRecoveryPeriod = seconds(3);
 
@@ -51,7 +54,10 @@
 
 void FleetStateFeed::ReadAll() {
   m_watch.reset();
-  m_proof_timer.reset();
+  if (m_proof_timer) {
+    m_proof_timer.reset();
+    m_asking_since = m_loop.Now();
+  }
   m_store.GetPrefix("", [this](const Result<keyvalue::ReadReply>& reply) {
     if (!reply.ok()) {
       kLog.Warn("reading the key-value service failed; retrying",
@@ -293,7 +299,7 @@
 }
 
 void FleetStateFeed::RecordProof(MonotonicTime as_of) {
-  if (m_complete && m_loop.Now() - m_current_as_of > kOutageAge) {
+  if (m_complete && ServiceSilent()) {
     kLog.Warn(
         "key-value service back",
         {{"away_ms", ToMillis(m_loop.Now() - m_current_as_of).count()},
@@ -303,8 +309,13 @@
   m_current_as_of = std::max(m_current_as_of, as_of);
 }
 
+bool FleetStateFeed::ServiceSilent() const {
+  return !m_proof_timer && Age() > kOutageAge &&
+         m_loop.Now() - m_asking_since > kAnswerLimit;
+}
+
 bool FleetStateFeed::RecentOutage() const {
-  return Age() > kOutageAge || m_loop.Now() - m_recovered_at < kRecoveryPeriod;
+  return ServiceSilent() || m_loop.Now() - m_recovered_at < kRecoveryPeriod;
 }
 
 void FleetStateFeed::RemoveLapsed() {
--- a/Source/fleet/fleet_state_feed.h
+++ b/Source/fleet/fleet_state_feed.h
@@ -95,6 +95,10 @@
   void ApplyConfiguration(const keyvalue::KeyValue& item);
   bool ApplyEndpoint(const keyvalue::KeyValue& item);
   void RecordProof(MonotonicTime as_of);
+  // Returns whether the service has left this host's own calls unanswered. An
+  // old view alone does not tell: the host that sends the proofs may be the
+  // only one without the service.
+  bool ServiceSilent() const;
   bool RecentOutage() const;
   void RemoveLapsed();
 
--- /dev/null
+++ b/Tests/jarro/store_watch_test.cc
@@ -0,0 +1,91 @@
+#include "platform/store_watch.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace hickoryloft;
+using namespace hickoryloft::jarro;
+
+namespace {
+
+// Keeps the calls; the test answers them.
+class ManualClient : public endpoint::HttpClient {
+ public:
+  struct PendingCall {
+    endpoint::CallRequest m_request;
+    endpoint::CallEvents m_events;
+  };
+  class NoCall : public endpoint::Call {
+    void Pause() override {}
+    void Resume() override {}
+  };
+
+  std::unique_ptr<endpoint::Call> Start(endpoint::CallRequest request,
+                                        endpoint::CallEvents events) override {
+    m_calls.push_back({std::move(request), std::move(events)});
+    return std::make_unique<NoCall>();
+  }
+
+  std::vector<PendingCall> m_calls;
+};
+
+// A watch whose calls the test answers.
+struct WatchedStore {
+  WatchedStore() {
+    m_watch.SetBatchPause(milliseconds(100));
+    m_watch.SetPollWait(kPollWait);
+    m_watch.Poll(1);
+  }
+
+  void Answer(int status, const nlohmann::json& body) {
+    REQUIRE_FALSE(m_client.m_calls.empty());
+    const auto events = m_client.m_calls.back().m_events;
+    const std::string text = body.dump();
+    events.m_head({.m_status = status});
+    events.m_bytes(text);
+    events.m_done();
+    RunFor(milliseconds(5));
+  }
+  void AnswerWithoutChanges() {
+    Answer(200, {{"asOf", 1}, {"events", nlohmann::json::array()}});
+  }
+  void RunFor(Duration time) {
+    const auto end = m_loop.After(time, [this] { m_loop.Stop(); });
+    m_loop.Run();
+  }
+  std::string LastTarget() const {
+    return m_client.m_calls.back().m_request.m_target;
+  }
+  std::size_t calls() const { return m_client.m_calls.size(); }
+
+  static constexpr Duration kPollWait = milliseconds(1500);
+
+  EventLoop m_loop;
+  ManualClient m_client;
+  int m_batches = 0;
+  StoreWatch m_watch{
+      m_loop,
+      m_client,
+      {},
+      "/watch?",
+      {.m_changed = [this](const keyvalue::WatchBatch&) { ++m_batches; },
+       .m_ended = [](const Error&) {}}};
+};
+
+}  // namespace
+
+// Guards against a working store that seems silent because the first call after
+// a pause waits for changes (DRAIN on jarro-ne-large and bdpc-loft-grown).
+TEST_CASE("A resumed watch asks the store at once and without a wait") {
+  WatchedStore store;
+  CHECK(store.LastTarget().ends_with("waitMs=1500"));
+  store.m_watch.Pause(1);
+  store.AnswerWithoutChanges();
+  REQUIRE(store.calls() == 1);
+  store.m_watch.Resume(1);
+  REQUIRE(store.calls() == 2);
+  CHECK(store.LastTarget().ends_with("waitMs=0"));
+  store.AnswerWithoutChanges();
+  CHECK(store.LastTarget().ends_with("waitMs=1500"));
+  CHECK(store.m_batches == 2);
+}
