Bound the age of a relayed view by the deployment's bounds

Callers' requests reached a server after it had left (DRAIN). A host whose relay had lost the service went on with proofs of up to 2.4 s of age, and asked the service itself only 0.8 s after the last of them: 3.2 s with any bound, while the bound on leaving servers is 2 to 4 s.

The limit now comes from the bounds on leaving endpoints and withdrawn keys (2.4 s at most), and the watch resumes when the view reaches it, not 0.8 s after the last proof. The new test fails with the former timer (2.8 s at a limit of 2.0 s, 1.6 s at 0.8 s) and passes now.

--- a/Source/fleet/fleet_state_feed.cc
+++ b/Source/fleet/fleet_state_feed.cc
@@ -25,9 +25,6 @@
 // report intervals, and well within the bounds on leaving endpoints and
 // withdrawn keys.
 constexpr Duration kProofTimeout = milliseconds(800);
-// Older proofs do not replace a watch, since the host that sent them may be
-// disconnected from the service.
-constexpr Duration kMaxProofAge = milliseconds(2400);
 
 // Where a change was received from, for the log.
 constexpr char kFromWatch[] = "own watch";
@@ -151,8 +148,11 @@
 }
 
 void FleetStateFeed::ApplyProof(Revision revision, MonotonicTime as_of) {
+  // An older proof does not replace a watch, since the host that sent it may be
+  // disconnected from the service.
+  const Duration time_left = as_of + m_max_relayed_age - m_loop.Now();
   if (!m_watch || !m_complete || revision > m_revision ||
-      m_loop.Now() - as_of > kMaxProofAge) {
+      time_left <= Duration{}) {
     return;
   }
   RecordProof(as_of);
@@ -163,8 +163,8 @@
         {{"revision", m_revision}});
   }
   m_watch->Pause(m_revision);
-  m_proof_timer = m_loop.After(kProofTimeout, [this] {
-    ResumeWatch("no proof from another host in time");
+  m_proof_timer = m_loop.After(std::min(kProofTimeout, time_left), [this] {
+    ResumeWatch("no recent proof from another host");
   });
 }
 
--- a/Source/fleet/fleet_state_feed.h
+++ b/Source/fleet/fleet_state_feed.h
@@ -45,6 +45,9 @@
   void SetBatchPause(Duration pause);
   // Sets how often the service is asked to confirm that there are no changes.
   void SetPollWait(Duration wait);
+  // Sets the age of other hosts' proofs from which on this host asks the
+  // service itself.
+  void SetMaxRelayedAge(Duration age) { m_max_relayed_age = age; }
 
   // Records that an endpoint announced in an answer, to this host or to another
   // one, that it is leaving. `source` is logged as the origin of the report.
@@ -113,6 +116,7 @@
   Revision m_revision = 0;
   Duration m_batch_pause{};
   Duration m_poll_wait = seconds(1);
+  Duration m_max_relayed_age = milliseconds(2400);
   MonotonicTime m_current_as_of;
   // When this host's own calls began, or were resumed after other hosts' proofs
   // had replaced them.
--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -284,6 +284,7 @@
        .m_key_withdrawal = m_settings.m_bounds.m_key_withdrawal});
   m_knowledge.SetBatchPause(pace.m_batch_pause);
   m_knowledge.SetPollWait(pace.m_quiet_wait);
+  m_knowledge.SetMaxRelayedAge(pace.m_max_relayed_age);
   const bool lease_taken = m_knowledge.own_keys().contains(kPlacementLeaseKey);
   m_placement_lease.Observe(lease_taken,
                             lease_taken ? Duration{} : CandidateDelay());
--- a/Source/membership/watch_intervals.cc
+++ b/Source/membership/watch_intervals.cc
@@ -37,6 +37,13 @@
                                  .m_wait_fraction = 0.3,
                                  .m_max_wait = milliseconds(1500)};
 
+// The rest of each bound covers the answer of the service and the transfer of
+// the requests that were sent before it arrived. The share of the key bound
+// lies below that from which a host asks for no new connections.
+constexpr double kRelayedDrainFraction = 0.8;
+constexpr double kRelayedKeyFraction = 0.5;
+constexpr Duration kMaxRelayedAge = milliseconds(2400);
+
 const RoleLimits& LimitsOf(WatchRole role) {
   switch (role) {
     case WatchRole::kLeader:
@@ -63,7 +70,10 @@
                Fraction(limits.m_pause_fraction, bounds.m_key_withdrawal)}),
           .m_quiet_wait = std::min(
               limits.m_max_wait,
-              Fraction(limits.m_wait_fraction, bounds.m_key_withdrawal))};
+              Fraction(limits.m_wait_fraction, bounds.m_key_withdrawal)),
+          .m_max_relayed_age = std::min(
+              {kMaxRelayedAge, Fraction(kRelayedDrainFraction, bounds.m_drain),
+               Fraction(kRelayedKeyFraction, bounds.m_key_withdrawal)})};
 }
 
 }  // namespace hickoryloft::membership
--- a/Source/membership/watch_intervals.h
+++ b/Source/membership/watch_intervals.h
@@ -25,6 +25,9 @@
   Duration m_batch_pause{};
   // Time after which the service answers a poll if nothing has changed.
   Duration m_quiet_wait{};
+  // Age of a view received through a relay from which on the host asks the
+  // service itself.
+  Duration m_max_relayed_age{};
 
   // Returns the maximum age of the host's view while the service works, not
   // counting its response time: the age of a batch is counted from the call
--- a/Tests/fleet/outage_detection_test.cc
+++ b/Tests/fleet/outage_detection_test.cc
@@ -15,6 +15,8 @@
 const EndpointId kEndpoint("a");
 constexpr Duration kReportInterval = milliseconds(250);
 constexpr Duration kStep = milliseconds(10);
+// Allowance for a busy machine.
+constexpr Duration kSlack = milliseconds(150);
 
 // A host with one registered endpoint, and its view of the service.
 struct Host {
@@ -79,6 +81,17 @@
   CHECK_FALSE(host.Knows(kEndpoint));
 }
 
+// Guards against requests to an endpoint that has left, from hosts that hear of
+// it after its bound because they wait for their relay (DRAIN).
+TEST_CASE("A host asks the service itself before its view is too old") {
+  Host host;
+  const Duration limit = GENERATE(milliseconds(800), milliseconds(2000));
+  host.m_feed.SetMaxRelayedAge(limit);
+  const MonotonicTime as_of = host.m_loop.Now();
+  host.ReceiveOldProofs(as_of);
+  CHECK(host.m_loop.Now() - as_of < limit + kSlack);
+}
+
 // The counterpart: what must go on working when the service itself was away.
 TEST_CASE("A registration that lapsed in an outage is kept") {
   Host host;
--- a/Tests/membership/watch_intervals_test.cc
+++ b/Tests/membership/watch_intervals_test.cc
@@ -48,3 +48,23 @@
   CHECK(WatchIntervalsFor(WatchRole::kRelay, bounds).m_batch_pause <
         WatchIntervalsFor(WatchRole::kLeaf, bounds).m_batch_pause);
 }
+
+TEST_CASE("A host asks the service itself before a bound on its view is over") {
+  // The answer of a slow service, and the transfer of a request.
+  constexpr Duration kRest = milliseconds(200);
+  const auto withdrawal = GENERATE(seconds(3), seconds(5), seconds(20));
+  const auto drain = GENERATE(seconds(1), seconds(2), seconds(4), seconds(30));
+  const WatchIntervals intervals = WatchIntervalsFor(
+      WatchRole::kLeaf, {.m_drain = drain, .m_key_withdrawal = withdrawal});
+  CHECK(intervals.m_max_relayed_age + kRest <= drain);
+  CHECK(intervals.m_max_relayed_age <
+        FromSeconds(kReadyFraction * ToSeconds(withdrawal)));
+}
+
+TEST_CASE("The view of a working relay is recent enough for its group") {
+  const auto drain = GENERATE(seconds(3), seconds(4));
+  const WatchBounds bounds{.m_drain = drain, .m_key_withdrawal = seconds(5)};
+  CHECK(WatchIntervalsFor(WatchRole::kRelay, bounds).MaxViewAge() +
+            kRelayDelay <
+        WatchIntervalsFor(WatchRole::kLeaf, bounds).m_max_relayed_age);
+}
