Keep lapsed registrations from the service's return on, not from receipt

Callers' requests could reach a server after it had left. A host kept a deleted registration for 1.8 s from when it heard of the deletion, for deletions heard up to 3 s after an outage of the key-value service: up to 4.8 s after the service's return, though servers that run register again within about two seconds of it.

The entry is now kept until 1.8 s after the return (2 s with the check interval), and a deletion that is heard later is a departure.

--- a/Source/fleet/endpoint_directory.cc
+++ b/Source/fleet/endpoint_directory.cc
@@ -32,15 +32,15 @@
   return restarted ? Change::kRestarted : Change::kUpdated;
 }
 
-EndpointDirectory::Change EndpointDirectory::Remove(const EndpointId& id,
-                                                    bool recent_outage,
-                                                    MonotonicTime now) {
+EndpointDirectory::Change EndpointDirectory::Remove(
+    const EndpointId& id,
+    std::optional<MonotonicTime> keep_until) {
   const auto known = m_entries.find(id);
   if (known == m_entries.end()) {
     return Change::kNone;
   }
-  if (recent_outage && known->second.AcceptsRequests()) {
-    m_lapsed_until.try_emplace(id, now + kLapsedGracePeriod);
+  if (keep_until && known->second.AcceptsRequests()) {
+    m_lapsed_until.try_emplace(id, *keep_until);
     return Change::kLapsed;
   }
   RemoveEntry(id);
@@ -63,8 +63,7 @@
 
 std::vector<EndpointId> EndpointDirectory::RetainOnly(
     const std::unordered_set<EndpointId>& present,
-    bool recent_outage,
-    MonotonicTime now) {
+    std::optional<MonotonicTime> keep_until) {
   std::vector<EndpointId> missing;
   for (const auto& [id, entry] : m_entries) {
     if (!present.contains(id)) {
@@ -73,7 +72,7 @@
   }
   std::vector<EndpointId> removed;
   for (const EndpointId& id : missing) {
-    if (Remove(id, recent_outage, now) == Change::kRemoved) {
+    if (Remove(id, keep_until) == Change::kRemoved) {
       removed.push_back(id);
     }
   }
--- a/Source/fleet/endpoint_directory.h
+++ b/Source/fleet/endpoint_directory.h
@@ -17,8 +17,8 @@
 
 namespace hickoryloft::fleet {
 
-// Applies registrations and their removal. An entry that is removed during or
-// shortly after an outage of the key-value service is kept for a grace period,
+// Applies registrations and their removal. An entry whose registration may
+// merely have lapsed in an outage of the key-value service is kept for a while,
 // since running endpoints register again once the service works. Not
 // thread-safe; the times passed in must not decrease.
 class EndpointDirectory {
@@ -27,23 +27,18 @@
   // is older than the current one.
   enum class Change { kNone, kAdded, kUpdated, kRestarted, kRemoved, kLapsed };
 
-  // How long a lapsed entry is kept after its removal is reported, which
-  // happens once the service works again. Shorter than the time for which a
-  // leaving endpoint may still receive requests.
-  static constexpr Duration kLapsedGracePeriod = milliseconds(1800);
-
   Change Put(EndpointEntry entry);
-  // Handles the removal of a registration. `recent_outage`: the key-value
-  // service was unavailable recently, so the registration may merely have
-  // lapsed.
-  Change Remove(const EndpointId& id, bool recent_outage, MonotonicTime now);
+  // Handles the removal of a registration. `keep_until`: the registration may
+  // merely have lapsed; the entry is kept until then unless the endpoint
+  // registers again. Nothing: the endpoint has left.
+  Change Remove(const EndpointId& id, std::optional<MonotonicTime> keep_until);
   // Handles every entry that is missing from `present` as removed. Returns the
   // endpoints that were removed at once.
   std::vector<EndpointId> RetainOnly(
       const std::unordered_set<EndpointId>& present,
-      bool recent_outage,
-      MonotonicTime now);
-  // Removes lapsed entries whose grace period is over, and returns their ids.
+      std::optional<MonotonicTime> keep_until);
+  // Removes lapsed entries that are not to be kept any longer, and returns
+  // their ids.
   std::vector<EndpointId> DropLapsed(MonotonicTime now);
 
   // Records that the incarnation of the endpoint that started at
--- a/Source/fleet/fleet_state_feed.cc
+++ b/Source/fleet/fleet_state_feed.cc
@@ -18,8 +18,9 @@
 // A call that asks for no wait is answered within this time, also by a slow
 // service.
 constexpr Duration kAnswerLimit = milliseconds(600);
-// Endpoints register again within about two seconds after an outage ends.
-constexpr Duration kRecoveryPeriod = seconds(3);
+// Running endpoints register again within about two seconds after an outage
+// ends; the check interval covers the rest.
+constexpr Duration kReregistrationPeriod = milliseconds(1800);
 
 // The host resumes its own watch when no proof has arrived for this long: a few
 // report intervals, and well within the bounds on leaving endpoints and
@@ -85,7 +86,7 @@
     }
   }
   for (const EndpointId& id : m_directory.RetainOnly(
-           present, m_complete && RecentOutage(), m_loop.Now())) {
+           present, m_complete ? LapseDeadline() : std::nullopt)) {
     kLog.Info("endpoint removed", {{"endpoint", id.value()}});
     m_events.m_endpoint_changed(id);
   }
@@ -218,7 +219,7 @@
         }
         break;
       }
-      const auto change = m_directory.Remove(id, RecentOutage(), m_loop.Now());
+      const auto change = m_directory.Remove(id, LapseDeadline());
       kLog.Info(change == EndpointDirectory::Change::kLapsed
                     ? "endpoint registration lapsed; kept for a grace period"
                     : "endpoint removed",
@@ -314,8 +315,15 @@
          m_loop.Now() - m_asking_since > kAnswerLimit;
 }
 
-bool FleetStateFeed::RecentOutage() const {
-  return ServiceSilent() || m_loop.Now() - m_recovered_at < kRecoveryPeriod;
+std::optional<MonotonicTime> FleetStateFeed::LapseDeadline() const {
+  const MonotonicTime now = m_loop.Now();
+  if (ServiceSilent()) {
+    return now + kReregistrationPeriod;
+  }
+  if (m_recovered_at && now - *m_recovered_at < kReregistrationPeriod) {
+    return *m_recovered_at + kReregistrationPeriod;
+  }
+  return std::nullopt;
 }
 
 void FleetStateFeed::RemoveLapsed() {
--- a/Source/fleet/fleet_state_feed.h
+++ b/Source/fleet/fleet_state_feed.h
@@ -102,7 +102,10 @@
   // old view alone does not tell: the host that sends the proofs may be the
   // only one without the service.
   bool ServiceSilent() const;
-  bool RecentOutage() const;
+  // Returns until when an entry whose registration is deleted now is kept,
+  // because the registration may have lapsed in an outage; nothing if there was
+  // none recently.
+  std::optional<MonotonicTime> LapseDeadline() const;
   void RemoveLapsed();
 
   EventLoop& m_loop;
@@ -122,7 +125,7 @@
   // had replaced them.
   MonotonicTime m_asking_since;
   // When the service last answered again after an outage.
-  MonotonicTime m_recovered_at;
+  std::optional<MonotonicTime> m_recovered_at;
   std::unique_ptr<keyvalue::Watch> m_watch;
   std::unique_ptr<Timer> m_retry;
   std::unique_ptr<Timer> m_lapse_timer;
