Ask for a shorter wait when the copy would grow too old; judge outages by the intervals

Callers were refused or their requests sent to a server that had left, although the key-value service worked. The age of a batch is counted from its call, which may have waited for a change: the next call, after the pause, then waited in full again, and the copy grew to a pause and two waits (4.2 s with the longest intervals). That is beyond 3.75 s, where requests with a key are refused, and beyond the fixed 2.6 s from which the service counted as away, so that a true deletion after a quiet spell was kept as a lapse.

The wait of each call is now what is left of a pause and a wait since the last proof, a resumed watch asks without a wait, and the service counts as away after a pause, a wait and the time of an answer.

On the former code 'The copy grows no older...' fails (3.7 s where 2.7 s are allowed), and so does 'A service without changes...' (the endpoint is kept); both pass now.

--- a/Source/fleet/fleet_state_feed.cc
+++ b/Source/fleet/fleet_state_feed.cc
@@ -12,9 +12,6 @@
 
 constexpr Duration kRetryPause = milliseconds(200);
 constexpr Duration kLapseCheckInterval = milliseconds(200);
-// Without changes, the copy is confirmed every two seconds at most. A higher
-// age means that the service was unavailable.
-constexpr Duration kOutageAge = milliseconds(2600);
 // A call that asks for no wait is answered within this time, also by a slow
 // service.
 constexpr Duration kAnswerLimit = milliseconds(600);
@@ -117,8 +114,14 @@
 
 void FleetStateFeed::SetPollWait(Duration wait) {
   m_poll_wait = wait;
+  UpdatePollWait();
+}
+
+void FleetStateFeed::UpdatePollWait() {
   if (m_watch) {
-    m_watch->SetPollWait(wait);
+    const Duration left = m_current_as_of + m_batch_pause + m_poll_wait -
+                          std::max(m_next_call_at, m_loop.Now());
+    m_watch->SetPollWait(ToMillis(std::clamp(left, Duration{}, m_poll_wait)));
   }
 }
 
@@ -136,6 +139,9 @@
   if (m_events.m_batch_applied) {
     m_events.m_batch_applied(from, batch);
   }
+  m_next_call_at =
+      m_loop.Now() + (batch.m_events.empty() ? Duration{} : m_batch_pause);
+  UpdatePollWait();
 }
 
 void FleetStateFeed::ApplyChanges(const ChangeSpan& span) {
@@ -179,6 +185,8 @@
             {{"reason", reason},
              {"revision", m_revision},
              {"view_age_ms", ToMillis(Age()).count()}});
+  // The first answer comes without a wait and shows that the service works.
+  m_watch->SetPollWait(Duration{});
   m_watch->Resume(m_revision);
 }
 
@@ -311,7 +319,7 @@
 }
 
 bool FleetStateFeed::ServiceSilent() const {
-  return !m_proof_timer && Age() > kOutageAge &&
+  return !m_proof_timer && Age() > m_batch_pause + m_poll_wait + kAnswerLimit &&
          m_loop.Now() - m_asking_since > kAnswerLimit;
 }
 
--- a/Source/fleet/fleet_state_feed.h
+++ b/Source/fleet/fleet_state_feed.h
@@ -95,6 +95,9 @@
                    const char* source);
   void ApplyEvent(const keyvalue::WatchEvent& event, const char* source);
   void ResumeWatch(const std::string& reason);
+  // Sets the wait of the watch's next call so that the copy grows no older than
+  // a batch pause and a poll wait while the service works.
+  void UpdatePollWait();
   void ApplyConfiguration(const keyvalue::KeyValue& item);
   bool ApplyEndpoint(const keyvalue::KeyValue& item);
   void RecordProof(MonotonicTime as_of);
@@ -120,6 +123,8 @@
   Duration m_batch_pause{};
   Duration m_poll_wait = seconds(1);
   Duration m_max_relayed_age = milliseconds(2400);
+  // Earliest time of the watch's next call.
+  MonotonicTime m_next_call_at;
   MonotonicTime m_current_as_of;
   // When this host's own calls began, or were resumed after other hosts' proofs
   // had replaced them.
--- a/Source/keyvalue/key_value_service.h
+++ b/Source/keyvalue/key_value_service.h
@@ -86,8 +86,7 @@
   // has those up to `known`. A watch of a service that charges for each call
   // stops calling. Changes may still be reported.
   virtual void Pause(Revision /*known*/) {}
-  // Ends the pause; changes after `known` are reported. The service is asked at
-  // once and without a wait, so that its answer shows whether it works.
+  // Ends the pause; changes after `known` are reported.
   virtual void Resume(Revision /*known*/) {}
 };
 
--- a/Tests/fleet/manual_key_value_service.h
+++ b/Tests/fleet/manual_key_value_service.h
@@ -17,6 +17,7 @@
   class ManualWatch : public keyvalue::Watch {
    public:
     explicit ManualWatch(ManualKeyValueService& service) : m_service(service) {}
+    void SetPollWait(Duration wait) override { m_service.m_poll_wait = wait; }
     void Pause(Revision /*known*/) override { m_service.m_paused = true; }
     void Resume(Revision /*known*/) override { m_service.m_paused = false; }
 
@@ -90,6 +91,7 @@
   Revision m_revision = 0;
   std::function<void(keyvalue::WatchBatch)> m_changed;
   bool m_paused = false;
+  Duration m_poll_wait{};
 };
 
 }  // namespace hickoryloft::fleet
--- a/Tests/fleet/outage_detection_test.cc
+++ b/Tests/fleet/outage_detection_test.cc
@@ -15,6 +15,9 @@
 const EndpointId kEndpoint("a");
 constexpr Duration kReportInterval = milliseconds(250);
 constexpr Duration kStep = milliseconds(10);
+// The longest intervals of a host that no other host depends on.
+constexpr Duration kBatchPause = milliseconds(1200);
+constexpr Duration kPollWait = milliseconds(1500);
 // Allowance for a busy machine.
 constexpr Duration kSlack = milliseconds(400);
 
@@ -23,6 +26,8 @@
   Host() {
     m_service.Put("config", "1");
     m_service.Put("e/a", "fine");
+    m_feed.SetBatchPause(kBatchPause);
+    m_feed.SetPollWait(kPollWait);
     m_feed.Start();
   }
 
@@ -92,6 +97,48 @@
   CHECK(host.m_loop.Now() - as_of < limit + kSlack);
 }
 
+// Guards against requests to an endpoint that has left (DRAIN): a quiet service
+// answers only after a pause and a wait.
+TEST_CASE("A service without changes is not taken for one that is away") {
+  Host host;
+  host.AnswerWatch();
+  host.RunFor(kBatchPause + kPollWait + milliseconds(100));
+  host.m_service.Delete("e/a");
+  host.AnswerWatch();
+  CHECK_FALSE(host.Knows(kEndpoint));
+}
+
+// Guards against requests that are refused for an old view although the service
+// works (knowledge_too_old, process_jarro): the age of a batch is counted from
+// its call, which may have waited long for a change.
+TEST_CASE("The copy grows no older than a pause and a wait") {
+  Host host;
+  host.AnswerWatch();
+  CHECK(host.m_service.m_poll_wait > kPollWait - kSlack);
+  const MonotonicTime called_at = host.m_loop.Now();
+  host.RunFor(milliseconds(1000));
+  host.m_service.Put("e/a", "fine");
+  host.m_service.m_changed(
+      host.m_service.After(host.m_feed.revision(), called_at));
+  const MonotonicTime next_call_at = host.m_loop.Now() + kBatchPause;
+  const auto greatest_age = [&] {
+    return next_call_at + host.m_service.m_poll_wait - called_at;
+  };
+  CHECK(greatest_age() < kBatchPause + kPollWait + milliseconds(10));
+  host.RunFor(kBatchPause / 2);
+  host.m_feed.SetPollWait(kPollWait);  // As the host does regularly.
+  CHECK(greatest_age() < kBatchPause + kPollWait + milliseconds(10));
+}
+
+TEST_CASE("A resumed watch asks without a wait") {
+  Host host;
+  host.m_feed.SetMaxRelayedAge(milliseconds(300));
+  host.ReceiveOldProofs(host.m_loop.Now());
+  CHECK(host.m_service.m_poll_wait == Duration{});
+  host.AnswerWatch();
+  CHECK(host.m_service.m_poll_wait > kPollWait - kSlack);
+}
+
 // The counterpart: what must go on working when the service itself was away.
 TEST_CASE("A registration that lapsed in an outage is kept") {
   Host host;
