Do not take the host's own suspension for an outage of the service

A host that had stood still for some seconds kept registrations that had been deleted meanwhile for the grace period, and sent callers' requests to servers that had left. A host that has not run its timers for a second now counts its calls from the moment at which it runs again. The new test fails on the former code (the endpoint is kept, whichever of timers and answer comes first) and passes now.

--- a/Source/fleet/fleet_state_feed.cc
+++ b/Source/fleet/fleet_state_feed.cc
@@ -19,6 +19,10 @@
 // ends; the check interval covers the rest.
 constexpr Duration kReregistrationPeriod = milliseconds(1800);
 
+// A host that has not run its timers for this long was suspended, or too busy
+// to read answers.
+constexpr Duration kSuspensionGap = seconds(1);
+
 // The host resumes its own watch when no proof has arrived for this long: a few
 // report intervals, and well within the bounds on leaving endpoints and
 // withdrawn keys.
@@ -44,6 +48,7 @@
 void FleetStateFeed::Start() {
   m_lapse_timer = m_loop.Every(kLapseCheckInterval, [this] { RemoveLapsed(); });
   m_asking_since = m_loop.Now();
+  m_running_at = m_loop.Now();
   ReadAll();
 }
 
@@ -307,7 +312,18 @@
   m_events.m_endpoint_changed(id);
 }
 
+void FleetStateFeed::NoteRunning() {
+  const MonotonicTime now = m_loop.Now();
+  if (now - m_running_at > kSuspensionGap) {
+    kLog.Warn("this host was suspended",
+              {{"for_ms", ToMillis(now - m_running_at).count()}});
+    m_asking_since = now;
+  }
+  m_running_at = now;
+}
+
 void FleetStateFeed::RecordProof(MonotonicTime as_of) {
+  NoteRunning();
   if (m_complete && ServiceSilent()) {
     kLog.Warn(
         "key-value service back",
@@ -335,6 +351,7 @@
 }
 
 void FleetStateFeed::RemoveLapsed() {
+  NoteRunning();
   for (const EndpointId& id : m_directory.DropLapsed(m_loop.Now())) {
     kLog.Info("endpoint with lapsed registration removed",
               {{"endpoint", id.value()}});
--- a/Source/fleet/fleet_state_feed.h
+++ b/Source/fleet/fleet_state_feed.h
@@ -101,6 +101,8 @@
   void ApplyConfiguration(const keyvalue::KeyValue& item);
   bool ApplyEndpoint(const keyvalue::KeyValue& item);
   void RecordProof(MonotonicTime as_of);
+  // Disregards the time in which this host was suspended, and thus did not ask.
+  void NoteRunning();
   // Returns whether the service has left this host's own calls unanswered. An
   // old view alone does not tell: the host that sends the proofs may be the
   // only one without the service.
@@ -127,8 +129,10 @@
   MonotonicTime m_next_call_at;
   MonotonicTime m_current_as_of;
   // When this host's own calls began, or were resumed after other hosts' proofs
-  // had replaced them.
+  // had replaced them or the host had been suspended.
   MonotonicTime m_asking_since;
+  // When this host was last seen to run.
+  MonotonicTime m_running_at;
   // When the service last answered again after an outage.
   std::optional<MonotonicTime> m_recovered_at;
   std::unique_ptr<keyvalue::Watch> m_watch;
--- a/Tests/fleet/outage_detection_test.cc
+++ b/Tests/fleet/outage_detection_test.cc
@@ -2,6 +2,7 @@
 // the host knows of the service at that time.
 
 #include <catch2/catch.hpp>
+#include <thread>
 
 #include "Tests/fleet/manual_key_value_service.h"
 #include "Tests/fleet/plain_decoder.h"
@@ -108,6 +109,22 @@
   CHECK_FALSE(host.Knows(kEndpoint));
 }
 
+// Guards against requests to an endpoint that left while the host was
+// suspended: the silence was the host's own.
+TEST_CASE("A suspension of the host is not an outage of the service") {
+  Host host;
+  host.AnswerWatch();
+  host.RunFor(milliseconds(300));
+  std::this_thread::sleep_for(milliseconds(3500));
+  const bool timers_first = GENERATE(false, true);
+  if (timers_first) {
+    host.RunFor(milliseconds(20));
+  }
+  host.m_service.Delete("e/a");
+  host.AnswerWatch();
+  CHECK_FALSE(host.Knows(kEndpoint));
+}
+
 // Guards against requests that are refused for an old view although the service
 // works (knowledge_too_old, process_jarro): the age of a batch is counted from
 // its call, which may have waited long for a change.
