--- a/Tests/jarro/store_watch_test.cc
+++ b/Tests/jarro/store_watch_test.cc
@@ -92,3 +92,31 @@
   CHECK(store.LastTarget().ends_with("waitMs=1500"));
   CHECK(store.m_batches == 2);
 }
+
+// Guards against a host that never catches up with the store (SHORT on
+// jarro-ne-large): it gave up slow answers and asked for ever more changes.
+TEST_CASE("An answer that keeps arriving is read to its end") {
+  WatchedStore store;
+  store.m_watch.SetPollWait(milliseconds(100));
+  store.AnswerWithoutChanges();
+  REQUIRE(store.calls() == 2);
+  const endpoint::CallEvents events = store.m_client.m_calls.back().m_events;
+  events.m_head({.m_status = 200});
+  const std::string body =
+      nlohmann::json{{"asOf", 2}, {"events", nlohmann::json::array()}}.dump();
+  for (const char byte : body.substr(0, 5)) {
+    events.m_bytes(std::string_view(&byte, 1));
+    store.RunFor(milliseconds(300));
+  }
+  REQUIRE(store.calls() == 2);
+  events.m_bytes(body.substr(5));
+  events.m_done();
+  CHECK(store.m_batches == 2);
+}
+
+TEST_CASE("An answer that does not arrive ends the call soon after its wait") {
+  WatchedStore store;
+  const Duration limit = store.m_client.m_calls.back().m_request.m_idle_timeout;
+  CHECK(limit > WatchedStore::kPollWait);
+  CHECK(limit <= WatchedStore::kPollWait + seconds(1));
+}
