Decode and log the rate that an endpoint takes from all hosts together

A server in need names in its answers how many requests a second it takes. The adapter decodes the header, and a host logs it with the request and the endpoint, so that a log tells whether a host knew of a limit when it sent. Nothing is decided by the limit yet.

--- a/Source/base/log_fields.h
+++ b/Source/base/log_fields.h
@@ -76,6 +76,8 @@
     {"removed", "whether a document was removed"},
     {"request", "id of a request or a document"},
     {"requests", "number of requests"},
+    {"requests_per_second",
+     "rate at which an endpoint takes requests from all hosts together"},
     {"retry_after_ms",
      "milliseconds after which the caller should retry; 0 if not given"},
     {"revision",
--- a/Source/fleet/caller_request.h
+++ b/Source/fleet/caller_request.h
@@ -61,6 +61,8 @@
   bool m_leaving = false;  // The endpoint will shut down soon.
   // How long this host must not send requests to the endpoint.
   std::optional<Duration> m_retry_after;
+  // The rate at which the endpoint takes requests from all hosts together.
+  std::optional<double> m_requests_per_second;
   http::HeaderFields m_forwarded;  // Headers for the caller.
 };
 
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -166,6 +166,12 @@
     m_context.m_health.RecordBackoff(m_endpoint, *m_facts.m_retry_after,
                                      m_context.m_loop.Now());
   }
+  if (m_facts.m_requests_per_second) {
+    kLog.Info("endpoint limits the requests of all hosts",
+              {{"id", m_admitted.m_request.m_id},
+               {"endpoint", m_endpoint.value()},
+               {"requests_per_second", *m_facts.m_requests_per_second}});
+  }
   if (m_facts.m_leaving) {
     m_context.m_on_endpoint_leaving(m_endpoint, m_endpoint_started_at_ms);
   }
--- a/Tests/jarro/caller_protocol_test.cc
+++ b/Tests/jarro/caller_protocol_test.cc
@@ -126,6 +126,22 @@
       protocol.DecodeAnswer({.m_status = 500, .m_headers = {}}).m_not_executed);
 }
 
+TEST_CASE("Server-Limit is decoded") {
+  const CallerProtocol protocol;
+  const auto limit = [&](const char* value) {
+    return protocol
+        .DecodeAnswer({.m_status = 200, .m_headers = {{"Server-Limit", value}}})
+        .m_requests_per_second;
+  };
+  CHECK(limit("1.2") == 1.2);
+  CHECK(limit("0") == 0);
+  CHECK_FALSE(limit("-1"));
+  CHECK_FALSE(limit("many"));
+  CHECK_FALSE(limit("nan"));
+  CHECK_FALSE(limit("inf"));
+  CHECK_FALSE(protocol.DecodeAnswer({.m_status = 200}).m_requests_per_second);
+}
+
 TEST_CASE("Server-Leaving and Retry-After are decoded") {
   const CallerProtocol protocol;
   CHECK(protocol
--- a/Utilities/check-structure.sh
+++ b/Utilities/check-structure.sh
@@ -45,7 +45,7 @@
 
 # Only the main function in platform/ links the platform adapter with the product. Names of the platform's wire format are
 # used in platform/ only.
-readonly wire_names='Token-Usage|Not-Executed|Prompt-Prefix|Server-Signature|Expect-Instance|Deadline-Ms|kv-txn|kv-range|kv-watch|coldRemainingMs|apiKeys|pathPrefix'
+readonly wire_names='Token-Usage|Not-Executed|Server-Limit|Prompt-Prefix|Server-Signature|Expect-Instance|Deadline-Ms|kv-txn|kv-range|kv-watch|coldRemainingMs|apiKeys|pathPrefix'
 while IFS= read -r line; do
   fail "$line: only platform/ may include platform/"
 done < <(grep -rnE '^#include "platform/' Source || true)
