--- a/StandIns/jarro_main.cc
+++ b/StandIns/jarro_main.cc
@@ -67,6 +67,10 @@
       }
     } else if (target == "/control/leave-ledger-1") {
       m_servers[2]->AnnounceLeaving();
+    } else if (target == "/control/limit-ledger-1") {
+      m_servers[2]->NameLimit(1);
+    } else if (target == "/control/unlimit-ledger-1") {
+      m_servers[2]->NameLimit(0);
     } else if (target == "/control/turn-away-ledger-1") {
       m_servers[2]->RejectRequests(seconds(3));
     } else if (target == "/control/babble") {
--- a/StandIns/jarro_server.cc
+++ b/StandIns/jarro_server.cc
@@ -201,6 +201,9 @@
   if (m_announces_leaving) {
     headers.push_back({"Server-Leaving", "1"});
   }
+  if (m_named_limit > 0) {
+    headers.push_back({"Server-Limit", std::to_string(m_named_limit)});
+  }
   return headers;
 }
 
--- a/StandIns/jarro_server.h
+++ b/StandIns/jarro_server.h
@@ -44,6 +44,11 @@
   // Announces in response headers that the server is leaving; its registration
   // does not say so.
   void AnnounceLeaving() { m_announces_leaving = true; }
+  // Names in response headers a limit of requests a second, from all callers;
+  // none if it is 0.
+  void NameLimit(double requests_per_second) {
+    m_named_limit = requests_per_second;
+  }
   // Rejects requests with status 503 and Retry-After for `duration`.
   void RejectRequests(Duration duration) {
     m_reject_until = m_loop.Now() + duration;
@@ -86,6 +91,7 @@
   Duration m_response_delay{};
   Duration m_event_interval = milliseconds(15);
   bool m_announces_leaving = false;
+  double m_named_limit = 0;
   bool m_sends_endless_bodies = false;
   bool m_trickles_streams = false;
   MonotonicTime m_reject_until;
