Hold all hosts together to the rate that an endpoint names

A part of the limit for each host would not do either: with hundreds of hosts the parts are far below one request, and the demand is at few of them.

A host now sends to such an endpoint with a permit only. One host, which rendezvous hashing chooses for the endpoint, issues the permits to all at the named rate; it waits a second before its first, since another host may still issue by an earlier view of the members. A permit is good for one request and 400 ms. Requests go to other endpoints meanwhile; placement is told to avoid the endpoint, so that its models get replicas elsewhere. The limit lasts until an answer of the same incarnation does not name it, over lapses of the registration.

--- a/Source/base/log_fields.h
+++ b/Source/base/log_fields.h
@@ -56,6 +56,7 @@
     {"host", "name of a host"},
     {"id", "id of a request"},
     {"incarnation", "identifier of one run of a host's process"},
+    {"issuer", "host that issues the permits of an endpoint"},
     {"key", "key in the key-value service"},
     {"lease", "lease in the key-value service"},
     {"left_ms", "milliseconds until the request's deadline"},
--- a/Source/host/endpoint_finder.cc
+++ b/Source/host/endpoint_finder.cc
@@ -62,11 +62,16 @@
   const MonotonicTime now = m_context.m_loop.Now();
   std::vector<routing::Candidate> candidates;
   std::vector<const fleet::EndpointEntry*> entries;
+  std::vector<const fleet::EndpointEntry*> without_permit;
   ForEachReadyEndpoint([&](const fleet::EndpointEntry& entry) {
     if (m_requirements.m_tried.contains(entry.m_id) != tried ||
         !CanServe(entry)) {
       return;
     }
+    if (!m_context.m_permits.MaySend(entry)) {
+      without_permit.push_back(&entry);
+      return;
+    }
     candidates.push_back(
         {.m_endpoint = entry.m_id,
          .m_failure_domain = entry.m_failure_domain,
@@ -78,6 +83,9 @@
   const int chosen =
       routing::SelectEndpoint(candidates, m_context.m_settings.m_failure_domain,
                               {}, m_context.m_random);
+  for (const fleet::EndpointEntry* entry : without_permit) {
+    m_context.m_permits.Ask(*entry, /*urgent=*/chosen < 0);
+  }
   return chosen < 0 ? nullptr : entries[static_cast<std::size_t>(chosen)];
 }
 
--- a/Source/host/fleet_exchange.cc
+++ b/Source/host/fleet_exchange.cc
@@ -288,6 +288,8 @@
     HandlePlacementUpdate(*message);
   } else if (const auto* changes = envelope.body.AsStoreChanges()) {
     m_events.m_on_store_changes(FromRow(*changes));
+  } else if (m_on_other_message) {
+    m_on_other_message(envelope);
   }
 }
 
--- a/Source/host/fleet_exchange.h
+++ b/Source/host/fleet_exchange.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "base/event_loop.h"
@@ -95,6 +96,16 @@
   // relays report their groups' demand to it. Empty if there is none.
   void SetPlacementLeader(const HostId& leader) { m_placement_leader = leader; }
 
+  // Sends a message to another host, directly; it may be lost.
+  void Send(const HostId& peer, const wire::EnvelopeT& message) {
+    m_links.Send(peer, message);
+  }
+  // Sets the receiver of the messages that this class does not handle itself.
+  void SetOtherMessageHandler(
+      std::function<void(const wire::EnvelopeT&)> handler) {
+    m_on_other_message = std::move(handler);
+  }
+
   // What is sent ahead of the next regular report, and to which hosts. Bits of
   // the `urgent` field of reports.
   enum UrgentTopic : std::uint8_t {
@@ -163,6 +174,7 @@
   membership::MemberInfo m_facts;
   std::uint64_t m_epoch;
   Events m_events;
+  std::function<void(const wire::EnvelopeT&)> m_on_other_message;
   PeerLinks m_links;
   membership::ReportGroups m_groups;
   membership::ReportAggregator m_aggregator;
--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -117,6 +117,10 @@
                    m_knowledge.ApplyProof(revision, as_of);
                  }
                }}),
+      m_permits(loop,
+                m_settings.m_host,
+                m_exchange,
+                [this] { m_frontend.RetryWaiting(); }),
       m_registration(loop,
                      platform.m_store,
                      RegistrationKey(m_settings, m_incarnation),
@@ -182,6 +186,7 @@
       .m_load = m_load,
       .m_health = m_health,
       .m_replicas = m_replicas,
+      .m_permits = m_permits,
       .m_random = m_random,
       .m_metrics = m_metrics,
       .m_retry_budget =
@@ -317,6 +322,11 @@
   for (const auto& [id, witnesses] : m_health.AllFailureVotes(m_loop.Now())) {
     counts.m_avoided.emplace_back(routing::KeyOf(id), witnesses);
   }
+  // The models of a limited endpoint need replicas elsewhere.
+  for (const EndpointId& id : m_permits.LimitedEndpoints()) {
+    counts.m_avoided.emplace_back(routing::KeyOf(id),
+                                  routing::EndpointHealth::kDecisiveVotes);
+  }
   for (const auto& leaving : m_knowledge.directory().leaving()) {
     if (m_knowledge.directory().Find(leaving.first) != nullptr) {
       counts.m_leaving.insert(leaving);
--- a/Source/host/host_daemon.h
+++ b/Source/host/host_daemon.h
@@ -12,6 +12,7 @@
 #include "host/fleet_exchange.h"
 #include "host/frontend.h"
 #include "host/member_view.h"
+#include "host/permit_exchange.h"
 #include "host/placement_controller.h"
 #include "http/server.h"
 #include "membership/placement_lease.h"
@@ -64,6 +65,7 @@
   RequestContext m_context;
   Frontend m_frontend;
   FleetExchange m_exchange;
+  PermitExchange m_permits;
   membership::Registration m_registration;
   membership::PlacementLease m_placement_lease;
   PlacementController m_placement_controller;
--- a/Source/host/request_context.h
+++ b/Source/host/request_context.h
@@ -14,6 +14,7 @@
 #include "fleet/protocols.h"
 #include "host/host_metrics.h"
 #include "host/host_settings.h"
+#include "host/permit_exchange.h"
 #include "placement/replica_map.h"
 #include "routing/endpoint_health.h"
 #include "routing/fleet_load.h"
@@ -33,6 +34,7 @@
   routing::FleetLoad& m_load;
   routing::EndpointHealth& m_health;
   placement::ReplicaMap& m_replicas;
+  PermitExchange& m_permits;
   RandomEngine& m_random;
   HostMetrics& m_metrics;
   // Returns the budget for repeated sends to a service.
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -118,6 +118,7 @@
   }
   m_context.m_metrics.CountSend(m_sends > 1);
   m_requirements.m_tried.insert(m_endpoint);
+  m_context.m_permits.Use(entry);
   m_context.m_load.Begin(m_endpoint, request.m_model);
   m_counted_in_load = true;
   kLog.Info("sent", {{"id", request.m_id},
@@ -166,11 +167,10 @@
     m_context.m_health.RecordBackoff(m_endpoint, *m_facts.m_retry_after,
                                      m_context.m_loop.Now());
   }
-  if (m_facts.m_requests_per_second) {
-    kLog.Info("endpoint limits the requests of all hosts",
-              {{"id", m_admitted.m_request.m_id},
-               {"endpoint", m_endpoint.value()},
-               {"requests_per_second", *m_facts.m_requests_per_second}});
+  // An answer without a signature may be another server's.
+  if (m_facts.m_signed || m_facts.m_requests_per_second) {
+    m_context.m_permits.RecordAnswer(m_endpoint, m_endpoint_started_at_ms,
+                                     m_facts.m_requests_per_second);
   }
   if (m_facts.m_leaving) {
     m_context.m_on_endpoint_leaving(m_endpoint, m_endpoint_started_at_ms);
