Test: limited servers are used at their limit

Two servers that each name five requests a second are asked for more by three hosts: at least 70 % of the ten a second arrive, and no more than the bound.

--- a/StandIns/jarro_main.cc
+++ b/StandIns/jarro_main.cc
@@ -69,6 +69,9 @@
       m_servers[2]->AnnounceLeaving();
     } else if (target == "/control/limit-ledger-1") {
       m_servers[2]->NameLimit(1);
+    } else if (target == "/control/limit-ledgers") {
+      m_servers[2]->NameLimit(5);
+      m_servers[3]->NameLimit(5);
     } else if (target == "/control/unlimit-ledger-1") {
       m_servers[2]->NameLimit(0);
     } else if (target == "/control/turn-away-ledger-1") {
--- a/Tests/process/jarro_limits_test.py
+++ b/Tests/process/jarro_limits_test.py
@@ -62,6 +62,17 @@
         self.assertGreater(self.count_at_ledger_1() - before,
                            2 * ALLOWED_IN_WINDOW)
 
+    def test_limited_servers_are_used_at_their_limit(self):
+        """Both servers name five requests a second; all callers together ask
+        for more."""
+        self.fleet.control("limit-ledgers")
+        self.send_for(LEARNING_S)
+        before = len(self.fleet.runs())
+        self.send_for(WINDOW_S)
+        served = len(self.fleet.runs()) - before
+        self.assertLessEqual(served, 2 * (1.5 * WINDOW_S * 5 + 5))
+        self.assertGreaterEqual(served, 0.7 * 2 * WINDOW_S * 5)
+
 
 if __name__ == "__main__":
     unittest.main()
