Tell waiting requests without a permit apart; read limits only from the endpoint itself

A request that waits for a permit said 'serving it 1, with room 1'; it now says how many endpoints lack one. A 421 is another server's answer, so its limit is not the endpoint's. A limit from another host that is no positive number counts as zero; a NaN would have made an undefined interval (new lines in the test of the issuer).

--- a/Source/admission/permit_issuer.cc
+++ b/Source/admission/permit_issuer.cc
@@ -7,7 +7,7 @@
 std::optional<Duration> PermitIssuer::Take(const EndpointId& endpoint,
                                            double requests_per_second,
                                            MonotonicTime now) {
-  // Rates below one request in this time would overflow the interval.
+  // The interval of a lower rate would overflow.
   constexpr double kMinRate = 1e-6;
   if (m_due.size() >= kMaxEndpoints) {
     std::erase_if(m_due, [&](const auto& due) {
@@ -16,7 +16,7 @@
   }
   MonotonicTime& due =
       m_due.try_emplace(endpoint, now + kHandoverTime).first->second;
-  if (requests_per_second < kMinRate) {
+  if (!(requests_per_second >= kMinRate)) {
     return kMaxWait;
   }
   due = std::max(due, now - kBurstTime);
--- a/Source/admission/permit_issuer.h
+++ b/Source/admission/permit_issuer.h
@@ -26,8 +26,8 @@
   static constexpr Duration kMaxWait = seconds(1);
 
   // Issues a permit for one request to the endpoint. Returns nothing on
-  // success, else the time until the next permit. Precondition:
-  // `requests_per_second` is finite and not negative.
+  // success, else the time until the next permit. A limit that is no positive
+  // number counts as zero.
   std::optional<Duration> Take(const EndpointId& endpoint,
                                double requests_per_second,
                                MonotonicTime now);
--- a/Source/host/endpoint_finder.cc
+++ b/Source/host/endpoint_finder.cc
@@ -99,17 +99,22 @@
   int holding = 0;
   int serving = 0;
   int with_room = 0;
+  int without_permit = 0;
   ForEachReadyEndpoint([&](const fleet::EndpointEntry& entry) {
     const bool serves =
         !m_requirements.m_tried.contains(entry.m_id) && CanServe(entry);
     ++holding;
+    without_permit += m_context.m_permits.MaySend(entry) ? 0 : 1;
     serving += serves ? 1 : 0;
     with_room +=
         serves && m_context.m_load.Total(entry.m_id) < entry.m_slots ? 1 : 0;
   });
   return "ready " + std::to_string(ready) + ", holding the model " +
          std::to_string(holding) + ", serving it " + std::to_string(serving) +
-         ", with room " + std::to_string(with_room);
+         ", with room " + std::to_string(with_room) +
+         (without_permit == 0
+              ? ""
+              : ", without a permit " + std::to_string(without_permit));
 }
 
 }  // namespace hickoryloft::host
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -167,8 +167,10 @@
     m_context.m_health.RecordBackoff(m_endpoint, *m_facts.m_retry_after,
                                      m_context.m_loop.Now());
   }
-  // An answer without a signature may be another server's.
-  if (m_facts.m_signed || m_facts.m_requests_per_second) {
+  // 421 (Misdirected Request) comes from another server. Without a signature,
+  // an answer does not prove that the endpoint names no limit.
+  if (m_head.m_status != 421 &&
+      (m_facts.m_signed || m_facts.m_requests_per_second)) {
     m_context.m_permits.RecordAnswer(m_endpoint, m_endpoint_started_at_ms,
                                      m_facts.m_requests_per_second);
   }
--- a/Source/placement/plan_pacer.h
+++ b/Source/placement/plan_pacer.h
@@ -23,6 +23,7 @@
   // interval between lease renewals.
   static constexpr Duration kMaxPause = milliseconds(250);
 
+  // Records the start and the end of a plan.
   void RecordPlan(MonotonicTime began, MonotonicTime ended) {
     const Duration took = ended - began;
     m_next_at =
--- a/Tests/admission/endpoint_limits_test.cc
+++ b/Tests/admission/endpoint_limits_test.cc
@@ -3,6 +3,7 @@
 #include <rapidcheck.h>
 
 #include <catch2/catch.hpp>
+#include <cmath>
 #include <deque>
 
 #include "admission/permit_issuer.h"
@@ -129,6 +130,10 @@
 
 TEST_CASE("A limit of zero leaves no permits, and no overflow") {
   PermitIssuer issuer;
+  for (const double limit : {-1.0, std::nan("")}) {
+    CHECK(issuer.Take(kEndpoint, limit, kNow));
+    CHECK(issuer.Take(kEndpoint, limit, kNow + seconds(10)));
+  }
   for (int i = 0; i < 100; ++i) {
     CHECK(issuer.Take(kEndpoint, 0, kNow + seconds(i)) ==
           PermitIssuer::kMaxWait);
