--- a/StandIns/jarro_main.cc
+++ b/StandIns/jarro_main.cc
@@ -1,7 +1,11 @@
 // loft-standin-jarro: stand-ins for the Jarro platform's store, model servers
 // and plain services in one process, with a control interface for tests.
 
+#include <functional>
+#include <map>
 #include <memory>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "StandIns/jarro_server.h"
@@ -37,67 +41,77 @@
       return;
     }
     nlohmann::json answer = nlohmann::json::object();
-    if (target == "/control/config") {
-      m_store.Put("op/config", exchange->request().m_body);
-    } else if (target == "/control/foreign-entry") {
-      m_store.Put("servers/foreign", exchange->request().m_body);
-    } else if (target == "/control/working") {
-      m_store.SetMode(JarroStore::Mode::kWorking);
-    } else if (target == "/control/busy") {
-      m_store.SetMode(JarroStore::Mode::kBusy);
-    } else if (target == "/control/silent") {
-      m_store.SetMode(JarroStore::Mode::kSilent);
-    } else if (target == "/control/lose-writes") {
-      m_store.SetMode(JarroStore::Mode::kLosesWrites);
-    } else if (target == "/control/compact") {
-      m_store.Compact();
-    } else if (target == "/control/break-streams") {
-      for (const auto& server : m_servers) {
-        server->AbortStreamAfter(4);
-      }
-    } else if (target == "/control/slow-streams") {
-      for (const auto& server : m_servers) {
-        server->SetEventInterval(milliseconds(700));
-      }
-    } else if (target == "/control/crash-engine-1") {
-      m_servers[0]->Crash();
-    } else if (target == "/control/slow-answers") {
-      for (const auto& server : m_servers) {
-        server->SetResponseDelay(milliseconds(800));
-      }
-    } else if (target == "/control/leave-ledger-1") {
-      m_servers[2]->AnnounceLeaving();
-    } else if (target == "/control/limit-ledger-1") {
-      m_servers[2]->NameLimit(1);
-    } else if (target == "/control/limit-ledgers") {
-      m_servers[2]->NameLimit(5);
-      m_servers[3]->NameLimit(5);
-    } else if (target == "/control/unlimit-ledger-1") {
-      m_servers[2]->NameLimit(0);
-    } else if (target == "/control/turn-away-ledger-1") {
-      m_servers[2]->RejectRequests(seconds(3));
-    } else if (target == "/control/babble") {
-      for (const auto& server : m_servers) {
-        server->SendEndlessBodies();
-      }
-    } else if (target == "/control/trickle") {
-      for (const auto& server : m_servers) {
-        server->TrickleStreams();
-      }
-    } else if (target == "/control/drain-ledger-1") {
-      m_servers[2]->Register("draining");
-    } else if (target == "/control/seen") {
+    const std::string command = target.substr(sizeof("/control/") - 1);
+    if (command == "seen") {
       answer["servers"] = nlohmann::json::array();
       for (const auto& server : m_servers) {
         answer["servers"].push_back(server->Record());
       }
       answer["holder"] = m_store.ValueOf("hickoryloft/placement-holder");
+    } else if (const auto known = Commands().find(command);
+               known != Commands().end()) {
+      known->second(*this, exchange->request().m_body);
     }
     exchange->Answer(200, {{"Content-Type", "application/json"}},
                      answer.dump());
   }
 
  private:
+  using Command = std::function<void(Platform&, const std::string& body)>;
+
+  // The commands of tests; each is a path below /control/.
+  static const std::map<std::string, Command>& Commands() {
+    using Mode = JarroStore::Mode;
+    static const std::map<std::string, Command> kCommands = {
+        {"config",
+         [](auto& self, const auto& body) {
+           self.m_store.Put("op/config", body);
+         }},
+        {"foreign-entry",
+         [](auto& self, const auto& body) {
+           self.m_store.Put("servers/foreign", body);
+         }},
+        {"working", StoreMode(Mode::kWorking)},
+        {"busy", StoreMode(Mode::kBusy)},
+        {"silent", StoreMode(Mode::kSilent)},
+        {"lose-writes", StoreMode(Mode::kLosesWrites)},
+        {"compact", [](auto& self, const auto&) { self.m_store.Compact(); }},
+        {"break-streams", ForAll([](auto& s) { s.AbortStreamAfter(4); })},
+        {"slow-streams",
+         ForAll([](auto& s) { s.SetEventInterval(milliseconds(700)); })},
+        {"slow-answers",
+         ForAll([](auto& s) { s.SetResponseDelay(milliseconds(800)); })},
+        {"babble", ForAll([](auto& s) { s.SendEndlessBodies(); })},
+        {"trickle", ForAll([](auto& s) { s.TrickleStreams(); })},
+        {"crash-engine-1", For({0}, [](auto& s) { s.Crash(); })},
+        {"leave-ledger-1", For({2}, [](auto& s) { s.AnnounceLeaving(); })},
+        {"limit-ledger-1", For({2}, [](auto& s) { s.NameLimit(1); })},
+        {"limit-ledgers", For({2, 3}, [](auto& s) { s.NameLimit(5); })},
+        {"unlimit-ledger-1", For({2}, [](auto& s) { s.NameLimit(0); })},
+        {"turn-away-ledger-1",
+         For({2}, [](auto& s) { s.RejectRequests(seconds(3)); })},
+        {"drain-ledger-1", For({2}, [](auto& s) { s.Register("draining"); })}};
+    return kCommands;
+  }
+  static Command StoreMode(JarroStore::Mode mode) {
+    return [mode](Platform& self, const std::string&) {
+      self.m_store.SetMode(mode);
+    };
+  }
+  // Return commands for the servers with the given indices, and for all.
+  static Command For(std::vector<std::size_t> servers,
+                     std::function<void(JarroServer&)> action) {
+    return [servers = std::move(servers), action = std::move(action)](
+               Platform& self, const std::string&) {
+      for (const std::size_t server : servers) {
+        action(*self.m_servers[server]);
+      }
+    };
+  }
+  static Command ForAll(std::function<void(JarroServer&)> action) {
+    return For({0, 1, 2, 3}, std::move(action));
+  }
+
   void AddServer(EventLoop& loop, JarroServerSettings settings) {
     m_servers.push_back(
         std::make_unique<JarroServer>(loop, m_store, std::move(settings)));
