Stand-in of the store: answer a watch once when a change follows its wait

The logs of a run that repeats it beside 20 busy processes (second try) show that the stand-in itself had crashed: 'connection refused' from the store. The wait of a watch had ended in the same turn of the loop as a lease of the killed host, whose removal found the answered watch, answered it again, and removed it twice.

The watch is now removed when it is answered, and only its timer outlives the callback. The hosts were right: they refuse keys while the store is away.

--- a/StandIns/jarro_store.cc
+++ b/StandIns/jarro_store.cc
@@ -139,7 +139,11 @@
   position->m_timer = m_loop.After(
       milliseconds(QueryNumber(query, "waitMs")), [this, position] {
         AnswerWatch(*position, /*even_if_empty=*/true);
-        m_loop.Post([this, position] { m_waiting_watches.erase(position); });
+        // The timer must outlive its callback, but an answered watch must not
+        // be found by a change in the meantime.
+        m_loop.Post(
+            [timer = std::shared_ptr<Timer>(std::move(position->m_timer))] {});
+        m_waiting_watches.erase(position);
       });
 }
 
