Process tests: addresses of its own for each fleet

The addresses now follow from the front port, which the harness reserves. Two test runs at the same time passed, but for a test that had the former address as text; it asks the fleet for it now.

--- a/Tests/process/jarro_harness.py
+++ b/Tests/process/jarro_harness.py
@@ -95,7 +95,10 @@
         return process
 
     def address(self, index):
-        return f"127.0.0.{21 + index}"
+        """Returns an address that no other fleet on this machine uses: the
+        hosts' metrics port is the same in all fleets."""
+        fleet = self.ports["front"]
+        return f"127.{fleet >> 8}.{fleet & 255}.{21 + index}"
 
     def settings(self, index):
         address = self.address(index)
--- a/Tests/process/jarro_logs_test.py
+++ b/Tests/process/jarro_logs_test.py
@@ -175,7 +175,7 @@
         self.assertEqual(settings["host"], "edge-0")
         self.assertEqual(settings["failure_domain"], "z0")
         self.assertEqual(settings["callers"],
-                         f"127.0.0.21:{fleet.ports['front']}")
+                         f"{fleet.address(0)}:{fleet.ports['front']}")
         self.assertEqual(settings["bounds"]["key_withdrawal_ms"], 3000)
         self.assertEqual(settings["bounds"]["stop_grace_ms"], 6000)
 
