--- a/Source/base/log_fields.h
+++ b/Source/base/log_fields.h
@@ -99,6 +99,8 @@
     {"tier", "where a model is loaded from: host_memory, disk or weight_store"},
     {"tokens", "tokens charged to the account's rate limit for the request"},
     {"type", "type of a message between hosts"},
+    {"unfinished_bytes",
+     "bytes of an incomplete stream event at the end of the answer"},
     {"version", "version of a configuration or a document"},
     {"view_age_ms",
      "age of this host's view of the key-value service in milliseconds; later "
--- a/Source/endpoint/client_connection.cc
+++ b/Source/endpoint/client_connection.cc
@@ -42,6 +42,13 @@
   return "GET";
 }
 
+bool EndsWithConnection(const http::MessageHead& head) {
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return !head.m_chunked && !head.m_content_length &&
+         head.m_status != kNoContent && head.m_status != kNotModified;
+}
+
 Duration KeepAliveTimeout(const http::HeaderFields& headers) {
   const std::string* field = http::FindHeader(headers, "Keep-Alive");
   if (field == nullptr) {
@@ -213,7 +220,9 @@
   if (!m_skip_response && !m_echo_error && m_events.m_head) {
     m_events.m_head(AnswerHead{.m_status = head.m_status,
                                .m_headers = std::move(head.m_headers),
-                               .m_content_length = head.m_content_length});
+                               .m_content_length = head.m_content_length,
+                               .m_ends_with_connection =
+                                   EndsWithConnection(head)});
   }
 }
 
--- a/Source/endpoint/http_client.h
+++ b/Source/endpoint/http_client.h
@@ -51,6 +51,9 @@
   int m_status = 0;
   HeaderFields m_headers;
   std::optional<std::uint64_t> m_content_length;
+  // The body has neither a length nor chunks. Its end is the end of the
+  // connection, which does not prove that the body is complete.
+  bool m_ends_with_connection = false;
 };
 
 // Events of a call, in this order: m_head, any number of m_bytes, m_done; or
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -179,10 +179,13 @@
   }
 }
 
+bool RequestFlow::RelaysEvents() const {
+  return m_facts.m_event_stream && m_head.m_status == 200 &&
+         m_facts.m_signed && !m_facts.m_encoded;
+}
+
 void RequestFlow::OnBytes(std::string_view bytes) {
-  const bool streamed = m_facts.m_event_stream && m_head.m_status == 200 &&
-                        m_facts.m_signed && !m_facts.m_encoded;
-  if (!streamed) {
+  if (!RelaysEvents()) {
     if (m_body.size() + bytes.size() > kMaxAnswerBytes) {
       OnFailed(Error(ErrorCode::kProtocol, "the answer has more than " +
                                                std::to_string(kMaxAnswerBytes) +
@@ -230,6 +233,7 @@
     return;
   }
   m_may_have_run_at.insert(m_endpoint);
+  LogUncertainEnd();
   const bool success = m_head.m_status / 100 == 2;
   if (success && (!m_facts.m_signed || m_facts.m_encoded)) {
     AvoidEndpoint();
@@ -255,6 +259,24 @@
   RelayWholeAnswer();
 }
 
+void RequestFlow::LogUncertainEnd() const {
+  if (!m_head.m_ends_with_connection && !m_stream_started) {
+    return;
+  }
+  if (!m_head.m_ends_with_connection && RelaysEvents()) {
+    return;
+  }
+  kLog.Info(m_head.m_ends_with_connection
+                ? "answer ended with its connection"
+                : "answer does not continue the stream",
+            {{"id", m_admitted.m_request.m_id},
+             {"endpoint", m_endpoint.value()},
+             {"status", m_head.m_status},
+             {"send", m_sends},
+             {"events", m_events.events()},
+             {"unfinished_bytes", m_events.partial_bytes()}});
+}
+
 void RequestFlow::RelayWholeAnswer() {
   m_body.insert(0, m_events.ExtractPartial());
   m_exchange->Answer(m_head.m_status, m_facts.m_forwarded, m_body);
--- a/Source/host/request_flow.h
+++ b/Source/host/request_flow.h
@@ -83,6 +83,10 @@
   void OnNotExecuted(int status);
   void OnCallerDisconnected();
   void OnDeadline();
+  // Whether the body of the current answer is relayed event by event.
+  bool RelaysEvents() const;
+  // Logs an end that does not by itself prove that the answer is complete.
+  void LogUncertainEnd() const;
   void RelayWholeAnswer();
   void RelayEvents(const std::string& events);
   // Sends the request again after a failed send if that is allowed, otherwise
