Test, failing: streams that end inside an event with their connection

A scripted server writes streams without a length or chunks and closes the connection inside an event.

--- a/StandIns/jarro_main.cc
+++ b/StandIns/jarro_main.cc
@@ -71,6 +71,12 @@
          [](auto& self, const auto& body) {
            self.m_store.Put("servers/foreign", body);
          }},
+        {"entry",
+         [](auto& self, const auto& body) {
+           const auto entry = nlohmann::json::parse(body);
+           self.m_store.Put("servers/" + entry.value("id", ""),
+                            entry["value"].dump());
+         }},
         {"working", StoreMode(Mode::kWorking)},
         {"busy", StoreMode(Mode::kBusy)},
         {"silent", StoreMode(Mode::kSilent)},
--- /dev/null
+++ b/Tests/process/jarro_stream_ends_test.py
@@ -0,0 +1,111 @@
+"""Streams that end with their connection, and what a caller sees of them."""
+
+import unittest
+
+import harness
+import jarro_harness
+from scripted_server import (ScriptedServer, chunk, event, head, reset,
+                             stream_head)
+
+MODEL = "m5"  # No stand-in holds it.
+LAST_EVENT = 6
+
+
+class StreamEnds(jarro_harness.JarroTest):
+    hosts = 1
+
+    def start_server(self, name, respond, service="llm"):
+        models = [MODEL] if service == "llm" else []
+        server = ScriptedServer(name, service, models, respond)
+        self.addCleanup(server.close)
+        server.register(self.fleet)
+        return server
+
+    def chat(self, path="/chat/x"):
+        return self.fleet.chat(MODEL, path=path)
+
+    @staticmethod
+    def rest_of_stream(connection, request):
+        """Sends the events after Last-Event-Id, in chunks."""
+        after = int(request.headers.get("last-event-id", 0))
+        connection.sendall(stream_head(request, "Transfer-Encoding: chunked"))
+        for number in range(after + 1, LAST_EVENT + 1):
+            connection.sendall(chunk(event(number)))
+        connection.sendall(chunk(b""))
+        return True
+
+    @staticmethod
+    def unframed(*pieces):
+        """Sends a stream without a length or chunks, then closes."""
+        def respond(connection, request):
+            connection.sendall(stream_head(request) + b"".join(pieces))
+            return False
+        return respond
+
+    def test_unframed_stream_that_ends_inside_an_event_is_cut(self):
+        """Regression test (ORDER on jarro-ne): the end of the connection made
+        a broken stream complete."""
+        self.start_server("s1", self.unframed(event(1), b"id: 2\nda"))
+        reply = self.chat()
+        self.assertEqual(reply.events(), ["t1"])
+        self.assertFalse(reply.complete, reply)
+
+    def test_unframed_stream_that_ends_inside_its_first_event_is_not_sent(self):
+        """Regression test (ORDER): a part of an event as a whole answer."""
+        self.start_server("s1", self.unframed(b"id: 1\nda"))
+        self.assertEqual(self.chat().status, 502)
+
+    def test_unframed_stream_without_an_event_is_not_sent(self):
+        """Regression test (ORDER): an empty answer with status 200."""
+        self.start_server("s1", self.unframed())
+        self.assertEqual(self.chat().status, 502)
+
+    def test_unframed_stream_that_ends_inside_an_event_is_resumed(self):
+        """Regression test (ORDER): a resumable stream ended early."""
+        broken = [True]
+
+        def respond(connection, request):
+            if broken.pop() if broken else False:
+                return self.unframed(event(1), event(2), b"id: 3\nda")(
+                    connection, request)
+            return self.rest_of_stream(connection, request)
+        self.start_server("s1", respond)
+        self.start_server("s2", respond)
+        reply = self.chat("/letter/x")
+        self.assertTrue(reply.complete, reply)
+        self.assertEqual(reply.events(),
+                         [f"t{n}" for n in range(1, LAST_EVENT + 1)])
+
+    def test_unframed_stream_that_ends_after_an_event_is_complete(self):
+        self.start_server("s1", self.unframed(event(1), event(2)))
+        reply = self.chat()
+        self.assertTrue(reply.complete, reply)
+        self.assertEqual(reply.events(), ["t1", "t2"])
+
+    def test_unframed_stream_that_is_reset_is_cut(self):
+        def respond(connection, request):
+            reset(connection)
+            connection.sendall(stream_head(request) + event(1))
+            return False
+        self.start_server("s1", respond)
+        self.assertFalse(self.chat().complete)
+
+    def test_unframed_plain_answer(self):
+        def respond(connection, request):
+            if request.target.endswith("/reset"):
+                reset(connection)
+            connection.sendall(head(request) + b"a receipt")
+            return False
+        for name in ("ledger-1", "ledger-2"):
+            self.start_server(name, respond, "ledger")
+        harness.wait_for(
+            lambda: self.fleet.post("/look/x").body == "a receipt", 5,
+            "the host uses the new servers")
+        for _ in range(5):
+            reply = self.fleet.post("/look/x")
+            self.assertEqual((reply.status, reply.body), (200, "a receipt"))
+        self.assertNotEqual(self.fleet.post("/pay/reset").status, 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/Tests/process/scripted_server.py
@@ -0,0 +1,126 @@
+"""A model server or plain service whose responses a test writes byte by byte,
+for framings and faults that a regular HTTP server does not produce."""
+
+import json
+import socket
+import struct
+import threading
+
+HEAD_LIMIT = 65536
+
+
+class Request:
+    def __init__(self, target, headers):
+        self.target = target
+        self.headers = headers
+
+    @property
+    def id(self):
+        return self.headers.get("request-id", "")
+
+
+def head(request, status="200 OK", *fields, echo=True, signed=True):
+    """Returns the head of a response to `request`."""
+    lines = [f"HTTP/1.1 {status}"]
+    if echo:
+        lines.append(f"Request-Id: {request.id}")
+    if signed:
+        lines.append(f"Server-Signature: s.{request.id}")
+    return "\r\n".join([*lines, *fields, "", ""]).encode()
+
+
+def stream_head(request, *fields):
+    return head(request, "200 OK", "Content-Type: text/event-stream", *fields)
+
+
+def event(number):
+    return f"id: {number}\ndata: t{number}\n\n".encode()
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+class ScriptedServer:
+    """Serves each connection on a thread of its own. `respond` is called with
+    the socket and the Request for each request that is not a control call; it
+    returns whether the connection stays open."""
+
+    def __init__(self, name, service, models, respond):
+        self.name = name
+        self.service = service
+        self.models = models
+        self.respond = respond
+        self.requests = []
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self._listener.getsockname()[1]
+        self._connections = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def entry(self, **more):
+        models = [{"name": name, "version": 1, "adapters": []}
+                  for name in self.models]
+        return {"service": self.service, "address": f"127.0.0.1:{self.port}",
+                "zone": "z1", "version": "v1", "slots": 8, "state": "ready",
+                "born": 2000, "seq": 1, "models": models,
+                "available": {"inMemory": [], "onDisk": self.models}, **more}
+
+    def register(self, fleet):
+        fleet.control("entry", {"id": self.name, "value": self.entry()})
+
+    def close(self):
+        self._listener.close()
+        for connection in self._connections:
+            connection.close()
+
+    def _accept(self):
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            self._connections.append(connection)
+            threading.Thread(target=self._serve, args=[connection],
+                             daemon=True).start()
+
+    def _serve(self, connection):
+        try:
+            with connection:
+                while request := self._read(connection):
+                    if not self._answer(connection, request):
+                        return
+        except OSError:
+            pass
+
+    def _answer(self, connection, request):
+        if request.target in ("/-/order", "/-/report"):
+            body = json.dumps({"stage": "unified", "busy": False, "seq": 0,
+                               "models": self.entry()["models"]}).encode()
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+                               % len(body) + body)
+            return True
+        self.requests.append(request)
+        return self.respond(connection, request)
+
+    @staticmethod
+    def _read(connection):
+        data = b""
+        while b"\r\n\r\n" not in data and len(data) < HEAD_LIMIT:
+            piece = connection.recv(4096)
+            if not piece:
+                return None
+            data += piece
+        text, body = data.split(b"\r\n\r\n", 1)
+        first, *fields = text.decode().split("\r\n")
+        headers = {name.lower(): value for name, value in
+                   (field.split(": ", 1) for field in fields)}
+        missing = int(headers.get("content-length", 0)) - len(body)
+        while missing > 0:
+            missing -= len(connection.recv(missing)) or missing
+        return Request(first.split(" ")[1], headers)
+
+
+def reset(connection):
+    """Makes the close of `connection` a reset."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                          struct.pack("ii", 1, 0))
