Take a stream that ends inside an event for broken off

An answer with neither a length nor chunks ends with its connection; the request flow took that end for the end of the stream, sent the unfinished event and finished the answer. A second server's error (the other hypothesis) was ruled out for these cases: one send each.

Such a stream that ends inside an event, or before its first one, now counts as a failed send: it is resumed at another server where its route allows that, otherwise the caller's answer is broken off (or is a 502 before the first event). An end after a whole event still completes the answer. Answers with chunks or a length are relayed as before, since their framing proves their end.

--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -112,6 +112,7 @@
   m_head = {};
   m_facts = {};
   m_body.clear();
+  m_event_received = false;
   m_events.DropPartial();
   if (m_sends++ == 0) {
     m_context.m_metrics.m_queue_time.Record(Waited());
@@ -209,6 +210,7 @@
 
 void RequestFlow::RelayEvents(const std::string& events) {
   const MonotonicTime now = m_context.m_loop.Now();
+  m_event_received = true;
   if (!m_stream_started) {
     m_stream_started = true;
     m_phase = Phase::kStreaming;
@@ -240,6 +242,11 @@
     RetryOrFinish(/*may_have_run=*/true, "answer_not_the_endpoints");
     return;
   }
+  if (IsBrokenOff()) {
+    AvoidEndpoint();
+    RetryOrFinish(/*may_have_run=*/true, "stream_broken_off");
+    return;
+  }
   if (m_head.m_status >= 500) {
     AvoidEndpoint();
     if (MayRepeat() && m_sends < kMaxSends) {
@@ -259,6 +266,11 @@
   RelayWholeAnswer();
 }
 
+bool RequestFlow::IsBrokenOff() const {
+  return RelaysEvents() && m_head.m_ends_with_connection &&
+         (m_events.partial_bytes() > 0 || !m_event_received);
+}
+
 void RequestFlow::LogUncertainEnd() const {
   if (!m_head.m_ends_with_connection && !m_stream_started) {
     return;
--- a/Source/host/request_flow.h
+++ b/Source/host/request_flow.h
@@ -85,6 +85,9 @@
   void OnDeadline();
   // Whether the body of the current answer is relayed event by event.
   bool RelaysEvents() const;
+  // Whether the current answer is a stream that the end of its connection cut
+  // inside an event or before the first one.
+  bool IsBrokenOff() const;
   // Logs an end that does not by itself prove that the answer is complete.
   void LogUncertainEnd() const;
   void RelayWholeAnswer();
@@ -118,6 +121,7 @@
   endpoint::AnswerHead m_head;
   fleet::AnswerMetadata m_facts;
   std::string m_body;
+  bool m_event_received = false;
 
   // State of all sends.
   EndpointRequirements m_requirements;
