Finish a begun stream only with an answer that continues it

The request flow finished the caller's answer for any final answer of the later server, whatever its status and type. The error's text did not reach callers.

Such an answer is now a failed send: the request is sent once more if its route and limits allow that, otherwise the caller's answer is broken off.

Servers that did not execute the request (421, 503 and 429 with proof) were and are passed over.

--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -256,6 +256,10 @@
   } else {
     m_context.m_health.RecordSuccess(m_endpoint);
   }
+  if (m_stream_started && !RelaysEvents()) {
+    RetryOrFinish(/*may_have_run=*/true, "stream_not_continued");
+    return;
+  }
   if (m_stream_started) {
     const std::string partial = m_events.ExtractPartial();
     m_exchange->SendBody(partial);
