Log the shared prompt parts of failed sends

The line 'send failed' now has the ids of the prompt's parts, without the last, which belongs to one request. Three further fields are for the lines of the decision to come. No logic has changed.

--- a/Source/base/log_fields.h
+++ b/Source/base/log_fields.h
@@ -38,6 +38,9 @@
      "to the request's model"},
     {"engine", "id of an endpoint that serves models"},
     {"engines", "number of usable engines that have not loaded the model"},
+    {"ends",
+     "number of endpoints that ended while a prompt with the part was starting "
+     "to be answered"},
     {"entry", "name of an entry"},
     {"error", "text of an error"},
     {"events", "number of complete stream events that have been forwarded"},
@@ -73,6 +76,8 @@
     {"paused",
      "number of engines that temporarily receive no orders after failures"},
     {"port", "port number"},
+    {"prompt_part", "id of a part of a prompt"},
+    {"prompt_parts", "ids of the parts of prompts, without each last one"},
     {"reason", "reason for a decision or a failure"},
     {"removed", "whether a document was removed"},
     {"request", "id of a request or a document"},
@@ -87,6 +92,7 @@
     {"running",
      "number of requests running at the endpoint at that time, including this "
      "one, as far as this host has received reports"},
+    {"seen_by", "hosts that recorded the ends of endpoints"},
     {"send", "number of the send attempt, from 1"},
     {"sends", "number of send attempts"},
     {"service", "service"},
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -330,10 +330,21 @@
                             {"endpoint", m_endpoint.value()},
                             {"may_have_run", may_have_run ? 1 : 0},
                             {"events", m_events.events()},
+                            {"prompt_parts", SharedParts()},
                             {"reason", error.what()}});
   RetryOrFinish(may_have_run, "connection_failed");
 }
 
+std::string RequestFlow::SharedParts() const {
+  std::string ids;
+  for (const fleet::PromptPart& part : m_admitted.m_request.m_prompt) {
+    if (&part != &m_admitted.m_request.m_prompt.back()) {
+      ids += (ids.empty() ? "" : ",") + part.m_id;
+    }
+  }
+  return ids;
+}
+
 void RequestFlow::AvoidEndpoint(bool refused) {
   const MonotonicTime now = m_context.m_loop.Now();
   const Duration pause =
--- a/Source/host/request_flow.h
+++ b/Source/host/request_flow.h
@@ -77,6 +77,8 @@
   void OnBytes(std::string_view bytes);
   void OnDone();
   void OnFailed(const Error& error);
+  // Returns the ids of the prompt's parts except the last, for the log.
+  std::string SharedParts() const;
   // Records a failure of the current endpoint, which is then avoided for a
   // while. `refused`: it refused the connection.
   void AvoidEndpoint(bool refused = false);
