--- a/StandIns/jarro_main.cc
+++ b/StandIns/jarro_main.cc
@@ -77,6 +77,11 @@
            self.m_store.Put("servers/" + entry.value("id", ""),
                             entry["value"].dump());
          }},
+        {"remove-entry",
+         [](auto& self, const auto& body) {
+           self.m_store.Remove("servers/" +
+                               nlohmann::json::parse(body).value("id", ""));
+         }},
         {"working", StoreMode(Mode::kWorking)},
         {"busy", StoreMode(Mode::kBusy)},
         {"silent", StoreMode(Mode::kSilent)},
--- a/Tests/process/scripted_server.py
+++ b/Tests/process/scripted_server.py
@@ -68,10 +68,16 @@
     def register(self, fleet):
         fleet.control("entry", {"id": self.name, "value": self.entry()})
 
-    def close(self):
-        self._listener.close()
-        for connection in self._connections:
-            connection.close()
+    def crash(self):
+        """Refuses new connections and ends all open ones."""
+        for end in (self._listener, *self._connections):
+            try:
+                end.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # Ended already.
+            end.close()
+
+    close = crash
 
     def _accept(self):
         while True:
