--- /dev/null
+++ b/Source/admission/crashing_parts.cc
@@ -0,0 +1,120 @@
+#include "admission/crashing_parts.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hickoryloft::admission {
+
+void CrashingParts::SetRecords(CrashRecords records, MonotonicTime now) {
+  m_records = std::move(records);
+  Count();
+  std::erase_if(m_reached, [&](const auto& reached) {
+    const auto evidence = m_evidence.find(reached.first);
+    return evidence == m_evidence.end() || !Suffices(evidence->second);
+  });
+  for (const auto& [part, evidence] : m_evidence) {
+    if (Suffices(evidence)) {
+      m_reached.try_emplace(part, now);
+    }
+  }
+}
+
+bool CrashingParts::SoundSince(const std::string& part,
+                               Revision revision) const {
+  const auto sound = m_records.m_sound.find(part);
+  return sound != m_records.m_sound.end() && sound->second > revision;
+}
+
+bool CrashingParts::Suffices(const Evidence& evidence) {
+  return evidence.m_incarnations.size() >= kMinEnds &&
+         evidence.m_last - evidence.m_first >= kMinSpread;
+}
+
+void CrashingParts::Count() {
+  std::erase_if(m_found, [&](const auto& found) {
+    return SoundSince(found.first, found.second) ||
+           m_records.m_held.contains(found.first);
+  });
+  m_held.clear();
+  for (const auto& [part, revision] : m_found) {
+    m_held.insert(part);
+  }
+  for (const auto& [part, revision] : m_records.m_held) {
+    if (!SoundSince(part, revision)) {
+      m_held.insert(part);
+    }
+  }
+  std::set<std::string> explained;
+  for (const EndpointEnd& end : m_records.m_ends) {
+    if (std::any_of(end.m_parts.begin(), end.m_parts.end(),
+                    [&](const PartInUse& part) { return Held(part.m_id); })) {
+      explained.insert(end.m_incarnation);
+    }
+  }
+  m_evidence.clear();
+  for (const EndpointEnd& end : m_records.m_ends) {
+    if (explained.contains(end.m_incarnation)) {
+      continue;
+    }
+    for (const PartInUse& part : end.m_parts) {
+      if (SoundSince(part.m_id, end.m_revision)) {
+        continue;
+      }
+      Evidence& evidence =
+          m_evidence
+              .try_emplace(part.m_id,
+                           Evidence{.m_first = end.m_at, .m_last = end.m_at})
+              .first->second;
+      evidence.m_incarnations.insert(end.m_incarnation);
+      evidence.m_seen_by.insert(end.m_seen_by);
+      evidence.m_first = std::min(evidence.m_first, end.m_at);
+      evidence.m_last = std::max(evidence.m_last, end.m_at);
+      evidence.m_depth = std::max(evidence.m_depth, part.m_depth);
+    }
+  }
+}
+
+std::vector<CrashingParts::Finding> CrashingParts::FindCrashing(
+    MonotonicTime now) {
+  std::vector<Finding> findings;
+  while (true) {
+    const std::pair<const std::string, Evidence>* worst = nullptr;
+    for (const auto& entry : m_evidence) {
+      const auto reached = m_reached.find(entry.first);
+      if (reached == m_reached.end() || now - reached->second < kSettleTime) {
+        continue;
+      }
+      // Parts that stand later in prompts are shared by fewer requests.
+      const auto rank = [](const Evidence& evidence) {
+        return std::pair(evidence.m_depth, evidence.m_incarnations.size());
+      };
+      if (worst == nullptr || rank(entry.second) > rank(worst->second)) {
+        worst = &entry;
+      }
+    }
+    if (worst == nullptr) {
+      return findings;
+    }
+    findings.push_back({.m_part = worst->first,
+                        .m_ends = worst->second.m_incarnations.size(),
+                        .m_seen_by = worst->second.m_seen_by});
+    Revision newest = 0;
+    for (const EndpointEnd& end : m_records.m_ends) {
+      newest = std::max(newest, end.m_revision);
+    }
+    m_found[worst->first] = newest;
+    Count();
+    std::erase_if(m_reached, [&](const auto& reached) {
+      const auto evidence = m_evidence.find(reached.first);
+      return evidence == m_evidence.end() || !Suffices(evidence->second);
+    });
+  }
+}
+
+std::size_t CrashingParts::Ends(const std::string& part) const {
+  const auto evidence = m_evidence.find(part);
+  return evidence == m_evidence.end() ? 0
+                                      : evidence->second.m_incarnations.size();
+}
+
+}  // namespace hickoryloft::admission
--- /dev/null
+++ b/Source/admission/crashing_parts.h
@@ -0,0 +1,106 @@
+// Finds the prompt parts that crash endpoints, from the ends of endpoints that
+// all hosts recorded.
+
+#ifndef SOURCE_ADMISSION_CRASHING_PARTS_H_
+#define SOURCE_ADMISSION_CRASHING_PARTS_H_
+
+#include <chrono>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace hickoryloft::admission {
+
+// A part of a prompt whose answer had just begun when the endpoint ended.
+struct PartInUse {
+  std::string m_id;
+  int m_depth = 0;  // Position in the prompt, from 0.
+};
+
+// The end of an endpoint as one host recorded it.
+struct EndpointEnd {
+  std::string m_incarnation;  // Names the endpoint and its start.
+  HostId m_seen_by;
+  std::chrono::milliseconds m_at{};  // Unix time.
+  Revision m_revision = 0;           // Of the record.
+  std::vector<PartInUse> m_parts;
+};
+
+// The records of the fleet, as the key-value service holds them.
+struct CrashRecords {
+  std::vector<EndpointEnd> m_ends;
+  // For each part that was proved sound, the revision of the last proof.
+  std::map<std::string, Revision> m_sound;
+  // For each part that a host held, the revision of that record.
+  std::map<std::string, Revision> m_held;
+};
+
+// A part is held once several endpoints have ended with it in use and none has
+// completed an answer with it since. An end that a held part explains is not
+// counted against other parts. Hosts with equal records hold the same parts.
+// Not thread-safe; the times passed in must not decrease.
+class CrashingParts {
+ public:
+  // Ends of endpoints after which a part is held.
+  static constexpr std::size_t kMinEnds = 4;
+  // Ends after which a part is suspected.
+  static constexpr std::size_t kSuspectEnds = 2;
+  // Least time between the first and the last of these ends. The endpoints of
+  // a failure domain may all end at the same moment for another reason.
+  static constexpr Duration kMinSpread = seconds(1);
+  // Time that the records of the other hosts, and proofs that a part is sound,
+  // are given to arrive before a part is held.
+  static constexpr Duration kSettleTime = milliseconds(500);
+
+  struct Finding {
+    std::string m_part;
+    std::size_t m_ends = 0;
+    std::set<HostId> m_seen_by;
+  };
+
+  // Replaces the records.
+  void SetRecords(CrashRecords records, MonotonicTime now);
+
+  // Returns the parts that are held from now on and were not before.
+  std::vector<Finding> FindCrashing(MonotonicTime now);
+  // Returns whether a part waits for the end of its settling time.
+  bool settling() const { return !m_reached.empty(); }
+
+  bool Held(const std::string& part) const { return m_held.contains(part); }
+  const std::set<std::string>& held() const { return m_held; }
+  // Returns the number of unexplained ends of endpoints with `part` in use
+  // since it was last proved sound.
+  std::size_t Ends(const std::string& part) const;
+
+ private:
+  struct Evidence {
+    std::set<std::string> m_incarnations;
+    std::set<HostId> m_seen_by;
+    std::chrono::milliseconds m_first{};
+    std::chrono::milliseconds m_last{};
+    int m_depth = 0;
+  };
+
+  // Returns whether `part` was proved sound after `revision`.
+  bool SoundSince(const std::string& part, Revision revision) const;
+  // Drops the parts that are no longer held, and counts the ends of the others.
+  void Count();
+  static bool Suffices(const Evidence& evidence);
+
+  CrashRecords m_records;
+  std::set<std::string> m_held;
+  // Parts that this object found and that are not in the records yet, with the
+  // newest revision that led to it.
+  std::map<std::string, Revision> m_found;
+  std::map<std::string, Evidence> m_evidence;
+  // Parts with sufficient evidence, and since when.
+  std::map<std::string, MonotonicTime> m_reached;
+};
+
+}  // namespace hickoryloft::admission
+
+#endif  // SOURCE_ADMISSION_CRASHING_PARTS_H_
--- a/Source/endpoint/client_connection.cc
+++ b/Source/endpoint/client_connection.cc
@@ -218,11 +218,11 @@
   m_reusable = m_reusable && head.m_keep_alive && !m_skip_response;
   m_idle_until = m_loop.Now() + KeepAliveTimeout(head.m_headers);
   if (!m_skip_response && !m_echo_error && m_events.m_head) {
-    m_events.m_head(AnswerHead{.m_status = head.m_status,
-                               .m_headers = std::move(head.m_headers),
-                               .m_content_length = head.m_content_length,
-                               .m_ends_with_connection =
-                                   EndsWithConnection(head)});
+    m_events.m_head(
+        AnswerHead{.m_status = head.m_status,
+                   .m_headers = std::move(head.m_headers),
+                   .m_content_length = head.m_content_length,
+                   .m_ends_with_connection = EndsWithConnection(head)});
   }
 }
 
--- a/Source/fleet/caller_request.h
+++ b/Source/fleet/caller_request.h
@@ -12,16 +12,11 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "endpoint/http_client.h"
+#include "fleet/prompt_part.h"
 #include "http/header_fields.h"
 
 namespace hickoryloft::fleet {
 
-// A segment of a prompt. Requests with equal leading segments share a prefix.
-struct PromptPart {
-  std::string m_id;
-  double m_tokens = 0;
-};
-
 struct CallerRequest {
   std::string m_id;  // Unique per attempt of the caller.
   endpoint::HttpMethod m_method = endpoint::HttpMethod::kPost;
--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "base/hashing.h"
 #include "base/log.h"
+#include "membership/candidate_delay.h"
 #include "membership/watch_intervals.h"
 
 namespace hickoryloft::host {
@@ -18,11 +18,6 @@
 // service.
 constexpr Duration kMemberLeaseTtl = seconds(3);
 constexpr Duration kTickInterval = milliseconds(250);
-// Candidates for the placement lease try one after the other at this interval.
-constexpr Duration kCandidateInterval = milliseconds(150);
-// Added to the rank of a leaf, so that it tries after all relays of a fleet of
-// usual size.
-constexpr std::int64_t kLeafRankOffset = 12;
 // Share of the bound on withdrawn keys that the view may reach in age before
 // requests with a key are refused. The rest covers a silent watch and the
 // transfer of the request to the endpoint.
@@ -121,6 +116,13 @@
                 m_settings.m_host,
                 m_exchange,
                 [this] { m_frontend.RetryWaiting(); }),
+      m_prompts(
+          loop,
+          m_settings.m_host,
+          platform.m_store,
+          platform.m_engines,
+          [this]() -> const auto& { return m_knowledge.own_keys(); },
+          [this] { m_frontend.RetryWaiting(); }),
       m_registration(loop,
                      platform.m_store,
                      RegistrationKey(m_settings, m_incarnation),
@@ -187,6 +189,7 @@
       .m_health = m_health,
       .m_replicas = m_replicas,
       .m_permits = m_permits,
+      .m_prompts = m_prompts,
       .m_random = m_random,
       .m_metrics = m_metrics,
       .m_retry_budget =
@@ -275,6 +278,7 @@
     });
   }
   FollowPlacementLeader();
+  m_prompts.ReadRecords();
 }
 
 void HostDaemon::FollowPlacementLeader() {
@@ -291,23 +295,11 @@
   m_knowledge.SetPollWait(pace.m_quiet_wait);
   m_knowledge.SetMaxRelayedAge(pace.m_max_relayed_age);
   const bool lease_taken = m_knowledge.own_keys().contains(kPlacementLeaseKey);
-  m_placement_lease.Observe(lease_taken,
-                            lease_taken ? Duration{} : CandidateDelay());
-}
-
-Duration HostDaemon::CandidateDelay() const {
-  // Relays go first, because they are hosts of high capacity and have the
-  // demand of the whole fleet.
-  std::vector<std::string> names = {m_settings.m_host.value()};
-  for (const HostId& relay : m_exchange.groups().Relays()) {
-    if (relay != m_settings.m_host) {
-      names.push_back(relay.value());
-    }
-  }
-  const auto order = RendezvousOrder(kPlacementLeaseKey, names);
-  const auto rank = std::find(order.begin(), order.end(), 0U) - order.begin();
-  const bool relay = m_exchange.groups().IsRelay(m_settings.m_host);
-  return kCandidateInterval * (relay ? rank : rank + kLeafRankOffset);
+  m_placement_lease.Observe(
+      lease_taken, lease_taken ? Duration{}
+                               : membership::CandidateDelay(
+                                     m_settings.m_host, m_exchange.groups(),
+                                     kPlacementLeaseKey));
 }
 
 void HostDaemon::OnWaitingRequest() {
@@ -441,6 +433,8 @@
   m_metrics.m_caller_connections.Set(
       static_cast<double>(m_callers.connections()));
   m_metrics.m_holds_lease.Set(m_placement_lease.valid() ? 1 : 0);
+  m_metrics.m_held_prompt_parts.Set(
+      static_cast<double>(m_prompts.held_parts()));
   m_frontend.RetryWaiting();
   m_demand.Expire(now);
   m_load.ExpireGroupLevels(now);
--- a/Source/host/host_daemon.h
+++ b/Source/host/host_daemon.h
@@ -14,6 +14,7 @@
 #include "host/member_view.h"
 #include "host/permit_exchange.h"
 #include "host/placement_controller.h"
+#include "host/prompt_guard.h"
 #include "http/server.h"
 #include "membership/placement_lease.h"
 #include "membership/registration.h"
@@ -66,6 +67,7 @@
   Frontend m_frontend;
   FleetExchange m_exchange;
   PermitExchange m_permits;
+  PromptGuard m_prompts;
   membership::Registration m_registration;
   membership::PlacementLease m_placement_lease;
   PlacementController m_placement_controller;
@@ -90,9 +92,6 @@
   // there is none.
   void FollowPlacementLeader();
   HostId PlacementLeader() const;
-  // Time that this host leaves to better candidates before it tries to obtain
-  // the placement lease.
-  Duration CandidateDelay() const;
   // A request started to wait: reports the demand to the placement leader at
   // once.
   void OnWaitingRequest();
--- a/Source/host/host_metrics.cc
+++ b/Source/host/host_metrics.cc
@@ -45,6 +45,10 @@
       m_holds_lease(
           m_registry.GetGauge("loft_holds_placement_lease",
                               "1 while this host may give orders to engines.")),
+      m_held_prompt_parts(m_registry.GetGauge(
+          "loft_held_prompt_parts",
+          "Prompt parts that crash endpoints; requests with them are "
+          "rejected.")),
       m_resident_bytes(m_registry.GetGauge("loft_resident_bytes",
                                            "Memory of the process.")) {}
 
--- a/Source/host/host_metrics.h
+++ b/Source/host/host_metrics.h
@@ -51,6 +51,7 @@
   metrics::Gauge& m_caller_connections;
   metrics::Gauge& m_configuration_version;
   metrics::Gauge& m_holds_lease;
+  metrics::Gauge& m_held_prompt_parts;
   metrics::Gauge& m_resident_bytes;
 };
 
--- /dev/null
+++ b/Source/host/prompt_guard.cc
@@ -0,0 +1,343 @@
+#include "host/prompt_guard.h"
+
+#include <array>
+#include <chrono>
+#include <set>
+#include <utility>
+
+#include "base/log.h"
+#include "host/crash_records.h"
+
+namespace hickoryloft::host {
+
+namespace {
+
+using admission::CrashingParts;
+
+// Delay within which all connections to an endpoint that has ended are closed.
+constexpr Duration kConfirmDelay = milliseconds(30);
+// An endpoint that has ended refuses connections at once; no answer can also
+// be due to the network.
+constexpr Duration kRefusalTime = milliseconds(250);
+// Interval at which a part's settling time is checked.
+constexpr Duration kSettleCheck = milliseconds(100);
+// How long a recorded end and a proof count.
+constexpr Duration kEvidenceTtl = std::chrono::minutes(5);
+// How long a part stays held after the last request with it.
+constexpr Duration kHeldTtl = std::chrono::minutes(10);
+constexpr Duration kHeldRenewal = std::chrono::minutes(1);
+// One request with a held part is let through after each of these times, in
+// case the part was held by mistake.
+constexpr std::array<Duration, 2> kTrialDelays = {seconds(30),
+                                                  std::chrono::minutes(5)};
+// Minimum time between two proofs of one part by this host.
+constexpr Duration kProofInterval = milliseconds(500);
+constexpr int kMaxAttempts = 10;
+constexpr Duration kRetryPause = milliseconds(300);
+constexpr std::size_t kMaxPendingEnds = 64;
+constexpr std::size_t kMaxWrittenKeys = 256;
+constexpr std::size_t kMaxFailedWrites = 64;
+
+const Logger kLog("prompts");
+
+// Calls `visit` with each part but the last, and its position.
+template <typename Visit>
+void ForEachSharedPart(const PromptGuard::Prompt& prompt, Visit visit) {
+  for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
+    visit(prompt[i].m_id, static_cast<int>(i));
+  }
+}
+
+std::string JoinNames(const std::set<HostId>& hosts) {
+  std::string names;
+  for (const HostId& host : hosts) {
+    names += (names.empty() ? "" : ",") + host.value();
+  }
+  return names;
+}
+
+}  // namespace
+
+std::string DescribeSharedParts(const std::vector<fleet::PromptPart>& prompt) {
+  std::string ids;
+  ForEachSharedPart(prompt, [&](const std::string& part, int) {
+    ids += (ids.empty() ? "" : ",") + part;
+  });
+  return ids;
+}
+
+PromptGuard::PromptGuard(
+    EventLoop& loop,
+    HostId host,
+    keyvalue::KeyValueService& store,
+    fleet::EngineControl& engines,
+    std::function<const std::map<std::string, keyvalue::KeyValue>&()> own_keys,
+    std::function<void()> on_held)
+    : m_loop(loop),
+      m_host(std::move(host)),
+      m_store(store),
+      m_engines(engines),
+      m_own_keys(std::move(own_keys)),
+      m_on_held(std::move(on_held)) {}
+
+std::optional<std::string> PromptGuard::HeldPart(const Prompt& prompt) const {
+  std::optional<std::string> held;
+  if (m_parts.held().empty()) {
+    return held;
+  }
+  ForEachSharedPart(prompt, [&](const std::string& part, int) {
+    if (!held && m_parts.Held(part)) {
+      held = part;
+    }
+  });
+  return held;
+}
+
+bool PromptGuard::Suspects(const Prompt& prompt) const {
+  bool suspects = false;
+  ForEachSharedPart(prompt, [&](const std::string& part, int) {
+    suspects = suspects || m_parts.Held(part) ||
+               m_parts.Ends(part) >= CrashingParts::kSuspectEnds;
+  });
+  return suspects;
+}
+
+bool PromptGuard::TakeTrial(const std::string& part) {
+  return m_trials.erase(part) > 0;
+}
+
+void PromptGuard::ClaimTrial(const std::string& part,
+                             const keyvalue::KeyValue& record) {
+  const std::size_t trials = DecodeTrials(record);
+  const auto since = m_held_since.find(part);
+  if (since == m_held_since.end() || trials >= kTrialDelays.size() ||
+      m_loop.Now() - since->second.second < kTrialDelays.at(trials)) {
+    return;
+  }
+  since->second.second = m_loop.Now();
+  m_store.Swap(
+      {.m_key = record.m_key,
+       .m_expected_revision = record.m_mod_revision,
+       .m_value = EncodeWithTrials(record, trials + 1),
+       .m_lease = record.m_lease},
+      [this, part, alive = std::weak_ptr<int>(m_alive)](
+          const Result<keyvalue::SwapReply>& reply) {
+        if (!alive.expired() && reply.ok() && reply.value().m_swapped) {
+          m_trials.insert(part);
+        }
+      });
+}
+
+void PromptGuard::RecordRejection(const std::string& part) {
+  const auto item = m_own_keys().find(HeldKey(part));
+  if (item == m_own_keys().end()) {
+    return;
+  }
+  ClaimTrial(part, item->second);
+  MonotonicTime& written_at = m_written_at[item->first];
+  if (m_loop.Now() - written_at < kHeldRenewal) {
+    return;
+  }
+  written_at = m_loop.Now();
+  m_store.KeepAlive(
+      item->second.m_lease, [part](const Result<keyvalue::LeaseReply>& reply) {
+        if (!reply.ok()) {
+          kLog.Warn("cannot renew the record of a held part",
+                    {{"prompt_part", part}, {"reason", reply.error().what()}});
+        }
+      });
+}
+
+void PromptGuard::RecordProof(const Prompt& prompt) {
+  const MonotonicTime now = m_loop.Now();
+  ForEachSharedPart(prompt, [&](const std::string& part, int) {
+    m_proven.Record(part, now);
+    if (!m_parts.Held(part) && m_parts.Ends(part) == 0) {
+      return;
+    }
+    MonotonicTime& written_at = m_written_at[SoundKey(part)];
+    if (now - written_at < kProofInterval) {
+      return;
+    }
+    written_at = now;
+    kLog.Info("prompt part does not crash endpoints", {{"prompt_part", part}});
+    Put({.m_key = SoundKey(part),
+         .m_value = m_host.value(),
+         .m_ttl = kEvidenceTtl});
+  });
+}
+
+void PromptGuard::RecordEarlyEnd(const endpoint::EndpointAddress& endpoint,
+                                 std::int64_t started_at_ms,
+                                 const Prompt& prompt) {
+  const std::string incarnation =
+      endpoint.m_id.value() + "." + std::to_string(started_at_ms);
+  const bool pending = m_pending_ends.contains(incarnation);
+  if (!pending && m_pending_ends.size() >= kMaxPendingEnds) {
+    return;
+  }
+  PendingEnd end{.m_endpoint = endpoint};
+  ForEachSharedPart(prompt, [&](const std::string& part, int depth) {
+    if (IsValidPart(part) && !m_proven.Proven(part, m_loop.Now())) {
+      end.m_depths[part] = depth;
+    }
+  });
+  if (end.m_depths.empty()) {
+    return;
+  }
+  if (pending) {
+    m_pending_ends[incarnation].m_depths.merge(end.m_depths);
+    return;
+  }
+  end.m_timer = m_loop.After(kConfirmDelay,
+                             [this, incarnation] { ConfirmEnd(incarnation); });
+  m_pending_ends.emplace(incarnation, std::move(end));
+}
+
+void PromptGuard::ConfirmEnd(const std::string& incarnation) {
+  const MonotonicTime asked_at = m_loop.Now();
+  m_engines.ReadReport(
+      m_pending_ends.at(incarnation).m_endpoint,
+      [this, incarnation, asked_at, alive = std::weak_ptr<int>(m_alive)](
+          const Result<fleet::EngineReport>& report) {
+        if (alive.expired()) {
+          return;
+        }
+        const bool refused = !report.ok() &&
+                             report.error().code() == ErrorCode::kUnavailable &&
+                             m_loop.Now() - asked_at < kRefusalTime;
+        if (refused) {
+          RecordEnd(incarnation);
+        }
+        m_pending_ends.erase(incarnation);
+      });
+}
+
+void PromptGuard::RecordEnd(const std::string& incarnation) {
+  admission::EndpointEnd end{
+      .m_incarnation = incarnation,
+      .m_at = duration_cast<milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())};
+  std::string names;
+  for (const auto& [part, depth] : m_pending_ends.at(incarnation).m_depths) {
+    if (end.m_parts.size() < kMaxPartsPerEnd) {
+      end.m_parts.push_back({.m_id = part, .m_depth = depth});
+      names += (names.empty() ? "" : ",") + part;
+    }
+  }
+  kLog.Info("endpoint ended while prompts began to be answered",
+            {{"endpoint", incarnation}, {"prompt_parts", names}});
+  Put({.m_key = EndKey(m_host, OldestEndSlot()),
+       .m_value = EncodeEnd(end),
+       .m_ttl = kEvidenceTtl});
+}
+
+std::size_t PromptGuard::OldestEndSlot() const {
+  std::size_t oldest = 0;
+  for (std::size_t slot = 1; slot < kEndSlots; ++slot) {
+    if (RevisionOf(EndKey(m_host, slot)) < RevisionOf(EndKey(m_host, oldest))) {
+      oldest = slot;
+    }
+  }
+  return oldest;
+}
+
+Revision PromptGuard::RevisionOf(const std::string& key) const {
+  const auto item = m_own_keys().find(key);
+  return item == m_own_keys().end() ? 0 : item->second.m_mod_revision;
+}
+
+void PromptGuard::ReadRecords() {
+  const auto version = VersionOfCrashRecords(m_own_keys());
+  if (version == std::exchange(m_records_version, version)) {
+    return;
+  }
+  admission::CrashRecords records = DecodeCrashRecords(m_own_keys());
+  std::erase_if(m_held_since, [&](const auto& entry) {
+    return !records.m_held.contains(entry.first);
+  });
+  for (const auto& [part, revision] : records.m_held) {
+    auto& since = m_held_since[part];
+    if (since.first != revision) {
+      since = {revision, m_loop.Now()};
+    }
+  }
+  m_parts.SetRecords(std::move(records), m_loop.Now());
+  if (m_written_at.size() > kMaxWrittenKeys) {
+    std::erase_if(m_written_at, [&](const auto& entry) {
+      return m_loop.Now() - entry.second > kHeldRenewal;
+    });
+  }
+  HoldCrashingParts();
+}
+
+void PromptGuard::HoldCrashingParts() {
+  for (const CrashingParts::Finding& finding :
+       m_parts.FindCrashing(m_loop.Now())) {
+    kLog.Warn("prompt part crashes endpoints; rejecting requests with it",
+              {{"prompt_part", finding.m_part},
+               {"ends", static_cast<std::uint64_t>(finding.m_ends)},
+               {"seen_by", JoinNames(finding.m_seen_by)},
+               {"for_ms", ToMillis(kHeldTtl).count()}});
+    if (finding.m_seen_by.contains(m_host)) {
+      Put({.m_key = HeldKey(finding.m_part),
+           .m_value = EncodeFinding(finding),
+           .m_ttl = kHeldTtl});
+    }
+    m_on_held();
+  }
+  m_settle_timer.reset();
+  if (m_parts.settling()) {
+    m_settle_timer =
+        m_loop.After(kSettleCheck, [this] { HoldCrashingParts(); });
+  }
+}
+
+void PromptGuard::Put(Write write) {
+  m_store.GrantLease(write.m_ttl,
+                     [this, write, alive = std::weak_ptr<int>(m_alive)](
+                         const Result<keyvalue::LeaseReply>& reply) {
+                       if (alive.expired()) {
+                         return;
+                       }
+                       if (reply.ok()) {
+                         Swap(write, reply.value().m_lease);
+                       } else {
+                         PutLater(write, reply.error());
+                       }
+                     });
+}
+
+void PromptGuard::Swap(Write write, keyvalue::LeaseId lease) {
+  m_store.Swap({.m_key = write.m_key,
+                .m_expected_revision = RevisionOf(write.m_key),
+                .m_value = write.m_value,
+                .m_lease = lease},
+               [this, write, alive = std::weak_ptr<int>(m_alive)](
+                   const Result<keyvalue::SwapReply>& reply) {
+                 // A conflict means that another host has written the same.
+                 if (!alive.expired() && !reply.ok()) {
+                   PutLater(write, reply.error());
+                 }
+               });
+}
+
+void PromptGuard::PutLater(Write write, const Error& error) {
+  kLog.Warn("cannot write a record about a prompt part",
+            {{"key", write.m_key}, {"reason", error.what()}});
+  if (++write.m_attempts >= kMaxAttempts ||
+      m_failed_writes.size() >= kMaxFailedWrites) {
+    return;
+  }
+  m_failed_writes.push_back(std::move(write));
+  if (!m_retry_timer) {
+    m_retry_timer = m_loop.After(kRetryPause, [this] {
+      m_retry_timer.reset();
+      for (Write& failed : std::exchange(m_failed_writes, {})) {
+        Put(std::move(failed));
+      }
+    });
+  }
+}
+
+}  // namespace hickoryloft::host
--- /dev/null
+++ b/Source/host/prompt_guard.h
@@ -0,0 +1,124 @@
+// Keeps prompts with a part that crashes endpoints away from them.
+
+#ifndef SOURCE_HOST_PROMPT_GUARD_H_
+#define SOURCE_HOST_PROMPT_GUARD_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "admission/crashing_parts.h"
+#include "admission/proven_parts.h"
+#include "base/event_loop.h"
+#include "fleet/protocols.h"
+#include "keyvalue/key_value_service.h"
+
+namespace hickoryloft::host {
+
+// Returns the ids of the parts of `prompt` except the last, for the log.
+// Thread-safe.
+std::string DescribeSharedParts(const std::vector<fleet::PromptPart>& prompt);
+
+// Records the ends of endpoints in the key-value service, and reads from there
+// those that other hosts recorded, so that all hosts hold the same parts and
+// keep holding them over restarts. Use on the loop's thread only.
+class PromptGuard {
+ public:
+  using Prompt = std::vector<fleet::PromptPart>;
+
+  // `own_keys` returns the system's own keys in the key-value service.
+  // `on_held` is called when a part has become held.
+  PromptGuard(EventLoop& loop,
+              HostId host,
+              keyvalue::KeyValueService& store,
+              fleet::EngineControl& engines,
+              std::function<const std::map<std::string, keyvalue::KeyValue>&()>
+                  own_keys,
+              std::function<void()> on_held);
+
+  // Returns the part of `prompt` that is held; nothing if there is none. The
+  // last part belongs to one request or session and is never held.
+  std::optional<std::string> HeldPart(const Prompt& prompt) const;
+  // Records that a request was rejected because of `part`, so that the part
+  // stays held.
+  void RecordRejection(const std::string& part);
+  // Returns whether this host may let one request with the held part through,
+  // which uses up the right.
+  bool TakeTrial(const std::string& part);
+  // Returns whether endpoints have ended with a part of `prompt` in use that
+  // was not proved sound since.
+  bool Suspects(const Prompt& prompt) const;
+
+  // Records that an endpoint went on answering `prompt`.
+  void RecordProof(const Prompt& prompt);
+  // Records that the connection to `endpoint` ended when it had just begun to
+  // answer `prompt`, if it had begun. Whether the endpoint has ended is checked
+  // first.
+  void RecordEarlyEnd(const endpoint::EndpointAddress& endpoint,
+                      std::int64_t started_at_ms,
+                      const Prompt& prompt);
+
+  // The system's own keys have changed.
+  void ReadRecords();
+
+  std::size_t held_parts() const { return m_parts.held().size(); }
+
+ private:
+  // An end that has yet to be confirmed or recorded.
+  struct PendingEnd {
+    endpoint::EndpointAddress m_endpoint;
+    std::map<std::string, int> m_depths;  // By part.
+    std::unique_ptr<Timer> m_timer;
+  };
+  struct Write {
+    std::string m_key;
+    std::string m_value;
+    Duration m_ttl{};
+    int m_attempts = 0;
+  };
+
+  void ConfirmEnd(const std::string& incarnation);
+  void RecordEnd(const std::string& incarnation);
+  void HoldCrashingParts();
+  // Claims the right to let a request with a held part through, if it is due
+  // and no other host has claimed it.
+  void ClaimTrial(const std::string& part, const keyvalue::KeyValue& record);
+  std::size_t OldestEndSlot() const;
+  Revision RevisionOf(const std::string& key) const;
+  // Writes a key that a lease removes after `m_ttl`. Tries again after
+  // failures, a few times.
+  void Put(Write write);
+  void Swap(Write write, keyvalue::LeaseId lease);
+  void PutLater(Write write, const Error& error);
+
+  EventLoop& m_loop;
+  HostId m_host;
+  keyvalue::KeyValueService& m_store;
+  fleet::EngineControl& m_engines;
+  std::function<const std::map<std::string, keyvalue::KeyValue>&()> m_own_keys;
+  std::function<void()> m_on_held;
+  admission::CrashingParts m_parts;
+  admission::ProvenParts m_proven;
+  std::pair<Revision, std::size_t> m_records_version = {0, 0};
+  std::map<std::string, PendingEnd> m_pending_ends;  // By incarnation.
+  // When the records of parts were last written or renewed by this host.
+  std::map<std::string, MonotonicTime> m_written_at;
+  // The revision of each held part's record, and since when this host has it.
+  std::map<std::string, std::pair<Revision, MonotonicTime>> m_held_since;
+  std::set<std::string> m_trials;
+  std::unique_ptr<Timer> m_settle_timer;
+  std::vector<Write> m_failed_writes;
+  std::unique_ptr<Timer> m_retry_timer;
+  // Expires with this object; callbacks hold a weak reference.
+  std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+};
+
+}  // namespace hickoryloft::host
+
+#endif  // SOURCE_HOST_PROMPT_GUARD_H_
--- a/Source/host/request_context.h
+++ b/Source/host/request_context.h
@@ -15,6 +15,7 @@
 #include "host/host_metrics.h"
 #include "host/host_settings.h"
 #include "host/permit_exchange.h"
+#include "host/prompt_guard.h"
 #include "placement/replica_map.h"
 #include "routing/endpoint_health.h"
 #include "routing/fleet_load.h"
@@ -35,6 +36,7 @@
   routing::EndpointHealth& m_health;
   placement::ReplicaMap& m_replicas;
   PermitExchange& m_permits;
+  PromptGuard& m_prompts;
   RandomEngine& m_random;
   HostMetrics& m_metrics;
   // Returns the budget for repeated sends to a service.
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -29,6 +29,8 @@
 constexpr std::size_t kMaxEventBytes = std::size_t{256} * 1024;
 // An endpoint that refused a request is likely to have capacity after this.
 constexpr Duration kRefusedRetryAfter = milliseconds(500);
+// A held prompt part stays held while requests with it come.
+constexpr Duration kHeldRetryAfter = seconds(60);
 
 const Logger kLog("request");
 
@@ -79,10 +81,6 @@
   return waiting();
 }
 
-std::string RequestFlow::DescribeEndpoints() const {
-  return EndpointFinder(m_context, m_requirements).Describe();
-}
-
 bool RequestFlow::Dispatch() {
   const MonotonicTime now = m_context.m_loop.Now();
   if (!m_admitted.m_account.empty() && !m_context.m_keys_current()) {
@@ -93,6 +91,9 @@
     Refuse("deadline_passed_waiting", std::nullopt);
     return true;
   }
+  if (RejectHeldPrompt()) {
+    return true;
+  }
   const fleet::EndpointEntry* entry =
       EndpointFinder(m_context, m_requirements).Choose();
   if (entry == nullptr) {
@@ -102,6 +103,24 @@
   return true;
 }
 
+bool RequestFlow::RejectHeldPrompt() {
+  const auto part = m_context.m_prompts.HeldPart(m_admitted.m_request.m_prompt);
+  if (!part || m_is_trial) {
+    return false;
+  }
+  m_is_trial = m_context.m_prompts.TakeTrial(*part);
+  kLog.Info(m_is_trial
+                ? "letting a prompt with a held part through as a trial"
+                : "rejecting a prompt with a part that crashes endpoints",
+            {{"id", m_admitted.m_request.m_id}, {"prompt_part", *part}});
+  if (m_is_trial) {
+    return false;
+  }
+  m_context.m_prompts.RecordRejection(*part);
+  Refuse("prompt_part_held", kHeldRetryAfter);
+  return true;
+}
+
 void RequestFlow::Send(const fleet::EndpointEntry& entry) {
   const MonotonicTime now = m_context.m_loop.Now();
   const fleet::CallerRequest& request = m_admitted.m_request;
@@ -109,10 +128,7 @@
   m_endpoint_started_at_ms = entry.m_started_at_ms;
   m_phase = m_stream_started ? Phase::kStreaming : Phase::kSent;
   m_sent_at = now;
-  m_head = {};
-  m_facts = {};
-  m_body.clear();
-  m_event_received = false;
+  m_answer = {};
   m_events.DropPartial();
   if (m_sends++ == 0) {
     m_context.m_metrics.m_queue_time.Record(Waited());
@@ -156,44 +172,39 @@
 }
 
 void RequestFlow::OnHead(const endpoint::AnswerHead& head) {
-  m_head = head;
-  m_facts = m_context.m_protocol.DecodeAnswer(head);
-  if (m_facts.m_retry_after) {
+  m_answer.m_head = head;
+  m_answer.m_facts = m_context.m_protocol.DecodeAnswer(head);
+  if (m_answer.m_facts.m_retry_after) {
     kLog.Info(
         "endpoint rejects requests of this host; not using it for the stated "
         "time",
         {{"id", m_admitted.m_request.m_id},
          {"endpoint", m_endpoint.value()},
-         {"for_ms", ToMillis(*m_facts.m_retry_after).count()}});
-    m_context.m_health.RecordBackoff(m_endpoint, *m_facts.m_retry_after,
-                                     m_context.m_loop.Now());
+         {"for_ms", ToMillis(*m_answer.m_facts.m_retry_after).count()}});
+    m_context.m_health.RecordBackoff(
+        m_endpoint, *m_answer.m_facts.m_retry_after, m_context.m_loop.Now());
   }
   // 421 (Misdirected Request) comes from another server. Without a signature,
   // an answer does not prove that the endpoint names no limit.
-  if (m_head.m_status != 421 &&
-      (m_facts.m_signed || m_facts.m_requests_per_second)) {
+  if (m_answer.m_head.m_status != 421 &&
+      (m_answer.m_facts.m_signed || m_answer.m_facts.m_requests_per_second)) {
     m_context.m_permits.RecordAnswer(m_endpoint, m_endpoint_started_at_ms,
-                                     m_facts.m_requests_per_second);
+                                     m_answer.m_facts.m_requests_per_second);
   }
-  if (m_facts.m_leaving) {
+  if (m_answer.m_facts.m_leaving) {
     m_context.m_on_endpoint_leaving(m_endpoint, m_endpoint_started_at_ms);
   }
 }
 
-bool RequestFlow::RelaysEvents() const {
-  return m_facts.m_event_stream && m_head.m_status == 200 &&
-         m_facts.m_signed && !m_facts.m_encoded;
-}
-
 void RequestFlow::OnBytes(std::string_view bytes) {
-  if (!RelaysEvents()) {
-    if (m_body.size() + bytes.size() > kMaxAnswerBytes) {
+  if (!m_answer.RelaysEvents()) {
+    if (m_answer.m_body.size() + bytes.size() > kMaxAnswerBytes) {
       OnFailed(Error(ErrorCode::kProtocol, "the answer has more than " +
                                                std::to_string(kMaxAnswerBytes) +
                                                " bytes"));
       return;
     }
-    m_body.append(bytes);
+    m_answer.m_body.append(bytes);
     return;
   }
   const std::string events = m_events.Feed(bytes);
@@ -210,7 +221,12 @@
 
 void RequestFlow::RelayEvents(const std::string& events) {
   const MonotonicTime now = m_context.m_loop.Now();
-  m_event_received = true;
+  if (!m_answer.m_first_event_at) {
+    m_answer.m_first_event_at = now;
+  } else if (!m_prompt_proved && !m_answer.EndsEarly(now)) {
+    m_prompt_proved = true;
+    m_context.m_prompts.RecordProof(m_admitted.m_request.m_prompt);
+  }
   if (!m_stream_started) {
     m_stream_started = true;
     m_phase = Phase::kStreaming;
@@ -218,7 +234,8 @@
     kLog.Info("first event", {{"id", m_admitted.m_request.m_id},
                               {"endpoint", m_endpoint.value()},
                               {"after_ms", ToMillis(Waited()).count()}});
-    m_exchange->StartAnswer(m_head.m_status, m_facts.m_forwarded, std::nullopt);
+    m_exchange->StartAnswer(m_answer.m_head.m_status,
+                            m_answer.m_facts.m_forwarded, std::nullopt);
   } else {
     m_context.m_metrics.m_event_gap.Record(now - m_last_event_at);
   }
@@ -230,24 +247,26 @@
 }
 
 void RequestFlow::OnDone() {
-  if (m_facts.m_not_executed) {
-    OnNotExecuted(m_head.m_status);
+  if (m_answer.m_facts.m_not_executed) {
+    OnNotExecuted(m_answer.m_head.m_status);
     return;
   }
   m_may_have_run_at.insert(m_endpoint);
-  LogUncertainEnd();
-  const bool success = m_head.m_status / 100 == 2;
-  if (success && (!m_facts.m_signed || m_facts.m_encoded)) {
+  m_answer.LogUncertainEnd(m_admitted.m_request.m_id, m_endpoint, m_events,
+                           m_stream_started);
+  const bool success = m_answer.m_head.m_status / 100 == 2;
+  if (success && (!m_answer.m_facts.m_signed || m_answer.m_facts.m_encoded)) {
     AvoidEndpoint();
     RetryOrFinish(/*may_have_run=*/true, "answer_not_the_endpoints");
     return;
   }
-  if (IsBrokenOff()) {
+  if (m_answer.IsBrokenOff(m_events)) {
     AvoidEndpoint();
+    ReportEarlyEnd();
     RetryOrFinish(/*may_have_run=*/true, "stream_broken_off");
     return;
   }
-  if (m_head.m_status >= 500) {
+  if (m_answer.m_head.m_status >= 500) {
     AvoidEndpoint();
     if (MayRepeat() && m_sends < kMaxSends) {
       RetryOrFinish(/*may_have_run=*/true, "endpoint_failed");
@@ -256,13 +275,15 @@
   } else {
     m_context.m_health.RecordSuccess(m_endpoint);
   }
-  if (m_stream_started && !RelaysEvents()) {
+  if (success) {
+    m_context.m_prompts.RecordProof(m_admitted.m_request.m_prompt);
+  }
+  if (m_stream_started && !m_answer.RelaysEvents()) {
     RetryOrFinish(/*may_have_run=*/true, "stream_not_continued");
     return;
   }
   if (m_stream_started) {
-    const std::string partial = m_events.ExtractPartial();
-    m_exchange->SendBody(partial);
+    m_exchange->SendBody(m_events.ExtractPartial());
     m_exchange->FinishAnswer();
     Finish("answered", "");
     return;
@@ -270,34 +291,12 @@
   RelayWholeAnswer();
 }
 
-bool RequestFlow::IsBrokenOff() const {
-  return RelaysEvents() && m_head.m_ends_with_connection &&
-         (m_events.partial_bytes() > 0 || !m_event_received);
-}
-
-void RequestFlow::LogUncertainEnd() const {
-  if (!m_head.m_ends_with_connection && !m_stream_started) {
-    return;
-  }
-  if (!m_head.m_ends_with_connection && RelaysEvents()) {
-    return;
-  }
-  kLog.Info(m_head.m_ends_with_connection
-                ? "answer ended with its connection"
-                : "answer does not continue the stream",
-            {{"id", m_admitted.m_request.m_id},
-             {"endpoint", m_endpoint.value()},
-             {"status", m_head.m_status},
-             {"send", m_sends},
-             {"events", m_events.events()},
-             {"unfinished_bytes", m_events.partial_bytes()}});
-}
-
 void RequestFlow::RelayWholeAnswer() {
-  m_body.insert(0, m_events.ExtractPartial());
-  m_exchange->Answer(m_head.m_status, m_facts.m_forwarded, m_body);
-  Finish(m_head.m_status < 400 ? "answered" : "endpoint_failed",
-         "status_" + std::to_string(m_head.m_status));
+  m_answer.m_body.insert(0, m_events.ExtractPartial());
+  m_exchange->Answer(m_answer.m_head.m_status, m_answer.m_facts.m_forwarded,
+                     m_answer.m_body);
+  Finish(m_answer.m_head.m_status < 400 ? "answered" : "endpoint_failed",
+         "status_" + std::to_string(m_answer.m_head.m_status));
 }
 
 void RequestFlow::OnNotExecuted(int status) {
@@ -326,23 +325,29 @@
   const bool refused =
       !may_have_run && m_context.m_loop.Now() - m_sent_at < kConnectTimeout;
   AvoidEndpoint(refused);
-  kLog.Warn("send failed", {{"id", m_admitted.m_request.m_id},
-                            {"endpoint", m_endpoint.value()},
-                            {"may_have_run", may_have_run ? 1 : 0},
-                            {"events", m_events.events()},
-                            {"prompt_parts", SharedParts()},
-                            {"reason", error.what()}});
+  kLog.Warn(
+      "send failed",
+      {{"id", m_admitted.m_request.m_id},
+       {"endpoint", m_endpoint.value()},
+       {"may_have_run", may_have_run ? 1 : 0},
+       {"events", m_events.events()},
+       {"prompt_parts", DescribeSharedParts(m_admitted.m_request.m_prompt)},
+       {"reason", error.what()}});
+  if (error.code() == ErrorCode::kOutcomeUnknown) {
+    ReportEarlyEnd();
+  }
   RetryOrFinish(may_have_run, "connection_failed");
 }
 
-std::string RequestFlow::SharedParts() const {
-  std::string ids;
-  for (const fleet::PromptPart& part : m_admitted.m_request.m_prompt) {
-    if (&part != &m_admitted.m_request.m_prompt.back()) {
-      ids += (ids.empty() ? "" : ",") + part.m_id;
-    }
+void RequestFlow::ReportEarlyEnd() {
+  const fleet::EndpointEntry* entry =
+      m_context.m_knowledge.directory().Find(m_endpoint);
+  if (m_answer.EndsEarly(m_context.m_loop.Now()) && entry != nullptr &&
+      entry->AcceptsRequests()) {
+    m_context.m_prompts.RecordEarlyEnd(
+        {entry->m_id, entry->m_address, entry->m_port},
+        m_endpoint_started_at_ms, m_admitted.m_request.m_prompt);
   }
-  return ids;
 }
 
 void RequestFlow::AvoidEndpoint(bool refused) {
@@ -364,18 +369,20 @@
          static_cast<int>(m_may_have_run_at.size()) < route.m_max_endpoints;
 }
 
-bool RequestFlow::SpendRetry() {
-  return m_context.m_retry_budget(m_admitted.m_service)
-      .TryRetry(m_context.m_host_count(), m_context.m_loop.Now());
-}
-
 void RequestFlow::RetryOrFinish(bool may_have_run, const std::string& reason) {
   EndSend();
-  const bool repeat = not_run() || MayRepeat();
+  // A prompt that may have crashed this endpoint must not reach another one.
+  const bool suspect =
+      may_have_run && m_answer.EndsEarly(m_context.m_loop.Now()) &&
+      m_context.m_prompts.Suspects(m_admitted.m_request.m_prompt);
+  const bool repeat = !suspect && (not_run() || MayRepeat());
   // A send without a connection put no load on an endpoint, so it is not
   // charged to the retry budget.
   const bool free = !may_have_run && reason == "connection_failed";
-  if (repeat && m_sends < kMaxSends && (free || SpendRetry())) {
+  if (repeat && m_sends < kMaxSends &&
+      (free ||
+       m_context.m_retry_budget(m_admitted.m_service)
+           .TryRetry(m_context.m_host_count(), m_context.m_loop.Now()))) {
     kLog.Info("sending the request again", {{"id", m_admitted.m_request.m_id},
                                             {"reason", reason},
                                             {"sends", m_sends}});
--- a/Source/host/request_flow.h
+++ b/Source/host/request_flow.h
@@ -12,6 +12,7 @@
 #include "fleet/configuration_view.h"
 #include "host/endpoint_finder.h"
 #include "host/event_splitter.h"
+#include "host/received_answer.h"
 #include "host/request_context.h"
 #include "http/server_exchange.h"
 
@@ -60,7 +61,9 @@
   // Whether it is certain that no endpoint has executed the request.
   bool not_run() const { return m_may_have_run_at.empty(); }
   // Returns counts of the endpoints by availability, for the log.
-  std::string DescribeEndpoints() const;
+  std::string DescribeEndpoints() const {
+    return EndpointFinder(m_context, m_requirements).Describe();
+  }
   const Admitted& admitted() const { return m_admitted; }
   MonotonicTime received_at() const {
     return m_admitted.m_request.m_received_at;
@@ -72,33 +75,27 @@
   enum class Phase { kNew, kWaiting, kSent, kStreaming, kFinished };
 
   bool Dispatch();
+  // Ends the request if a part of its prompt is held. Returns whether it did.
+  bool RejectHeldPrompt();
   void Send(const fleet::EndpointEntry& entry);
   void OnHead(const endpoint::AnswerHead& head);
   void OnBytes(std::string_view bytes);
   void OnDone();
   void OnFailed(const Error& error);
-  // Returns the ids of the prompt's parts except the last, for the log.
-  std::string SharedParts() const;
+  // Records that the endpoint may have ended because of the prompt.
+  void ReportEarlyEnd();
   // Records a failure of the current endpoint, which is then avoided for a
   // while. `refused`: it refused the connection.
   void AvoidEndpoint(bool refused = false);
   void OnNotExecuted(int status);
   void OnCallerDisconnected();
   void OnDeadline();
-  // Whether the body of the current answer is relayed event by event.
-  bool RelaysEvents() const;
-  // Whether the current answer is a stream that the end of its connection cut
-  // inside an event or before the first one.
-  bool IsBrokenOff() const;
-  // Logs an end that does not by itself prove that the answer is complete.
-  void LogUncertainEnd() const;
   void RelayWholeAnswer();
   void RelayEvents(const std::string& events);
   // Sends the request again after a failed send if that is allowed, otherwise
   // ends it.
   void RetryOrFinish(bool may_have_run, const std::string& reason);
   bool MayRepeat() const;
-  bool SpendRetry();
   void EndSend();
   void AnswerWithProblem(int status,
                          const std::string& outcome,
@@ -120,10 +117,7 @@
   std::int64_t m_endpoint_started_at_ms = 0;
   bool m_counted_in_load = false;
   MonotonicTime m_sent_at;
-  endpoint::AnswerHead m_head;
-  fleet::AnswerMetadata m_facts;
-  std::string m_body;
-  bool m_event_received = false;
+  ReceivedAnswer m_answer;
 
   // State of all sends.
   EndpointRequirements m_requirements;
@@ -132,6 +126,10 @@
   std::set<EndpointId> m_may_have_run_at;
   EventSplitter m_events;
   bool m_stream_started = false;
+  // The request is let through although a part of its prompt is held.
+  bool m_is_trial = false;
+  // Whether an answer has proved that the prompt does not crash endpoints.
+  bool m_prompt_proved = false;
   MonotonicTime m_last_event_at;
 };
 
--- /dev/null
+++ b/Tests/admission/crashing_parts_test.cc
@@ -0,0 +1,216 @@
+// Which prompt parts are held after ends of endpoints.
+
+#include "admission/crashing_parts.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "admission/proven_parts.h"
+
+using namespace hickoryloft;
+using namespace hickoryloft::admission;
+
+namespace {
+
+// The records of a fleet and the object of one host that reads them.
+class Fleet {
+ public:
+  MonotonicTime m_now{seconds(100)};
+  CrashRecords m_records;
+  CrashingParts m_parts;
+
+  void Pass(Duration time) { m_now += time; }
+
+  void EndEndpoint(const std::string& endpoint,
+                   const std::vector<std::string>& parts,
+                   const std::string& host = "h1") {
+    EndpointEnd end{
+        .m_incarnation = endpoint,
+        .m_seen_by = HostId(host),
+        .m_at = duration_cast<milliseconds>(m_now.time_since_epoch()),
+        .m_revision = ++m_revision};
+    for (const std::string& part : parts) {
+      end.m_parts.push_back(
+          {.m_id = part, .m_depth = static_cast<int>(end.m_parts.size())});
+    }
+    m_records.m_ends.push_back(end);
+    m_parts.SetRecords(m_records, m_now);
+  }
+  void Prove(const std::string& part) {
+    m_records.m_sound[part] = ++m_revision;
+    m_parts.SetRecords(m_records, m_now);
+  }
+  void RecordHeld(const std::string& part) {
+    m_records.m_held[part] = ++m_revision;
+    m_parts.SetRecords(m_records, m_now);
+  }
+  std::vector<std::string> FindCrashing() {
+    std::vector<std::string> names;
+    for (const auto& finding : m_parts.FindCrashing(m_now)) {
+      names.push_back(finding.m_part);
+    }
+    return names;
+  }
+  std::vector<std::string> SettleAndFind() {
+    Pass(CrashingParts::kSettleTime);
+    return FindCrashing();
+  }
+
+ private:
+  Revision m_revision = 0;
+};
+
+}  // namespace
+
+// BUDGET on jarro-ne: about one end a second, seen by other hosts each time.
+TEST_CASE("A part under which endpoints end is held before the sixth end") {
+  Fleet fleet;
+  std::vector<std::string> found;
+  int ends = 0;
+  while (found.empty() && ends < 10) {
+    ++ends;
+    fleet.EndEndpoint("e" + std::to_string(ends),
+                      {"first", "bad", "s" + std::to_string(ends)},
+                      "h" + std::to_string(ends % 3));
+    fleet.Pass(milliseconds(500));
+    fleet.Prove("first");
+    found = fleet.SettleAndFind();
+  }
+  CHECK(found == std::vector<std::string>{"bad"});
+  CHECK(ends <= 5);
+  CHECK(fleet.m_parts.Held("bad"));
+  CHECK_FALSE(fleet.m_parts.Held("first"));
+}
+
+TEST_CASE("The first part is not held although its proofs come late") {
+  Fleet fleet;
+  for (int i = 0; i < 4; ++i) {
+    fleet.EndEndpoint("e" + std::to_string(i), {"first"}, "h2");
+    fleet.EndEndpoint("e" + std::to_string(i), {"first", "bad"}, "h1");
+    fleet.Pass(milliseconds(400));
+  }
+  CHECK(fleet.SettleAndFind() == std::vector<std::string>{"bad"});
+  CHECK(fleet.m_parts.Ends("first") == 0);
+}
+
+TEST_CASE("A part that was proved sound since is not held") {
+  Fleet fleet;
+  for (int i = 0; i < 20; ++i) {
+    fleet.EndEndpoint("e" + std::to_string(i), {"sound"});
+    fleet.Pass(seconds(1));
+    if (i % 3 == 2) {
+      fleet.Prove("sound");
+    }
+    CHECK(fleet.SettleAndFind().empty());
+  }
+}
+
+TEST_CASE("Endpoints that end at the same moment do not hold a part") {
+  Fleet fleet;
+  for (int i = 0; i < 40; ++i) {
+    fleet.EndEndpoint("e" + std::to_string(i), {"sound"});
+    fleet.Pass(milliseconds(20));
+  }
+  CHECK(fleet.SettleAndFind().empty());
+  fleet.Prove("sound");
+  fleet.EndEndpoint("e40", {"sound"});
+  CHECK(fleet.SettleAndFind().empty());
+}
+
+TEST_CASE("Several records of one end count once") {
+  Fleet fleet;
+  for (int i = 0; i < 12; ++i) {
+    fleet.EndEndpoint("e" + std::to_string(i % 3), {"bad"},
+                      "h" + std::to_string(i));
+    fleet.Pass(milliseconds(300));
+  }
+  CHECK(fleet.m_parts.Ends("bad") == 3);
+  CHECK(fleet.SettleAndFind().empty());
+}
+
+TEST_CASE("A proof that arrives within the settling time prevents holding") {
+  Fleet fleet;
+  for (int i = 0; i < 4; ++i) {
+    fleet.EndEndpoint("e" + std::to_string(i), {"sound"});
+    fleet.Pass(milliseconds(400));
+  }
+  CHECK(fleet.FindCrashing().empty());
+  CHECK(fleet.m_parts.settling());
+  fleet.Prove("sound");
+  CHECK_FALSE(fleet.m_parts.settling());
+  CHECK(fleet.SettleAndFind().empty());
+}
+
+TEST_CASE("A late proof releases a part, another host's record holds it") {
+  Fleet fleet;
+  fleet.RecordHeld("bad");
+  CHECK(fleet.m_parts.Held("bad"));
+  CHECK(fleet.FindCrashing().empty());
+  fleet.Prove("bad");
+  CHECK_FALSE(fleet.m_parts.Held("bad"));
+}
+
+TEST_CASE("Ends that a held part explains are not counted against others") {
+  Fleet fleet;
+  fleet.RecordHeld("bad");
+  for (int i = 0; i < 8; ++i) {
+    fleet.EndEndpoint("e" + std::to_string(i), {"first", "bad"});
+    fleet.EndEndpoint("e" + std::to_string(i), {"first", "other"}, "h2");
+    fleet.Pass(milliseconds(500));
+  }
+  CHECK(fleet.SettleAndFind().empty());
+}
+
+TEST_CASE("A second crashing part is found after the first") {
+  Fleet fleet;
+  for (int i = 0; i < 8; ++i) {
+    fleet.EndEndpoint("e" + std::to_string(i),
+                      {"first", i % 2 == 0 ? "bad1" : "bad2"});
+    fleet.Pass(milliseconds(400));
+  }
+  CHECK(fleet.SettleAndFind().size() == 2);
+  CHECK(fleet.m_parts.Held("bad1"));
+  CHECK(fleet.m_parts.Held("bad2"));
+  CHECK_FALSE(fleet.m_parts.Held("first"));
+}
+
+TEST_CASE("Parts are not held while servers crash for other reasons") {
+  // Subjects of which some are popular. One request in thirty is cut before its
+  // first event, which is more than on the days with the most crashes.
+  for (unsigned seed = 1; seed <= 50; ++seed) {
+    std::mt19937 random(seed);
+    Fleet fleet;
+    std::geometric_distribution<int> subject(0.02);
+    for (int i = 0; i < 100; ++i) {
+      std::vector<std::string> parts = {"first"};
+      for (int running = 0; running < 2; ++running) {
+        parts.push_back("s" + std::to_string(subject(random)));
+      }
+      fleet.EndEndpoint("e" + std::to_string(i), parts);
+      for (int answered = 0; answered < 60; ++answered) {
+        const std::string part = "s" + std::to_string(subject(random));
+        if (fleet.m_parts.Ends(part) > 0) {
+          fleet.Prove(part);
+        }
+      }
+      fleet.Prove("first");
+      CHECK(fleet.SettleAndFind().empty());
+      fleet.Pass(milliseconds(500));
+    }
+  }
+}
+
+TEST_CASE("The table of proven parts is bounded") {
+  ProvenParts parts;
+  const MonotonicTime start{seconds(1)};
+  for (std::size_t i = 0; i < 2 * ProvenParts::kMaxParts; ++i) {
+    parts.Record(std::to_string(i), start);
+  }
+  CHECK(parts.Proven("0", start));
+  CHECK_FALSE(parts.Proven(std::to_string(ProvenParts::kMaxParts), start));
+  parts.Record("late", start + ProvenParts::kLifetime);
+  CHECK(parts.Proven("late", start + ProvenParts::kLifetime));
+  CHECK_FALSE(parts.Proven("0", start + ProvenParts::kLifetime));
+}
--- a/Tests/jarro/caller_protocol_test.cc
+++ b/Tests/jarro/caller_protocol_test.cc
@@ -163,3 +163,19 @@
   CHECK_FALSE(retry_after(503, "-1"));
   CHECK(retry_after(503, "1e99") == seconds(300));
 }
+
+// Regression test (BUDGET): a crashing part must not escape by its spelling.
+TEST_CASE("The ids of prompt parts are equal however they are written") {
+  const CallerProtocol protocol;
+  http::ServerRequest request = ValidRequest();
+  for (http::HeaderField& field : request.m_headers) {
+    if (field.m_name == "Prompt-Prefix") {
+      field.m_value = "00BaD0:80, bad0 :20,0:1,000:1,bad0:7";
+    }
+  }
+  const fleet::CallerRequest decoded = protocol.DecodeRequest(request);
+  REQUIRE(decoded.m_prompt.size() == 5);
+  CHECK(decoded.m_prompt[0].m_id == "bad0");
+  CHECK(decoded.m_prompt[1].m_id == "bad0");
+  CHECK(decoded.m_prompt[2].m_id == decoded.m_prompt[3].m_id);
+}
