Let one odd document of the store cost that document alone

Reported by other operators: one odd entry among those of the servers, and the hosts that read the list ended again and again, or stopped following it. Here too: the message about a field of the wrong type printed the value, which recurses into it, and an entry nested 400,000 deep ended the process (SIGSEGV); port 0 and addresses that are no IP number were accepted, and the first send to such an entry ended the process with an uncaught error; counts and times out of range were converted without a check.

The bad entry is logged and skipped, following goes on.

--- a/Source/base/socket_address.cc
+++ b/Source/base/socket_address.cc
@@ -32,4 +32,10 @@
               "'" + address + "' is not an IP number");
 }
 
+bool IsIpNumber(const std::string& address) {
+  in6_addr bytes{};
+  return inet_pton(AF_INET, address.c_str(), &bytes) == 1 ||
+         inet_pton(AF_INET6, address.c_str(), &bytes) == 1;
+}
+
 }  // namespace hickoryloft
--- a/Source/base/socket_address.h
+++ b/Source/base/socket_address.h
@@ -33,6 +33,10 @@
 SocketAddress ParseSocketAddress(const std::string& address,
                                  std::uint16_t port);
 
+// Returns whether `address` is an IPv4 or IPv6 address in text form.
+// Thread-safe.
+bool IsIpNumber(const std::string& address);
+
 }  // namespace hickoryloft
 
 #endif  // SOURCE_BASE_SOCKET_ADDRESS_H_
--- a/Source/fleet/fleet_state_feed.cc
+++ b/Source/fleet/fleet_state_feed.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "http/header_fields.h"
 
 namespace hickoryloft::fleet {
 
@@ -277,6 +278,10 @@
   try {
     EndpointEntry entry = m_decoder.DecodeEndpoint(item);
     const std::string id = entry.m_id.value();
+    if (!http::IsFieldValue(id)) {
+      throw Error(ErrorCode::kProtocol,
+                  "the id of entry " + item.m_key + " must be printable text");
+    }
     const bool draining = entry.m_state == EndpointState::kDraining;
     const auto change = m_directory.Put(std::move(entry));
     if (change == EndpointDirectory::Change::kNone) {
--- a/Source/host/host_settings.cc
+++ b/Source/host/host_settings.cc
@@ -1,7 +1,10 @@
 #include "host/host_settings.h"
 
+#include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "base/socket_address.h"
+
 namespace hickoryloft::host {
 
 namespace {
@@ -12,6 +15,23 @@
 
 }  // namespace
 
+SocketName ParseSocketName(const std::string& text, ErrorCode code) {
+  const std::size_t colon = text.rfind(':');
+  SocketName name;
+  if (colon != std::string::npos) {
+    const char* end = text.data() + text.size();
+    const auto parsed =
+        std::from_chars(text.data() + colon + 1, end, name.m_port);
+    name.m_address = text.substr(0, colon);
+    if (parsed.ec == std::errc{} && parsed.ptr == end && name.m_port != 0 &&
+        IsIpNumber(name.m_address)) {
+      return name;
+    }
+  }
+  throw Error(code,
+              "\"" + text + "\" must be IP:PORT with a port from 1 to 65535");
+}
+
 std::string ToText(const HostSettings& settings) {
   const FleetBounds& bounds = settings.m_bounds;
   const nlohmann::ordered_json json = {
--- a/Source/host/host_settings.h
+++ b/Source/host/host_settings.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <string>
 
+#include "base/error.h"
 #include "base/ids.h"
 #include "base/time.h"
 
@@ -16,6 +17,9 @@
   std::uint16_t m_port = 0;
 };
 
+// Returns the address in "IP:PORT". Throws Error(`code`). Thread-safe.
+SocketName ParseSocketName(const std::string& text, ErrorCode code);
+
 // Bounds that the platform sets. The defaults apply to those that it leaves
 // out.
 struct FleetBounds {
--- a/Source/host/member_view.cc
+++ b/Source/host/member_view.cc
@@ -1,10 +1,11 @@
 #include "host/member_view.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
-
 #include <utility>
 
 #include "base/log.h"
+#include "base/socket_address.h"
 
 namespace hickoryloft::host {
 
@@ -16,14 +17,24 @@
   const nlohmann::json member =
       nlohmann::json::parse(value, nullptr, /*allow_exceptions=*/false);
   try {
+    const auto port = member.at("port").get<std::int64_t>();
+    const auto address = member.at("address").get<std::string>();
+    if (port < 1 || port > std::numeric_limits<std::uint16_t>::max() ||
+        !IsIpNumber(address)) {
+      kLog.Warn(
+          "a host registration needs an IP number and a port from 1 to "
+          "65535; ignoring it",
+          {{"address", address}, {"port", port}});
+      return std::nullopt;
+    }
     return PeerAddress{
         .m_host = HostId(member.at("host").get<std::string>()),
         .m_incarnation = member.at("incarnation").get<Incarnation>(),
         .m_failure_domain =
             FailureDomainId(member.at("failure_domain").get<std::string>()),
         .m_capacity = member.value("capacity", 0.0),
-        .m_address = member.at("address").get<std::string>(),
-        .m_port = member.at("port").get<std::uint16_t>()};
+        .m_address = address,
+        .m_port = static_cast<std::uint16_t>(port)};
   } catch (const nlohmann::json::exception& error) {
     kLog.Warn("cannot parse a host registration; ignoring it",
               {{"reason", error.what()}});
--- a/Source/http/header_fields.cc
+++ b/Source/http/header_fields.cc
@@ -28,6 +28,16 @@
       [&](const HeaderField& field) { return SameName(field.m_name, name); }));
 }
 
+bool IsFieldValue(std::string_view text) {
+  constexpr char kFirstPrintable = ' ';
+  constexpr char kDelete = 127;
+  return !text.empty() &&
+         std::none_of(text.begin(), text.end(), [](char letter) {
+           return (letter >= 0 && letter < kFirstPrintable) ||
+                  letter == kDelete;
+         });
+}
+
 bool IsHopByHop(std::string_view name) {
   static constexpr std::array<std::string_view, 9> kNames = {
       "connection",
--- a/Source/http/header_fields.h
+++ b/Source/http/header_fields.h
@@ -30,6 +30,10 @@
 // must not forward it. Thread-safe.
 bool IsHopByHop(std::string_view name);
 
+// Returns whether `text` can be the value of a field: not empty, and without
+// control characters. Thread-safe.
+bool IsFieldValue(std::string_view text);
+
 // Returns the reason phrase of `status`. Thread-safe.
 std::string_view ReasonPhrase(int status);
 
--- a/StandIns/jarro_main.cc
+++ b/StandIns/jarro_main.cc
@@ -77,6 +77,11 @@
            self.m_store.Put("servers/" + entry.value("id", ""),
                             entry["value"].dump());
          }},
+        {"raw",
+         [](auto& self, const auto& body) {
+           const auto item = nlohmann::json::parse(body);
+           self.m_store.Put(item.value("key", ""), item.value("value", ""));
+         }},
         {"remove-entry",
          [](auto& self, const auto& body) {
            self.m_store.Remove("servers/" +
--- a/Tests/host/member_view_test.cc
+++ b/Tests/host/member_view_test.cc
@@ -76,3 +76,23 @@
   CHECK(view.Update(keys));
   CHECK(view.peers().size() == 1);
 }
+
+// Regression test: one odd document must cost that document alone.
+TEST_CASE("A registration with an odd address is ignored") {
+  const std::string value = GENERATE(
+      as<std::string>(),
+      R"({"host":"odd","incarnation":1,"failure_domain":"z","address":"10.0.0.1","port":0})",
+      R"({"host":"odd","incarnation":1,"failure_domain":"z","address":"10.0.0.1","port":65536})",
+      R"({"host":"odd","incarnation":1,"failure_domain":"z","address":"10.0.0.1","port":-1})",
+      R"({"host":"odd","incarnation":1,"failure_domain":"z","address":"nowhere","port":80})",
+      R"({"host":1e300,"incarnation":1,"failure_domain":"z","address":"10.0.0.1","port":80})",
+      std::string(400000, '[') + std::string(400000, ']'));
+  Keys keys;
+  Register(keys, "other", 2, 5, 7601);
+  keys["hickoryloft/members/odd/1"] = {.m_key = "hickoryloft/members/odd/1",
+                                       .m_value = value,
+                                       .m_mod_revision = 6};
+  MemberView view(HostId("own"));
+  CHECK(view.Update(keys));
+  CHECK(view.peers().size() == 1);
+}
--- a/Tests/jarro/fleet_decoder_test.cc
+++ b/Tests/jarro/fleet_decoder_test.cc
@@ -72,6 +72,57 @@
   CHECK_THROWS_AS(Decode("[]"), Error);
 }
 
+// Regression test: another writer's odd entry ended the processes that read the
+// list. Each must cost that entry alone.
+TEST_CASE("An entry with extreme values is rejected") {
+  json entry = json::parse(kValidEntry);
+  const std::string deep = std::string(400000, '[') + std::string(400000, ']');
+  SECTION("deeply nested") {
+    const auto field = GENERATE(as<std::string>(), "service", "address",
+                                "slots", "state", "models", "available");
+    entry.erase(field);
+    std::string text = entry.dump();
+    text.insert(1, "\"" + field + "\":" + deep + ",");
+    CHECK_THROWS_AS(Decode(text), Error);
+    CHECK_THROWS_AS(Decode(deep), Error);
+  }
+  SECTION("numbers and addresses out of range") {
+    const auto [field, value] = GENERATE(
+        table<std::string, json>({{"address", "10.0.0.9:0"},
+                                  {"address", "10.0.0.9:65536"},
+                                  {"address", "10.0.0.9:-1"},
+                                  {"address", "10.0.0.9:99999999999999999999"},
+                                  {"address", "10.0.0:80"},
+                                  {"address", "host.example:80"},
+                                  {"slots", 1e300},
+                                  {"slots", 5000000000},
+                                  {"slots", -1},
+                                  {"born", 1e300},
+                                  {"remainingMs", 1e300},
+                                  {"remainingMs", -1}}));
+    entry[field] = value;
+    CHECK_THROWS_AS(Decode(entry.dump()), Error);
+  }
+  CHECK_NOTHROW(Decode(kValidEntry));
+}
+
+TEST_CASE("A configuration with extreme numbers is rejected") {
+  const auto [path, value] = GENERATE(
+      table<std::string, json>({{"/routes/0/timeoutMs", 1e300},
+                                {"/routes/0/priority", 1e300},
+                                {"/routes/0/maxAttempts", 5000000000},
+                                {"/services/0/maxConnections", 1e300},
+                                {"/services/0/engine/slots", 1e15},
+                                {"/services/0/engine/models/0/loadS", 1e300},
+                                {"/services/0/engine/models/0/adapters", 1e15},
+                                {"/limits/maxBodyBytes", -1},
+                                {"/limits/idleTimeoutMs", 1e300}}));
+  json configuration = Configuration();
+  configuration[json::json_pointer(path)] = value;
+  CHECK_THROWS_AS(FleetDecoder().DecodeConfiguration(configuration.dump()),
+                  Error);
+}
+
 TEST_CASE("A configuration is decoded into the product's types") {
   const fleet::Configuration decoded =
       FleetDecoder().DecodeConfiguration(Configuration().dump());
