Do not match an answer without an id on a reused connection

Reported by other operators: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran, or the request ran at a second server (REFUSED, TWICE). Refusals that echo another request's id were skipped already, bytes on an idle connection close it. A refusal with no id was taken for the current request's answer.

An answer without an id on a connection that has carried another call may belong to that call; it now fails the call with kProtocol, so the request counts as one that may have run. On a new connection it can belong to the current call only and is used as before. The new test of the client got the refusal as the answer of the second request before.

--- a/Source/endpoint/client_connection.cc
+++ b/Source/endpoint/client_connection.cc
@@ -108,6 +108,7 @@
   m_request = std::move(request);
   m_events = std::move(events);
   m_running = true;
+  m_reused = m_buffer != nullptr;
   m_skip_response = false;
   m_echo_error.reset();
   if (m_buffer != nullptr) {
@@ -209,7 +210,7 @@
   m_skip_response = false;
   if (!echo.m_name.empty()) {
     const std::string* value = http::FindHeader(head.m_headers, echo.m_name);
-    if (value == nullptr && head.m_status / 100 == 2) {
+    if (value == nullptr && (m_reused || head.m_status / 100 == 2)) {
       m_echo_error =
           MakeError(ErrorCode::kProtocol, "the answer echoes no request id");
     }
--- a/Source/endpoint/client_connection.h
+++ b/Source/endpoint/client_connection.h
@@ -70,6 +70,8 @@
   event* m_timer;
   bool m_connected = false;
   bool m_running = false;
+  // Whether the connection has carried a call before the current one.
+  bool m_reused = false;
   bool m_reusable = true;
   // Whether the current response belongs to another call.
   bool m_skip_response = false;
--- a/Source/endpoint/http_client.h
+++ b/Source/endpoint/http_client.h
@@ -41,9 +41,10 @@
   Duration m_idle_timeout = kDefaultIdleTimeout;
   std::optional<Duration> m_connect_timeout;  // Default: the client's.
   // Name and value of a header field that the endpoint echoes. A response with
-  // another value belongs to an earlier call and is skipped; a 2xx response
-  // without the field fails the call with kProtocol. If the name is empty,
-  // responses are not matched.
+  // another value belongs to an earlier call and is skipped. A response without
+  // the field fails the call with kProtocol if its status is 2xx or if the
+  // connection has carried another call, to which it may belong. If the name is
+  // empty, responses are not matched.
   HeaderField m_echo;
 };
 
--- a/Tests/endpoint/answer_matching_test.cc
+++ b/Tests/endpoint/answer_matching_test.cc
@@ -242,3 +242,23 @@
   CHECK(outcome.m_heads == 0);
   CHECK(outcome.m_failure == ErrorCode::kProtocol);
 }
+
+// Regression test (REFUSED, TWICE): an earlier refusal, written once more
+// without its request's id, was taken for the current request's answer.
+TEST_CASE("An answer without an id is not matched on a reused connection") {
+  const std::string refusal =
+      "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  EventLoop loop;
+  ScriptedEndpoint endpoint(loop);
+  PooledHttpClient client(loop);
+  endpoint.m_scripts = {refusal, refusal + Answer("r2", "two"),
+                        Answer("r3", "three")};
+  const Outcome first = Run(loop, client, endpoint, "r1");
+  CHECK(first.m_done);
+  CHECK(first.m_heads == 1);
+  const Outcome second = Run(loop, client, endpoint, "r2");
+  CHECK(second.m_heads == 0);
+  CHECK(second.m_failure == ErrorCode::kProtocol);
+  CHECK(Run(loop, client, endpoint, "r3").m_body == "three");
+  CHECK(endpoint.connections() == 2);
+}
