Send a request a second time to one endpoint on a new connection

The refusal of a request's first send, written once more during its second send to the same endpoint, echoes the right id. A repeated send to an endpoint now opens a connection, on which no copy of an earlier answer can arrive.

--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -153,6 +153,8 @@
        .m_resume_after = m_events.last_id().empty() ? request.m_resume_after
                                                     : m_events.last_id()});
   call.m_connect_timeout = kConnectTimeout;
+  // A copy of an earlier send's answer cannot arrive on a new connection.
+  call.m_fresh_connection = !m_sent_to.insert(m_endpoint).second;
   // m_deadline_timer ends the call. The idle timeout lies past the deadline,
   // because silence until then does not prove that the endpoint failed.
   call.m_idle_timeout = m_deadline - now + seconds(1);
--- a/Source/host/request_flow.h
+++ b/Source/host/request_flow.h
@@ -122,6 +122,7 @@
   // State of all sends.
   EndpointRequirements m_requirements;
   int m_sends = 0;
+  std::set<EndpointId> m_sent_to;
   // Endpoints that may have executed the request.
   std::set<EndpointId> m_may_have_run_at;
   EventSplitter m_events;
