--- a/Source/host/prompt_guard.cc
+++ b/Source/host/prompt_guard.cc
@@ -219,14 +219,16 @@
       .m_at = duration_cast<milliseconds>(
           std::chrono::system_clock::now().time_since_epoch())};
   std::string names;
-  for (const auto& [part, depth] : m_pending_ends.at(incarnation).m_depths) {
+  const PendingEnd& pending = m_pending_ends.at(incarnation);
+  for (const auto& [part, depth] : pending.m_depths) {
     if (end.m_parts.size() < kMaxPartsPerEnd) {
       end.m_parts.push_back({.m_id = part, .m_depth = depth});
       names += (names.empty() ? "" : ",") + part;
     }
   }
-  kLog.Info("endpoint ended while prompts began to be answered",
-            {{"endpoint", incarnation}, {"prompt_parts", names}});
+  kLog.Info(
+      "endpoint ended while prompts began to be answered",
+      {{"endpoint", pending.m_endpoint.m_id.value()}, {"prompt_parts", names}});
   Put({.m_key = EndKey(m_host, OldestEndSlot()),
        .m_value = EncodeEnd(end),
        .m_ttl = kEvidenceTtl});
--- a/Source/tools/ctl/log_timeline.cc
+++ b/Source/tools/ctl/log_timeline.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <ctime>
+#include <sstream>
 #include <utility>
 
 #include "base/error.h"
@@ -96,7 +97,9 @@
     scope.m_hosts.insert(line.m_host);
     scope.m_endpoints.insert(StringField(line.m_fields, "endpoint"));
     scope.m_models.insert(StringField(line.m_fields, "model"));
+    scope.m_prompt_parts.insert(StringField(line.m_fields, "prompt_part"));
   }
+  scope.m_prompt_parts.erase("");
   scope.m_endpoints.erase("");
   scope.m_models.erase("");
   if (scope.m_hosts.empty()) {
@@ -108,11 +111,33 @@
   return scope;
 }
 
+bool LogTimeline::NamesPromptPart(const Line& line, const Scope& scope) {
+  if (scope.m_prompt_parts.contains(
+          StringField(line.m_fields, "prompt_part"))) {
+    return true;
+  }
+  std::istringstream parts(StringField(line.m_fields, "prompt_parts"));
+  std::string part;
+  while (std::getline(parts, part, ',')) {
+    if (scope.m_prompt_parts.contains(part)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 bool LogTimeline::IsInScope(const Line& line, const Scope& scope) {
   if (line.m_has_request_id) {
     return true;
   }
-  if (line.m_time < scope.m_begin || line.m_time > scope.m_end) {
+  if (line.m_time > scope.m_end) {
+    return false;
+  }
+  // What led to the rejection of a prompt part may lie long before.
+  if (NamesPromptPart(line, scope)) {
+    return true;
+  }
+  if (line.m_time < scope.m_begin) {
     return false;
   }
   const std::string endpoint = StringField(line.m_fields, "endpoint");
--- a/Source/tools/ctl/log_timeline.h
+++ b/Source/tools/ctl/log_timeline.h
@@ -57,12 +57,14 @@
     std::set<std::string> m_hosts;
     std::set<std::string> m_endpoints;
     std::set<std::string> m_models;
+    std::set<std::string> m_prompt_parts;
   };
 
   static std::optional<Time> ParseTime(const nlohmann::ordered_json& fields);
   static std::string StringField(const nlohmann::ordered_json& fields,
                                  const char* name);
   Scope CollectScope() const;
+  static bool NamesPromptPart(const Line& line, const Scope& scope);
   static bool IsInScope(const Line& line, const Scope& scope);
   static void PrintLine(const Line& line, std::ostream& out);
   void PrintOutcome(const std::vector<const Line*>& lines,
--- a/Tests/tools/log_timeline_test.cc
+++ b/Tests/tools/log_timeline_test.cc
@@ -79,3 +79,26 @@
         "11:04:17.216  * edge-1  admission: rejected reason=no_route\n"
         "request r1: rejected, no_route\n");
 }
+
+TEST_CASE("A timeline includes how a part of the prompt came to be rejected") {
+  constexpr char kLog[] =
+      R"({"time":"2026-10-23T11:00:01.000","level":"info","part":"prompts","message":"endpoint ended","endpoint":"e1","prompt_parts":"a1,bad0"}
+{"time":"2026-10-23T11:00:02.000","level":"info","part":"prompts","message":"endpoint ended","endpoint":"e2","prompt_parts":"a1"}
+{"time":"2026-10-23T11:00:03.000","level":"warn","part":"prompts","message":"rejecting","prompt_part":"bad0","ends":4}
+{"time":"2026-10-23T11:04:05.000","level":"info","part":"request","message":"rejecting","id":"r1","prompt_part":"bad0"}
+{"time":"2026-10-23T11:04:05.000","level":"info","part":"request","message":"over","id":"r1","outcome":"refused","reason":"prompt_part_held"}
+)";
+  LogTimeline timeline("r1");
+  std::istringstream a(kLog);
+  timeline.Read(a, "a");
+  std::ostringstream out;
+  timeline.Print(out);
+  CHECK(out.str() ==
+        "11:00:01.000    a  prompts: endpoint ended endpoint=e1 "
+        "prompt_parts=a1,bad0\n"
+        "11:00:03.000    a  prompts: rejecting prompt_part=bad0 ends=4\n"
+        "11:04:05.000  * a  request: rejecting prompt_part=bad0\n"
+        "11:04:05.000  * a  request: over outcome=refused "
+        "reason=prompt_part_held\n"
+        "request r1: refused, prompt_part_held\n");
+}
