Records of ends: slots in turn, merged reads, room for all parts of an end

Found in reading the diff. Two ends recorded within a few milliseconds took the same slot, so one was lost; the slots are now taken in turn. Records were decoded at each change of an own key, which a failure domain's end makes hundreds of; they are now decoded at most five times a second, and at once after a start. An end with many early requests listed only 16 parts, in the order of their ids, so the crashing one could be missing; it lists up to 64, in 8 slots a host.

--- a/Source/host/crash_records.h
+++ b/Source/host/crash_records.h
@@ -15,8 +15,8 @@
 
 // The ends that a host recorded, in a fixed number of slots, so that the
 // records stay few however many endpoints end.
-constexpr std::size_t kEndSlots = 16;
-constexpr std::size_t kMaxPartsPerEnd = 16;
+constexpr std::size_t kEndSlots = 8;
+constexpr std::size_t kMaxPartsPerEnd = 64;
 
 // All functions are thread-safe.
 
--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -278,7 +278,7 @@
     });
   }
   FollowPlacementLeader();
-  m_prompts.ReadRecords();
+  m_prompts.ApplyOwnKeys();
 }
 
 void HostDaemon::FollowPlacementLeader() {
--- a/Source/host/prompt_guard.cc
+++ b/Source/host/prompt_guard.cc
@@ -19,6 +19,9 @@
 // An endpoint that has ended refuses connections at once; no answer can also
 // be due to the network.
 constexpr Duration kRefusalTime = milliseconds(250);
+// Delay that merges changes of records: a failure domain's endpoints end
+// together, and all hosts record that.
+constexpr Duration kReadDelay = milliseconds(200);
 // Interval at which a part's settling time is checked.
 constexpr Duration kSettleCheck = milliseconds(100);
 // How long a recorded end and a proof count.
@@ -229,19 +232,25 @@
   kLog.Info(
       "endpoint ended while prompts began to be answered",
       {{"endpoint", pending.m_endpoint.m_id.value()}, {"prompt_parts", names}});
-  Put({.m_key = EndKey(m_host, OldestEndSlot()),
+  Put({.m_key = EndKey(m_host, TakeEndSlot()),
        .m_value = EncodeEnd(end),
        .m_ttl = kEvidenceTtl});
 }
 
-std::size_t PromptGuard::OldestEndSlot() const {
-  std::size_t oldest = 0;
-  for (std::size_t slot = 1; slot < kEndSlots; ++slot) {
-    if (RevisionOf(EndKey(m_host, slot)) < RevisionOf(EndKey(m_host, oldest))) {
-      oldest = slot;
+std::size_t PromptGuard::TakeEndSlot() {
+  if (!m_next_slot) {
+    // Records of an earlier run of this host are overwritten oldest first.
+    m_next_slot = 0;
+    for (std::size_t slot = 1; slot < kEndSlots; ++slot) {
+      if (RevisionOf(EndKey(m_host, slot)) <
+          RevisionOf(EndKey(m_host, *m_next_slot))) {
+        m_next_slot = slot;
+      }
     }
   }
-  return oldest;
+  const std::size_t slot = *m_next_slot;
+  m_next_slot = (slot + 1) % kEndSlots;
+  return slot;
 }
 
 Revision PromptGuard::RevisionOf(const std::string& key) const {
@@ -249,6 +258,17 @@
   return item == m_own_keys().end() ? 0 : item->second.m_mod_revision;
 }
 
+void PromptGuard::ApplyOwnKeys() {
+  if (!std::exchange(m_has_read, true)) {
+    ReadRecords();
+  } else if (!m_read_timer) {
+    m_read_timer = m_loop.After(kReadDelay, [this] {
+      m_read_timer.reset();
+      ReadRecords();
+    });
+  }
+}
+
 void PromptGuard::ReadRecords() {
   const auto version = VersionOfCrashRecords(m_own_keys());
   if (version == std::exchange(m_records_version, version)) {
@@ -295,7 +315,7 @@
   }
 }
 
-void PromptGuard::Put(Write write) {
+void PromptGuard::Put(const Write& write) {
   m_store.GrantLease(write.m_ttl,
                      [this, write, alive = std::weak_ptr<int>(m_alive)](
                          const Result<keyvalue::LeaseReply>& reply) {
@@ -310,7 +330,7 @@
                      });
 }
 
-void PromptGuard::Swap(Write write, keyvalue::LeaseId lease) {
+void PromptGuard::Swap(const Write& write, keyvalue::LeaseId lease) {
   m_store.Swap({.m_key = write.m_key,
                 .m_expected_revision = RevisionOf(write.m_key),
                 .m_value = write.m_value,
@@ -335,8 +355,8 @@
   if (!m_retry_timer) {
     m_retry_timer = m_loop.After(kRetryPause, [this] {
       m_retry_timer.reset();
-      for (Write& failed : std::exchange(m_failed_writes, {})) {
-        Put(std::move(failed));
+      for (const Write& failed : std::exchange(m_failed_writes, {})) {
+        Put(failed);
       }
     });
   }
--- a/Source/host/prompt_guard.h
+++ b/Source/host/prompt_guard.h
@@ -65,7 +65,7 @@
                       const Prompt& prompt);
 
   // The system's own keys have changed.
-  void ReadRecords();
+  void ApplyOwnKeys();
 
   std::size_t held_parts() const { return m_parts.held().size(); }
 
@@ -85,16 +85,17 @@
 
   void ConfirmEnd(const std::string& incarnation);
   void RecordEnd(const std::string& incarnation);
+  void ReadRecords();
   void HoldCrashingParts();
   // Claims the right to let a request with a held part through, if it is due
   // and no other host has claimed it.
   void ClaimTrial(const std::string& part, const keyvalue::KeyValue& record);
-  std::size_t OldestEndSlot() const;
+  std::size_t TakeEndSlot();
   Revision RevisionOf(const std::string& key) const;
   // Writes a key that a lease removes after `m_ttl`. Tries again after
   // failures, a few times.
-  void Put(Write write);
-  void Swap(Write write, keyvalue::LeaseId lease);
+  void Put(const Write& write);
+  void Swap(const Write& write, keyvalue::LeaseId lease);
   void PutLater(Write write, const Error& error);
 
   EventLoop& m_loop;
@@ -112,6 +113,10 @@
   // The revision of each held part's record, and since when this host has it.
   std::map<std::string, std::pair<Revision, MonotonicTime>> m_held_since;
   std::set<std::string> m_trials;
+  // The slot of the next recorded end; chosen at the first one.
+  std::optional<std::size_t> m_next_slot;
+  bool m_has_read = false;
+  std::unique_ptr<Timer> m_read_timer;
   std::unique_ptr<Timer> m_settle_timer;
   std::vector<Write> m_failed_writes;
   std::unique_ptr<Timer> m_retry_timer;
