--- a/Source/base/log_fields.h
+++ b/Source/base/log_fields.h
@@ -36,11 +36,11 @@
     {"endpoints",
      "number of endpoints, or the state of a service's endpoints with respect "
      "to the request's model"},
-    {"engine", "id of an endpoint that serves models"},
-    {"engines", "number of usable engines that have not loaded the model"},
     {"ends",
      "number of endpoints that ended while a prompt with the part was starting "
      "to be answered"},
+    {"engine", "id of an endpoint that serves models"},
+    {"engines", "number of usable engines that have not loaded the model"},
     {"entry", "name of an entry"},
     {"error", "text of an error"},
     {"events", "number of complete stream events that have been forwarded"},
--- a/Tests/process/jarro_logs_test.py
+++ b/Tests/process/jarro_logs_test.py
@@ -23,7 +23,7 @@
         "id", "endpoint", "send", "waited_ms", "running", "left_ms"},
     ("request", "first event"): {"id", "endpoint", "after_ms"},
     ("request", "send failed"): {
-        "id", "endpoint", "may_have_run", "events", "reason"},
+        "id", "endpoint", "may_have_run", "events", "prompt_parts", "reason"},
     ("request", "endpoint avoided"): {"id", "endpoint", "for_ms"},
     ("request", "over"): {
         "id", "outcome", "reason", "sends", "events", "after_ms"},
