A stream that ends inside an event is broken off, however it is framed

Cause: only streams that end with their connection were checked for an unfinished event. One with a length or chunks went on to FinishAnswer with the unfinished event as its end. The end of a message was taken for the end of what it holds. Evidence: process_jarro_stream_ends fails on: the caller gets "id: 2\nda" as the end of a complete answer. Change: one function, ReceivedAnswer::Judge, says what a send came to; the request flow acts on its result. An event that has begun must have ended, whatever the framing. A line for each doubtful end names the framing, the events of the answer, the last id and the unfinished bytes. The test of the splitter asserted the text of the unfinished event, which nothing needs any more; it asserts its size now. The text before it is compared as before.

--- a/Source/host/event_splitter.cc
+++ b/Source/host/event_splitter.cc
@@ -1,7 +1,6 @@
 #include "host/event_splitter.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace hickoryloft::host {
 
@@ -36,8 +35,9 @@
   return events;
 }
 
-std::string EventSplitter::ExtractPartial() {
-  return std::exchange(m_partial, {});
+void EventSplitter::BeginAnswer() {
+  m_partial.clear();
+  m_events_before_answer = m_events;
 }
 
 void EventSplitter::RecordIds(std::string_view events) {
--- a/Source/host/event_splitter.h
+++ b/Source/host/event_splitter.h
@@ -6,24 +6,32 @@
 
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace hickoryloft::host {
 
-// Not thread-safe.
+// Receives the answers that make up one stream, one after the other. Not
+// thread-safe.
 class EventSplitter {
  public:
+  // `resumed_after`: id of the last event that the caller already has; empty if
+  // it has none.
+  explicit EventSplitter(std::string resumed_after = "")
+      : m_last_id(std::move(resumed_after)) {}
+
+  // Starts the next answer. An incomplete event of the answer before it is
+  // dropped.
+  void BeginAnswer();
   // Appends bytes and returns the events that they complete, unchanged.
   std::string Feed(std::string_view bytes);
-  // Returns and clears the incomplete event; call at the regular end of a
-  // stream.
-  std::string ExtractPartial();
-  void DropPartial() { m_partial.clear(); }
   // Size of the incomplete event in bytes.
   std::size_t partial_bytes() const { return m_partial.size(); }
 
   // The last event id in the complete events; empty if there was none.
   const std::string& last_id() const { return m_last_id; }
+  // Complete events in all answers, and in the current one.
   int events() const { return m_events; }
+  int answer_events() const { return m_events - m_events_before_answer; }
 
  private:
   void RecordIds(std::string_view events);
@@ -31,6 +39,7 @@
   std::string m_partial;
   std::string m_last_id;
   int m_events = 0;
+  int m_events_before_answer = 0;
 };
 
 }  // namespace hickoryloft::host
--- a/Source/host/received_answer.cc
+++ b/Source/host/received_answer.cc
@@ -1,5 +1,7 @@
 #include "host/received_answer.h"
 
+#include <array>
+
 #include "base/log.h"
 
 namespace hickoryloft::host {
@@ -19,26 +21,61 @@
   return !m_first_event_at || now - *m_first_event_at < kProofTime;
 }
 
-bool ReceivedAnswer::IsBrokenOff(const EventSplitter& events) const {
-  return RelaysEvents() && m_head.m_ends_with_connection &&
-         (events.partial_bytes() > 0 || !m_first_event_at);
+SendOutcome ReceivedAnswer::Judge(const EventSplitter& events,
+                                  bool stream_started) const {
+  constexpr int kFirstFailure = 500;
+  if (m_facts.m_not_executed) {
+    return SendOutcome::kNotExecuted;
+  }
+  if (m_head.m_status / 100 == 2 && (!m_facts.m_signed || m_facts.m_encoded)) {
+    return SendOutcome::kNotTheEndpoints;
+  }
+  if (RelaysEvents()) {
+    return JudgeStream(events);
+  }
+  if (stream_started) {
+    return SendOutcome::kStreamNotContinued;
+  }
+  return m_head.m_status >= kFirstFailure ? SendOutcome::kFailed
+                                          : SendOutcome::kComplete;
+}
+
+SendOutcome ReceivedAnswer::JudgeStream(const EventSplitter& events) const {
+  // A faulty endpoint may frame what it has sent as complete, so the end of a
+  // message proves nothing about an event that has begun.
+  const bool broken_off =
+      events.partial_bytes() > 0 ||
+      (m_head.m_ends_with_connection && events.answer_events() == 0);
+  return broken_off ? SendOutcome::kStreamBrokenOff : SendOutcome::kComplete;
 }
 
 void ReceivedAnswer::LogUncertainEnd(const std::string& request_id,
                                      const EndpointId& endpoint,
                                      const EventSplitter& events,
-                                     bool stream_started) const {
-  const bool continues_stream = !stream_started || RelaysEvents();
-  if (continues_stream && !m_head.m_ends_with_connection) {
+                                     SendOutcome outcome) const {
+  const bool stream_ended_early = outcome == SendOutcome::kStreamBrokenOff ||
+                                  outcome == SendOutcome::kStreamNotContinued;
+  if (!stream_ended_early && !m_head.m_ends_with_connection) {
     return;
   }
-  kLog.Info(continues_stream ? "answer ended with its connection"
-                             : "answer does not continue the stream",
+  kLog.Info("end of the answer does not prove that it is complete",
             {{"id", request_id},
              {"endpoint", endpoint.value()},
              {"status", m_head.m_status},
+             {"outcome", ToText(outcome)},
+             {"framed", m_head.m_ends_with_connection ? 0 : 1},
+             {"answer_events", events.answer_events()},
              {"events", events.events()},
+             {"last_id", events.last_id()},
              {"unfinished_bytes", events.partial_bytes()}});
 }
 
+const char* ToText(SendOutcome outcome) {
+  static constexpr std::array<const char*, 6> kNames = {
+      "complete",          "endpoint_failed",
+      "endpoint_refused",  "answer_not_the_endpoints",
+      "stream_broken_off", "stream_not_continued"};
+  return kNames.at(static_cast<std::size_t>(outcome));
+}
+
 }  // namespace hickoryloft::host
--- a/Source/host/received_answer.h
+++ b/Source/host/received_answer.h
@@ -11,6 +11,16 @@
 
 namespace hickoryloft::host {
 
+// What one send of a request came to, once its answer has ended.
+enum class SendOutcome {
+  kComplete,            // The whole answer of the endpoint.
+  kFailed,              // The endpoint's own failure, status 500 or above.
+  kNotExecuted,         // The endpoint did not execute the request.
+  kNotTheEndpoints,     // A success that is not the endpoint's own answer.
+  kStreamBrokenOff,     // A stream without its end.
+  kStreamNotContinued,  // Does not continue the stream that was begun.
+};
+
 // Not thread-safe.
 struct ReceivedAnswer {
   // An answer that goes on for this long after its first event proves that its
@@ -26,17 +36,23 @@
   bool RelaysEvents() const;
   // Whether the answer has not gone on for kProofTime.
   bool EndsEarly(MonotonicTime now) const;
-  // Whether the answer is a stream that the end of its connection cut inside an
-  // event or before the first one. `events` has received the stream.
-  bool IsBrokenOff(const EventSplitter& events) const;
-  // Logs an end that does not by itself prove that the answer is complete, or
-  // that does not continue the stream that an earlier answer has started.
+  // Returns what the send came to. Precondition: the answer has ended, and
+  // `events` has received it if it is relayed event by event. `stream_started`:
+  // the caller already has the head and events of an earlier answer.
+  SendOutcome Judge(const EventSplitter& events, bool stream_started) const;
+  // Logs an end that does not by itself prove that the answer is complete.
   void LogUncertainEnd(const std::string& request_id,
                        const EndpointId& endpoint,
                        const EventSplitter& events,
-                       bool stream_started) const;
+                       SendOutcome outcome) const;
+
+ private:
+  SendOutcome JudgeStream(const EventSplitter& events) const;
 };
 
+// Returns the name of `outcome` for logs and error bodies. Thread-safe.
+const char* ToText(SendOutcome outcome);
+
 }  // namespace hickoryloft::host
 
 #endif  // SOURCE_HOST_RECEIVED_ANSWER_H_
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -41,7 +41,8 @@
                          Admitted admitted)
     : m_context(context),
       m_exchange(std::move(exchange)),
-      m_admitted(std::move(admitted)) {
+      m_admitted(std::move(admitted)),
+      m_events(m_admitted.m_request.m_resume_after) {
   const fleet::CallerRequest& request = m_admitted.m_request;
   m_requirements = {.m_service = m_admitted.m_service,
                     .m_model = request.m_model,
@@ -129,7 +130,7 @@
   m_phase = m_stream_started ? Phase::kStreaming : Phase::kSent;
   m_sent_at = now;
   m_answer = {};
-  m_events.DropPartial();
+  m_events.BeginAnswer();
   if (m_sends++ == 0) {
     m_context.m_metrics.m_queue_time.Record(Waited());
   }
@@ -145,13 +146,11 @@
                      {"running", m_context.m_load.Total(m_endpoint)},
                      {"left_ms", ToMillis(m_deadline - now).count()}});
   endpoint::CallRequest call = m_context.m_protocol.EncodeCall(
-      request,
-      {.m_endpoint = {entry.m_id, entry.m_address, entry.m_port},
-       .m_time_left = m_deadline - now,
-       .m_account = m_admitted.m_account,
-       .m_urgency = m_admitted.m_urgency,
-       .m_resume_after = m_events.last_id().empty() ? request.m_resume_after
-                                                    : m_events.last_id()});
+      request, {.m_endpoint = {entry.m_id, entry.m_address, entry.m_port},
+                .m_time_left = m_deadline - now,
+                .m_account = m_admitted.m_account,
+                .m_urgency = m_admitted.m_urgency,
+                .m_resume_after = m_events.last_id()});
   call.m_connect_timeout = kConnectTimeout;
   // A copy of an earlier send's answer cannot arrive on a new connection.
   call.m_fresh_connection = !m_sent_to.insert(m_endpoint).second;
@@ -249,43 +248,23 @@
 }
 
 void RequestFlow::OnDone() {
-  if (m_answer.m_facts.m_not_executed) {
+  const SendOutcome outcome = m_answer.Judge(m_events, m_stream_started);
+  if (outcome == SendOutcome::kNotExecuted) {
     OnNotExecuted(m_answer.m_head.m_status);
     return;
   }
   m_may_have_run_at.insert(m_endpoint);
   m_answer.LogUncertainEnd(m_admitted.m_request.m_id, m_endpoint, m_events,
-                           m_stream_started);
-  const bool success = m_answer.m_head.m_status / 100 == 2;
-  if (success && (!m_answer.m_facts.m_signed || m_answer.m_facts.m_encoded)) {
-    AvoidEndpoint();
-    RetryOrFinish(/*may_have_run=*/true, "answer_not_the_endpoints");
-    return;
-  }
-  if (m_answer.IsBrokenOff(m_events)) {
-    AvoidEndpoint();
-    ReportEarlyEnd();
-    RetryOrFinish(/*may_have_run=*/true, "stream_broken_off");
+                           outcome);
+  if (outcome != SendOutcome::kComplete) {
+    OnUnusableAnswer(outcome);
     return;
   }
-  if (m_answer.m_head.m_status >= 500) {
-    AvoidEndpoint();
-    if (MayRepeat() && m_sends < kMaxSends) {
-      RetryOrFinish(/*may_have_run=*/true, "endpoint_failed");
-      return;
-    }
-  } else {
-    m_context.m_health.RecordSuccess(m_endpoint);
-  }
-  if (success) {
+  m_context.m_health.RecordSuccess(m_endpoint);
+  if (m_answer.m_head.m_status / 100 == 2) {
     m_context.m_prompts.RecordProof(m_admitted.m_request.m_prompt);
   }
-  if (m_stream_started && !m_answer.RelaysEvents()) {
-    RetryOrFinish(/*may_have_run=*/true, "stream_not_continued");
-    return;
-  }
   if (m_stream_started) {
-    m_exchange->SendBody(m_events.ExtractPartial());
     m_exchange->FinishAnswer();
     Finish("answered", "");
     return;
@@ -293,8 +272,21 @@
   RelayWholeAnswer();
 }
 
+void RequestFlow::OnUnusableAnswer(SendOutcome outcome) {
+  AvoidEndpoint();
+  if (outcome == SendOutcome::kStreamBrokenOff) {
+    ReportEarlyEnd();
+  }
+  // The endpoint's own failure is its answer if no other endpoint may be asked.
+  if (outcome == SendOutcome::kFailed &&
+      !(MayRepeat() && m_sends < kMaxSends)) {
+    RelayWholeAnswer();
+    return;
+  }
+  RetryOrFinish(/*may_have_run=*/true, ToText(outcome));
+}
+
 void RequestFlow::RelayWholeAnswer() {
-  m_answer.m_body.insert(0, m_events.ExtractPartial());
   m_exchange->Answer(m_answer.m_head.m_status, m_answer.m_facts.m_forwarded,
                      m_answer.m_body);
   Finish(m_answer.m_head.m_status < 400 ? "answered" : "endpoint_failed",
@@ -315,7 +307,7 @@
   } else {
     AvoidEndpoint();
   }
-  RetryOrFinish(/*may_have_run=*/false, "endpoint_refused");
+  RetryOrFinish(/*may_have_run=*/false, ToText(SendOutcome::kNotExecuted));
 }
 
 void RequestFlow::OnFailed(const Error& error) {
--- a/Source/host/request_flow.h
+++ b/Source/host/request_flow.h
@@ -81,6 +81,9 @@
   void OnHead(const endpoint::AnswerHead& head);
   void OnBytes(std::string_view bytes);
   void OnDone();
+  // Handles an answer that is not relayed as it is. Precondition: `outcome` is
+  // neither kComplete nor kNotExecuted.
+  void OnUnusableAnswer(SendOutcome outcome);
   void OnFailed(const Error& error);
   // Records that the endpoint may have ended because of the prompt.
   void ReportEarlyEnd();
--- a/Tests/host/event_splitter_test.cc
+++ b/Tests/host/event_splitter_test.cc
@@ -28,7 +28,8 @@
     RC_ASSERT(received == whole);
     RC_ASSERT(splitter.last_id() == std::to_string(count));
     RC_ASSERT(splitter.events() == count);
-    RC_ASSERT(splitter.ExtractPartial() == (partial ? "id: 99\ndata: to" : ""));
+    RC_ASSERT(splitter.partial_bytes() ==
+              (partial ? std::string("id: 99\ndata: to").size() : 0));
   }));
 }
 
--- a/Tests/process/jarro_stream_ends_test.py
+++ b/Tests/process/jarro_stream_ends_test.py
@@ -50,6 +50,28 @@
         self.assertEqual(reply.events(), ["t1"])
         self.assertFalse(reply.complete, reply)
 
+    def test_framed_stream_that_ends_inside_an_event_is_cut(self):
+        """Regression test (ORDER on swt-visits-grown): the length or the last
+        chunk made a stream complete that ended inside an event."""
+        pieces = event(1) + b"id: 2\nda"
+
+        def with_length(connection, request):
+            connection.sendall(stream_head(
+                request, f"Content-Length: {len(pieces)}") + pieces)
+            return True
+
+        def with_chunks(connection, request):
+            connection.sendall(
+                stream_head(request, "Transfer-Encoding: chunked")
+                + chunk(pieces) + chunk(b""))
+            return True
+        for name, respond in (("s1", with_length), ("s2", with_chunks)):
+            server = self.start_server(name, respond)
+            reply = self.chat()
+            self.assertEqual(reply.events(), ["t1"])
+            self.assertFalse(reply.complete, reply)
+            server.leave(self.fleet)
+
     def test_unframed_stream_that_ends_inside_its_first_event_is_not_sent(self):
         """Regression test (ORDER): a part of an event as a whole answer."""
         self.start_server("s1", self.unframed(b"id: 1\nda"))
--- a/Tests/process/scripted_server.py
+++ b/Tests/process/scripted_server.py
@@ -68,6 +68,10 @@
     def register(self, fleet):
         fleet.control("entry", {"id": self.name, "value": self.entry()})
 
+    def leave(self, fleet):
+        """Removes the server's registration; it continues to run."""
+        fleet.control("remove-entry", {"id": self.name})
+
     def crash(self):
         """Refuses new connections and ends all open ones."""
         for end in (self._listener, *self._connections):
