An answer without an event completes no stream

What callers saw: a stream that had begun was ended by the next server's answer of status 200 without any event, and an empty stream arrived as complete (ORDER). Cause: an answer without events counted as the end of the stream, whether or not the stream had reached its end at the server before. Evidence: process_jarro_stream_errors and process_jarro_stream_ends fail on (complete after the first of four events; 200 with no event). Change: without an event, an answer continues no stream that has begun and is no stream of its own. A stream whose last event was sent before it broke off looks the same to this host; it is broken off, and the caller, who has the last id, gets the framed empty answer of the next server as it is (tested).

--- a/Source/host/received_answer.cc
+++ b/Source/host/received_answer.cc
@@ -31,7 +31,7 @@
     return SendOutcome::kNotTheEndpoints;
   }
   if (RelaysEvents()) {
-    return JudgeStream(events);
+    return JudgeStream(events, stream_started);
   }
   if (stream_started) {
     return SendOutcome::kStreamNotContinued;
@@ -40,13 +40,24 @@
                                           : SendOutcome::kComplete;
 }
 
-SendOutcome ReceivedAnswer::JudgeStream(const EventSplitter& events) const {
+SendOutcome ReceivedAnswer::JudgeStream(const EventSplitter& events,
+                                        bool stream_started) const {
   // A faulty endpoint may frame what it has sent as complete, so the end of a
   // message proves nothing about an event that has begun.
-  const bool broken_off =
-      events.partial_bytes() > 0 ||
-      (m_head.m_ends_with_connection && events.answer_events() == 0);
-  return broken_off ? SendOutcome::kStreamBrokenOff : SendOutcome::kComplete;
+  if (events.partial_bytes() > 0) {
+    return SendOutcome::kStreamBrokenOff;
+  }
+  if (events.answer_events() > 0) {
+    return SendOutcome::kComplete;
+  }
+  if (stream_started) {
+    return SendOutcome::kStreamNotContinued;
+  }
+  // Only a caller that resumes after an event may have had the last one.
+  const bool resumed = !events.last_id().empty();
+  return resumed && !m_head.m_ends_with_connection
+             ? SendOutcome::kComplete
+             : SendOutcome::kStreamBrokenOff;
 }
 
 void ReceivedAnswer::LogUncertainEnd(const std::string& request_id,
--- a/Source/host/received_answer.h
+++ b/Source/host/received_answer.h
@@ -47,7 +47,8 @@
                        SendOutcome outcome) const;
 
  private:
-  SendOutcome JudgeStream(const EventSplitter& events) const;
+  SendOutcome JudgeStream(const EventSplitter& events,
+                          bool stream_started) const;
 };
 
 // Returns the name of `outcome` for logs and error bodies. Thread-safe.
--- a/Tests/host/received_answer_test.cc
+++ b/Tests/host/received_answer_test.cc
@@ -31,6 +31,28 @@
   }
 }
 
+// Guards against the same (ORDER): an empty answer ended a begun stream.
+TEST_CASE("An answer without an event completes no stream") {
+  for (const bool framed : {false, true}) {
+    EventSplitter events;
+    events.BeginAnswer();
+    CHECK(StreamAnswer(framed).Judge(events, false) ==
+          SendOutcome::kStreamBrokenOff);
+    events.Feed(kEvent);
+    events.BeginAnswer();
+    CHECK(StreamAnswer(framed).Judge(events, true) ==
+          SendOutcome::kStreamNotContinued);
+  }
+}
+
+TEST_CASE("A caller that resumes may get an empty stream, if it is framed") {
+  EventSplitter events("7");
+  events.BeginAnswer();
+  CHECK(StreamAnswer(true).Judge(events, false) == SendOutcome::kComplete);
+  CHECK(StreamAnswer(false).Judge(events, false) ==
+        SendOutcome::kStreamBrokenOff);
+}
+
 TEST_CASE("An answer that is no stream continues none") {
   ReceivedAnswer answer{.m_head = {.m_status = 200},
                         .m_facts = {.m_signed = true}};
--- a/Tests/process/jarro_stream_ends_test.py
+++ b/Tests/process/jarro_stream_ends_test.py
@@ -72,6 +72,22 @@
             self.assertFalse(reply.complete, reply)
             server.leave(self.fleet)
 
+    def test_framed_stream_without_an_event_is_not_sent(self):
+        """Regression test (ORDER): an empty stream, framed as complete."""
+        def respond(connection, request):
+            connection.sendall(stream_head(request, "Content-Length: 0"))
+            return True
+        self.start_server("s1", respond)
+        self.assertEqual(self.chat().status, 502)
+
+    def test_caller_that_resumes_after_the_last_event_gets_its_end(self):
+        self.start_server("s1", self.rest_of_stream)
+        reply = self.fleet.post("/letter/x", headers={
+            "Model": MODEL, "Token-Usage": "100,20",
+            "Last-Event-Id": str(LAST_EVENT)})
+        self.assertEqual((reply.status, reply.body), (200, ""))
+        self.assertTrue(reply.complete, reply)
+
     def test_unframed_stream_that_ends_inside_its_first_event_is_not_sent(self):
         """Regression test (ORDER): a part of an event as a whole answer."""
         self.start_server("s1", self.unframed(b"id: 1\nda"))
--- a/Tests/process/jarro_stream_errors_test.py
+++ b/Tests/process/jarro_stream_errors_test.py
@@ -71,6 +71,26 @@
                 self.assertEqual(reply.events(), ["t1"])
                 self.assertFalse(reply.complete, reply)
 
+    @staticmethod
+    def stream(*numbers, unframed=False):
+        """Returns an answer with the given events, framed as complete."""
+        def answer(request):
+            body = b"".join(event(number) for number in numbers)
+            framing = () if unframed else (f"Content-Length: {len(body)}",)
+            return stream_head(request, *framing) + body
+        return answer
+
+    def test_continuation_without_an_event_does_not_complete_the_stream(self):
+        """Regression test (ORDER on swt-visits-grown): a 200 without any event
+        counted as the end of the stream."""
+        def empty_chunks(request):
+            return stream_head(request, "Transfer-Encoding: chunked") + chunk(
+                b"")
+        for answer in (self.stream(), empty_chunks):
+            reply = self.resume_after(answer)
+            self.assertEqual(reply.events(), ["t1"])
+            self.assertFalse(reply.complete, reply)
+
     def test_server_that_did_not_execute_the_request_is_passed_over(self):
         for answer in (self.error("421 Misdirected", signed=False),
                        self.error("503 Full", "Not-Executed: 1"),
