A stream is continued only after its last event

What callers saw: pieces twice, or a gap, where the next server ignored Last-Event-Id or answered for another place (ORDER). Cause: nothing compared the ids of the continuation with the last id that the caller had; the ids were only recorded. Evidence: process_jarro_stream_errors fails on (t1, t1, t2, t3, t4). Change: the first id of an answer must be above the last one before it; where ids have increased by one so far, it must be the next. Otherwise the send has failed before any of its events reaches the caller. Ids that are no numbers are compared for equality only. An event without an id is not compared.

--- a/Source/host/event_splitter.cc
+++ b/Source/host/event_splitter.cc
@@ -1,6 +1,8 @@
 #include "host/event_splitter.h"
 
 #include <algorithm>
+#include <charconv>
+#include <utility>
 
 namespace hickoryloft::host {
 
@@ -21,26 +23,42 @@
   return std::max(plain_end, crlf_end);
 }
 
+std::optional<std::int64_t> ToNumber(std::string_view id) {
+  std::int64_t number = 0;
+  const auto [end, error] =
+      std::from_chars(id.data(), id.data() + id.size(), number);
+  if (error != std::errc{} || end != id.data() + id.size()) {
+    return std::nullopt;
+  }
+  return number;
+}
+
 }  // namespace
 
+void EventSplitter::BeginAnswer() {
+  m_partial.clear();
+  m_misplaced = false;
+  m_first_id_expected = true;
+  m_events_before_answer = m_events;
+}
+
 std::string EventSplitter::Feed(std::string_view bytes) {
   m_partial.append(bytes);
   const std::size_t whole = CompleteLength(m_partial);
-  if (whole == 0) {
+  if (whole == 0 || m_misplaced) {
     return {};
   }
   std::string events = m_partial.substr(0, whole);
   m_partial.erase(0, whole);
-  RecordIds(events);
+  if (!RecordEvents(events)) {
+    m_misplaced = true;
+    return {};
+  }
   return events;
 }
 
-void EventSplitter::BeginAnswer() {
-  m_partial.clear();
-  m_events_before_answer = m_events;
-}
-
-void EventSplitter::RecordIds(std::string_view events) {
+bool EventSplitter::RecordEvents(std::string_view events) {
+  int count = 0;
   while (!events.empty()) {
     const std::size_t end = std::min(events.find('\n'), events.size());
     std::string_view line = events.substr(0, end);
@@ -49,13 +67,38 @@
       line.remove_suffix(1);
     }
     if (line.empty()) {
-      ++m_events;
+      ++count;
     } else if (line.starts_with(kIdField)) {
       line.remove_prefix(kIdField.size());
       line.remove_prefix(std::min(line.size(), line.find_first_not_of(' ')));
-      m_last_id = std::string(line);
+      if (!RecordId(line)) {
+        return false;
+      }
     }
   }
+  m_events += count;
+  return true;
+}
+
+bool EventSplitter::RecordId(std::string_view id) {
+  const bool first = std::exchange(m_first_id_expected, false);
+  const auto number = ToNumber(id);
+  const auto last = ToNumber(m_last_id);
+  if (first && !m_last_id.empty()) {
+    const bool repeats =
+        id == m_last_id || (number && last && *number <= *last);
+    const bool leaves_gap = number && last && *number > *last + 1 &&
+                            m_ids_consecutive.value_or(false);
+    if (repeats || leaves_gap) {
+      return false;
+    }
+  }
+  if (!m_last_id.empty()) {
+    m_ids_consecutive = m_ids_consecutive.value_or(true) && number && last &&
+                        *number == *last + 1;
+  }
+  m_last_id = std::string(id);
+  return true;
 }
 
 }  // namespace hickoryloft::host
--- a/Source/host/event_splitter.h
+++ b/Source/host/event_splitter.h
@@ -4,6 +4,8 @@
 #ifndef SOURCE_HOST_EVENT_SPLITTER_H_
 #define SOURCE_HOST_EVENT_SPLITTER_H_
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -19,11 +21,16 @@
   explicit EventSplitter(std::string resumed_after = "")
       : m_last_id(std::move(resumed_after)) {}
 
-  // Starts the next answer. An incomplete event of the answer before it is
-  // dropped.
+  // Starts the next answer, which is expected to continue after last_id(). An
+  // incomplete event of the answer before it is dropped.
   void BeginAnswer();
-  // Appends bytes and returns the events that they complete, unchanged.
+  // Appends bytes and returns the events that they complete, unchanged. Returns
+  // nothing from the first id on that shows that the answer continues the
+  // stream at another place.
   std::string Feed(std::string_view bytes);
+  // Whether the current answer does not continue after the last id: it repeats
+  // events or leaves some out.
+  bool misplaced() const { return m_misplaced; }
   // Size of the incomplete event in bytes.
   std::size_t partial_bytes() const { return m_partial.size(); }
 
@@ -34,12 +41,20 @@
   int answer_events() const { return m_events - m_events_before_answer; }
 
  private:
-  void RecordIds(std::string_view events);
+  // Returns false if an id shows that the answer is misplaced.
+  bool RecordEvents(std::string_view events);
+  bool RecordId(std::string_view id);
 
   std::string m_partial;
   std::string m_last_id;
   int m_events = 0;
   int m_events_before_answer = 0;
+  bool m_misplaced = false;
+  // Whether no event of the current answer has had an id yet.
+  bool m_first_id_expected = false;
+  // Whether every id so far was the previous one plus one; absent before the
+  // second id.
+  std::optional<bool> m_ids_consecutive;
 };
 
 }  // namespace hickoryloft::host
--- a/Source/host/received_answer.cc
+++ b/Source/host/received_answer.cc
@@ -42,6 +42,9 @@
 
 SendOutcome ReceivedAnswer::JudgeStream(const EventSplitter& events,
                                         bool stream_started) const {
+  if (events.misplaced()) {
+    return SendOutcome::kStreamNotContinued;
+  }
   // A faulty endpoint may frame what it has sent as complete, so the end of a
   // message proves nothing about an event that has begun.
   if (events.partial_bytes() > 0) {
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -209,6 +209,10 @@
     return;
   }
   const std::string events = m_events.Feed(bytes);
+  if (m_events.misplaced()) {
+    OnDone();
+    return;
+  }
   if (m_events.partial_bytes() > kMaxEventBytes) {
     OnFailed(Error(
         ErrorCode::kProtocol,
--- a/Tests/host/event_splitter_test.cc
+++ b/Tests/host/event_splitter_test.cc
@@ -38,3 +38,48 @@
   CHECK(splitter.Feed("id:7\r\ndata: a\r\n\r\n") == "id:7\r\ndata: a\r\n\r\n");
   CHECK(splitter.last_id() == "7");
 }
+
+// Guards against a stream that repeats events or leaves some out (ORDER on
+// swt-visits-grown): nothing compared the ids of two answers.
+TEST_CASE("An answer that continues at another place is misplaced") {
+  struct Case {
+    std::string m_first;
+    std::string m_next;
+    bool m_misplaced;
+  };
+  const std::string one = "id: 1\ndata: a\n\n";
+  const std::string two = "id: 2\ndata: b\n\n";
+  const std::string three = "id: 3\ndata: c\n\n";
+  const std::string four = "id: 4\ndata: d\n\n";
+  for (const Case& example : {Case{one + two, three, false},
+                              {one + two, one, true},
+                              {one + two, two + three, true},
+                              {one + two, four, true},
+                              // The ids do not increase by one here.
+                              {one + three, "id: 9\n\n", false},
+                              {one, three, false},
+                              {"id: x\n\n", "id: x\n\n", true},
+                              {"id: x\n\n", "id: a\n\n", false},
+                              {"data: a\n\n", "data: a\n\n", false}}) {
+    CAPTURE(example.m_first, example.m_next);
+    EventSplitter splitter;
+    splitter.BeginAnswer();
+    splitter.Feed(example.m_first);
+    splitter.Feed("id: 77");
+    splitter.BeginAnswer();
+    CHECK(splitter.answer_events() == 0);
+    CHECK(splitter.Feed(example.m_next) ==
+          (example.m_misplaced ? "" : example.m_next));
+    CHECK(splitter.misplaced() == example.m_misplaced);
+  }
+}
+
+TEST_CASE("An answer must continue after the event that the caller has") {
+  EventSplitter splitter("5");
+  splitter.BeginAnswer();
+  CHECK(splitter.Feed("id: 5\n\n").empty());
+  CHECK(splitter.misplaced());
+  splitter.BeginAnswer();
+  CHECK(splitter.Feed("id: 6\n\n") == "id: 6\n\n");
+  CHECK(splitter.last_id() == "6");
+}
--- a/Tests/process/jarro_stream_errors_test.py
+++ b/Tests/process/jarro_stream_errors_test.py
@@ -91,6 +91,13 @@
             self.assertEqual(reply.events(), ["t1"])
             self.assertFalse(reply.complete, reply)
 
+    def test_continuation_at_another_place_breaks_the_stream_off(self):
+        """Regression test (ORDER on swt-visits-grown): a server that ignores
+        Last-Event-Id gave pieces twice."""
+        reply = self.resume_after(self.stream(1, 2, 3, 4))
+        self.assertEqual(reply.events(), ["t1"])
+        self.assertFalse(reply.complete, reply)
+
     def test_server_that_did_not_execute_the_request_is_passed_over(self):
         for answer in (self.error("421 Misdirected", signed=False),
                        self.error("503 Full", "Not-Executed: 1"),
