Reset the connection of a caller that cannot see a broken answer otherwise

What callers saw: a caller of HTTP/1.0 got a broken stream as a whole one (ORDER), with chunk sizes in it. Cause: the answer of unknown length went out in chunks, whatever the version of the request, and an aborted one ended with an orderly close. Without chunks or a length, that close is the end of a whole answer. Evidence: test_http fails on (chunks, and no reset). Change: such an answer has neither a length nor chunks and closes the connection; one that is aborted resets it.

--- a/Source/http/connection_exchange.cc
+++ b/Source/http/connection_exchange.cc
@@ -13,15 +13,19 @@
 
 ConnectionExchange::ConnectionExchange(ServerConnection& connection,
                                        ServerRequest request,
-                                       bool keep_alive)
+                                       const MessageHead& head)
     : m_connection(&connection),
       m_request(std::move(request)),
-      m_keep_alive(keep_alive) {}
+      m_keep_alive(head.m_keep_alive),
+      m_accepts_chunks(head.m_accepts_chunks) {}
 
 void ConnectionExchange::WriteHead(int status,
                                    const HeaderFields& headers,
                                    std::optional<std::uint64_t> length) {
-  m_keep_alive = m_keep_alive && !m_connection->m_server.draining();
+  m_chunked = !length && m_accepts_chunks;
+  m_ends_with_connection = !length && !m_accepts_chunks;
+  m_keep_alive = m_keep_alive && !m_ends_with_connection &&
+                 !m_connection->m_server.draining();
   std::string head = "HTTP/1.1 " + std::to_string(status) + ' ';
   head.append(ReasonPhrase(status)).append("\r\n");
   for (const HeaderField& field : headers) {
@@ -29,10 +33,11 @@
   }
   if (length) {
     head.append("Content-Length: ").append(std::to_string(*length));
-  } else {
-    head.append("Transfer-Encoding: chunked");
+    head.append("\r\n");
+  } else if (m_chunked) {
+    head.append("Transfer-Encoding: chunked\r\n");
   }
-  head.append(m_keep_alive ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n");
+  head.append(m_keep_alive ? "\r\n" : "Connection: close\r\n\r\n");
   m_connection->Write(head);
 }
 
@@ -55,7 +60,6 @@
   if (m_connection == nullptr) {
     return;
   }
-  m_chunked = !length.has_value();
   WriteHead(status, headers, length);
 }
 
@@ -89,7 +93,7 @@
 
 void ConnectionExchange::Abort() {
   if (m_connection != nullptr) {
-    m_connection->AbortAnswer();
+    m_connection->AbortAnswer(m_ends_with_connection);
   }
 }
 
--- a/Source/http/connection_exchange.h
+++ b/Source/http/connection_exchange.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 
+#include "http/message_parser.h"
 #include "http/server_exchange.h"
 
 namespace hickoryloft::http {
@@ -15,10 +16,11 @@
 // Use on the loop's thread only.
 class ConnectionExchange : public ServerExchange {
  public:
-  // `connection` must call Detach() before it is destroyed.
+  // `head`: of the request. `connection` must call Detach() before it is
+  // destroyed.
   ConnectionExchange(ServerConnection& connection,
                      ServerRequest request,
-                     bool keep_alive);
+                     const MessageHead& head);
 
   const ServerRequest& request() const override { return m_request; }
   void Answer(int status,
@@ -48,7 +50,10 @@
   ServerConnection* m_connection;
   ServerRequest m_request;
   bool m_keep_alive;
+  bool m_accepts_chunks;
   bool m_chunked = false;
+  // Only the end of the connection tells the caller where the answer ends.
+  bool m_ends_with_connection = false;
   std::function<void()> m_on_disconnect;
   std::function<void()> m_on_drained;
 };
--- a/Source/http/message_parser.cc
+++ b/Source/http/message_parser.cc
@@ -167,6 +167,8 @@
     head.m_status = static_cast<int>(parser->status_code);
   }
   head.m_keep_alive = http_should_keep_alive(parser) != 0;
+  head.m_accepts_chunks = parser->http_major > 1 ||
+                          (parser->http_major == 1 && parser->http_minor >= 1);
   head.m_chunked = (parser->flags & F_CHUNKED) != 0;
   if ((parser->flags & F_CONTENTLENGTH) != 0 &&
       parser->content_length != std::numeric_limits<std::uint64_t>::max()) {
--- a/Source/http/message_parser.h
+++ b/Source/http/message_parser.h
@@ -24,6 +24,8 @@
   int m_status = 0;      // Responses only.
   HeaderFields m_headers;
   bool m_keep_alive = false;
+  // The sender understands chunks: HTTP/1.1 or later.
+  bool m_accepts_chunks = true;
   bool m_chunked = false;
   std::optional<std::uint64_t> m_content_length;
 };
--- a/Source/http/server_connection.cc
+++ b/Source/http/server_connection.cc
@@ -7,8 +7,11 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <cerrno>
+#include <cstring>
 #include <utility>
 
+#include "base/log.h"
 #include "base/socket_options.h"
 #include "http/connection_exchange.h"
 
@@ -21,6 +24,8 @@
 // Time for the peer to read the last answer before the connection is closed.
 constexpr Duration kLingerTimeout = seconds(1);
 
+const Logger kLog("callers");
+
 }  // namespace
 
 ServerConnection::ServerConnection(Server& server, int socket)
@@ -151,8 +156,8 @@
                         .m_headers = std::move(m_head.m_headers),
                         .m_body = std::exchange(m_body, {}),
                         .m_received_at = m_server.m_loop.Now()};
-  m_exchange = std::make_shared<ConnectionExchange>(*this, std::move(request),
-                                                    m_head.m_keep_alive);
+  m_exchange =
+      std::make_shared<ConnectionExchange>(*this, std::move(request), m_head);
   m_server.m_handler(m_exchange);
 }
 
@@ -225,15 +230,29 @@
   }
 }
 
-void ServerConnection::AbortAnswer() {
+void ServerConnection::AbortAnswer(bool reset) {
   m_exchange->Detach(/*caller_disconnected=*/false);
   m_exchange.reset();
+  if (reset) {
+    ResetConnection();
+    return;
+  }
   // The caller still receives the output written so far. Without the last
   // chunk, or with fewer bytes than Content-Length, it can tell that the
   // response is incomplete.
   BeginLinger();
 }
 
+void ServerConnection::ResetConnection() {
+  const linger discard{.l_onoff = 1, .l_linger = 0};
+  if (setsockopt(bufferevent_getfd(m_buffer), SOL_SOCKET, SO_LINGER, &discard,
+                 sizeof(discard)) != 0) {
+    kLog.Error("cannot reset the connection of a caller; closing it",
+               {{"reason", std::strerror(errno)}});
+  }
+  Close();
+}
+
 void ServerConnection::Release() {
   event_del(m_timer);
   if (m_buffer != nullptr) {
--- a/Source/http/server_connection.h
+++ b/Source/http/server_connection.h
@@ -53,8 +53,10 @@
   // socket with unread input would send a reset, which can destroy the response
   // before the peer has read it.
   void BeginLinger();
-  // Closes the connection without completing the response.
-  void AbortAnswer();
+  // Closes the connection without completing the response. `reset`: an orderly
+  // close would make the response look complete.
+  void AbortAnswer(bool reset);
+  void ResetConnection();
   void Release();
   void ArmTimer(Duration delay);
   void SendContinueIfExpected(const HeaderFields& headers);
--- a/Tests/http/server_test.cc
+++ b/Tests/http/server_test.cc
@@ -187,6 +187,39 @@
   CHECK(got.find("0\r\n\r\n") == std::string::npos);
 }
 
+// Guards against broken streams that callers receive as complete (ORDER): the
+// end of the connection is all that a caller without chunks sees.
+TEST_CASE(
+    "A caller of HTTP/1.0 can tell an aborted response from a whole one") {
+  for (const bool aborted : {false, true}) {
+    EventLoop loop;
+    Server server(loop, "127.0.0.1", 0,
+                  [&](const std::shared_ptr<ServerExchange>& exchange) {
+                    exchange->StartAnswer(200, {}, std::nullopt);
+                    exchange->SendBody("data: 1\n\n");
+                    loop.Post([exchange, aborted] {
+                      aborted ? exchange->Abort() : exchange->FinishAnswer();
+                    });
+                  });
+    std::string got;
+    bool reset = false;
+    Serve(loop, [&] {
+      RawCaller caller(server.port());
+      caller.Send(
+          "GET /a HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n");
+      got = caller.Read();
+      reset = caller.reset();
+    });
+    CAPTURE(aborted, got);
+    CHECK(reset == aborted);
+    CHECK(got.find("chunked") == std::string::npos);
+    if (!aborted) {
+      CHECK(got.find("Connection: close\r\n\r\ndata: 1\n\n") !=
+            std::string::npos);
+    }
+  }
+}
+
 // Guards against a truncated last response: a planned stop closes idle
 // connections while a slow caller may still be reading.
 TEST_CASE("A drain does not truncate a response that is still being read") {
