--- a/platform/json_reader.cc
+++ b/Source/base/json_reader.cc
@@ -1,10 +1,10 @@
-#include "platform/json_reader.h"
+#include "base/json_reader.h"
 
 #include <cmath>
 #include <limits>
 #include <utility>
 
-namespace hickoryloft::jarro {
+namespace hickoryloft {
 
 namespace {
 
@@ -155,4 +155,4 @@
   return value;
 }
 
-}  // namespace hickoryloft::jarro
+}  // namespace hickoryloft
--- a/platform/json_reader.h
+++ b/Source/base/json_reader.h
@@ -1,7 +1,7 @@
-// Typed access to the platform's JSON. Errors name the invalid field.
+// Typed access to JSON from outside. Errors name the invalid field.
 
-#ifndef PLATFORM_JSON_READER_H_
-#define PLATFORM_JSON_READER_H_
+#ifndef SOURCE_BASE_JSON_READER_H_
+#define SOURCE_BASE_JSON_READER_H_
 
 #include <nlohmann/json.hpp>
 #include <string>
@@ -10,7 +10,7 @@
 #include "base/error.h"
 #include "base/time.h"
 
-namespace hickoryloft::jarro {
+namespace hickoryloft {
 
 // One object and its path in the document. Throws Error(`code`) for a missing
 // field or one of the wrong type. Refers to the JSON, which must outlive it.
@@ -52,6 +52,6 @@
                          const std::string& path,
                          ErrorCode code);
 
-}  // namespace hickoryloft::jarro
+}  // namespace hickoryloft
 
-#endif  // PLATFORM_JSON_READER_H_
+#endif  // SOURCE_BASE_JSON_READER_H_
--- a/Tests/fuzz/platform_entry_fuzz.cc
+++ b/Tests/fuzz/platform_entry_fuzz.cc
@@ -8,7 +8,7 @@
 #include "fuzz_target.h"
 #include "platform/engine_control.h"
 #include "platform/fleet_decoder.h"
-#include "platform/json_reader.h"
+#include "base/json_reader.h"
 #include "platform/settings.h"
 #include "platform/store_watch.h"
 
