The stand-in of the store can come back from an older copy

It keeps a copy of its data after each change; tests choose one by its age (control command restore).

--- a/StandIns/jarro_main.cc
+++ b/StandIns/jarro_main.cc
@@ -91,6 +91,11 @@
         {"busy", StoreMode(Mode::kBusy)},
         {"silent", StoreMode(Mode::kSilent)},
         {"lose-writes", StoreMode(Mode::kLosesWrites)},
+        {"restore",
+         [](auto& self, const auto& body) {
+           self.m_store.Restore(
+               milliseconds(nlohmann::json::parse(body).value("lost_ms", 0)));
+         }},
         {"compact", [](auto& self, const auto&) { self.m_store.Compact(); }},
         {"break-streams", ForAll([](auto& s) { s.AbortStreamAfter(4); })},
         {"slow-streams",
--- a/StandIns/jarro_store.cc
+++ b/StandIns/jarro_store.cc
@@ -39,12 +39,17 @@
 
 }  // namespace
 
-JarroStore::JarroStore(EventLoop& loop) : m_loop(loop) {}
+JarroStore::JarroStore(EventLoop& loop) : m_loop(loop) {
+  KeepCopy();
+}
 
 void JarroStore::Answer(const Exchange& exchange,
                         int status,
                         const json& body) {
-  exchange->Answer(status, {{"Content-Type", "application/json"}}, body.dump());
+  exchange->Answer(status,
+                   {{"Content-Type", "application/json"},
+                    {"Store-Era", std::to_string(m_era)}},
+                   body.dump());
 }
 
 void JarroStore::Handle(const Exchange& exchange) {
@@ -127,7 +132,8 @@
       .m_exchange = exchange,
       .m_prefix = query.count("pathPrefix") ? query.at("pathPrefix") : "",
       .m_after_revision = QueryNumber(query, "after")};
-  if (watch.m_after_revision < m_compacted_revision) {
+  if (watch.m_after_revision < m_compacted_revision ||
+      watch.m_after_revision > m_revision) {
     Answer(exchange, 410, json::object());
     return;
   }
@@ -180,6 +186,44 @@
                                : existing->second.m_create_revision;
   m_items[key] = item;
   m_history.push_back(ToJson(key, item));
+  KeepCopy();
+}
+
+void JarroStore::KeepCopy() {
+  constexpr std::size_t kMaxCopies = 2000;
+  Copy copy{.m_at = m_loop.Now(),
+            .m_revision = m_revision,
+            .m_next_lease_id = m_next_lease_id,
+            .m_items = m_items};
+  for (const auto& [id, lease] : m_leases) {
+    copy.m_leases[id] = lease.m_ttl;
+  }
+  m_copies.push_back(std::move(copy));
+  if (m_copies.size() > kMaxCopies) {
+    m_copies.pop_front();
+  }
+}
+
+void JarroStore::Restore(Duration lost) {
+  const MonotonicTime at = m_loop.Now() - lost;
+  while (m_copies.size() > 1 && m_copies.back().m_at > at) {
+    m_copies.pop_back();
+  }
+  const Copy& copy = m_copies.back();
+  m_items = copy.m_items;
+  m_revision = copy.m_revision;
+  m_next_lease_id = copy.m_next_lease_id;
+  m_leases.clear();
+  for (const auto& [id, ttl] : copy.m_leases) {
+    AddLease(id, ttl);
+  }
+  std::erase_if(m_history, [&](const json& event) {
+    return event["revision"].get<std::int64_t>() > m_revision;
+  });
+  ++m_era;
+  for (const WaitingWatch& watch : std::exchange(m_waiting_watches, {})) {
+    watch.m_exchange->Abort();
+  }
 }
 
 void JarroStore::Put(const std::string& key, const std::string& value) {
@@ -191,6 +235,7 @@
   if (m_items.erase(key) > 0) {
     m_history.push_back(
         {{"key", key}, {"revision", ++m_revision}, {"removed", true}});
+    KeepCopy();
     AnswerWatches();
   }
 }
@@ -246,9 +291,14 @@
                                 /*allow_exceptions=*/false);
   const std::int64_t id = m_next_lease_id++;
   const Duration ttl = milliseconds(body.value("ttlMs", 1000));
+  AddLease(id, ttl);
+  KeepCopy();
+  Answer(exchange, 200, {{"lease", id}, {"ttlMs", ToMillis(ttl).count()}});
+}
+
+void JarroStore::AddLease(std::int64_t id, Duration ttl) {
   m_leases[id] = {.m_ttl = ttl,
                   .m_expiry = m_loop.After(ttl, [this, id] { EndLease(id); })};
-  Answer(exchange, 200, {{"lease", id}, {"ttlMs", ToMillis(ttl).count()}});
 }
 
 void JarroStore::RenewLease(const Exchange& exchange, std::int64_t id) {
--- a/StandIns/jarro_store.h
+++ b/StandIns/jarro_store.h
@@ -4,6 +4,7 @@
 #define STANDINS_JARRO_STORE_H_
 
 #include <cstdint>
+#include <deque>
 #include <list>
 #include <map>
 #include <memory>
@@ -41,6 +42,9 @@
   // Discards the history: from now on a watch from an earlier revision gets
   // status 410.
   void Compact() { m_compacted_revision = m_revision; }
+  // Replaces the data by a copy of the time `lost` ago, with its revision and
+  // lease ids, and starts the next era. Waiting watches are cut.
+  void Restore(Duration lost);
 
   std::int64_t revision() const { return m_revision; }
   // Returns the value of `key`, or "" if there is none.
@@ -57,6 +61,14 @@
     Duration m_ttl{};
     std::unique_ptr<Timer> m_expiry;
   };
+  // The data after a change.
+  struct Copy {
+    MonotonicTime m_at;
+    std::int64_t m_revision = 0;
+    std::int64_t m_next_lease_id = 0;
+    std::map<std::string, Item> m_items;
+    std::map<std::int64_t, Duration> m_leases;
+  };
   struct WaitingWatch {
     std::shared_ptr<http::ServerExchange> m_exchange;
     std::string m_prefix;
@@ -73,7 +85,9 @@
   void GrantLease(const Exchange& exchange);
   void RenewLease(const Exchange& exchange, std::int64_t id);
   void EndLease(std::int64_t id);
+  void AddLease(std::int64_t id, Duration ttl);
   void Write(const std::string& key, Item item);
+  void KeepCopy();
   void AnswerWatches();
   bool AnswerWatch(const WaitingWatch& watch, bool even_if_empty);
   nlohmann::json ToJson(const std::string& key, const Item& item) const;
@@ -84,9 +98,11 @@
   std::int64_t m_revision = 1;
   std::int64_t m_compacted_revision = 0;
   std::int64_t m_next_lease_id = 100;
+  std::int64_t m_era = 1;
   std::map<std::string, Item> m_items;
   std::map<std::int64_t, Lease> m_leases;
   std::vector<nlohmann::json> m_history;
+  std::deque<Copy> m_copies;
   std::list<WaitingWatch> m_waiting_watches;
   // Exchanges that are never answered.
   std::vector<Exchange> m_unanswered;
