Order revisions and leases over restores of the store

What callers saw: on the grown sites, after the store had come back from an older copy, requests were handled as only an older configuration allows, keys and routes of confirmed changes were refused (CONFIG, DENIED), and servers that had left got requests (DRAIN). Cause: an order of events was taken from a counter that its owner may set back. A host whose revision is of the lost time took lower revisions for old news: it dropped the changes that its relay sent, and took the relay's proof of a lower revision for one of its own view, so that it believed itself current. The watch went on from such a revision too; once the new revisions had passed it, the store gave no 410, and what lay between was missed for good. Nothing read Store-Era. Change: a revision or lease id of the store never leaves the adapter as a bare number. It is joined with the era of its answer into one value, in which all of a later era are greater, so that every comparison in the product, of revisions, fences and records, holds over a restore, and no comparison with a bare number is left to be found. An answer of an earlier era is a failure; a call that names a revision or lease of one is not sent; pages of two eras make no read; a watch ends when its answer is of a later era. A host reads everything again when any answer of the store, or another host's report, is of a later era, and takes no proof of another era. Ruled out: a type with two fields without an order over eras, since fences and the versions of placement need exactly this order, and messages between hosts would have needed a second field each.

--- a/Source/base/ids.h
+++ b/Source/base/ids.h
@@ -51,8 +51,8 @@
 // commands of an earlier one can be rejected.
 using FencingNumber = std::int64_t;
 
-// A revision of the platform's key-value service: one counter for all keys,
-// which never decreases.
+// A revision of the platform's key-value service, for all keys. Later ones are
+// greater, also after a restore of the service (base/history.h).
 using Revision = std::int64_t;
 
 }  // namespace hickoryloft
--- a/Source/base/log_fields.h
+++ b/Source/base/log_fields.h
@@ -43,6 +43,7 @@
     {"engine", "id of an endpoint that serves models"},
     {"engines", "number of usable engines that have not loaded the model"},
     {"entry", "name of an entry"},
+    {"era", "number of times that the key-value service has been restored"},
     {"error", "text of an error"},
     {"events", "number of complete stream events that have been forwarded"},
     {"expected", "host to which the connection was opened"},
@@ -92,7 +93,8 @@
     {"retry_after_ms",
      "milliseconds after which the caller should retry; 0 if not given"},
     {"revision",
-     "key-value service revision at which this host received the value"},
+     "key-value service revision at which this host received the value, after "
+     "the era if the service counts its restores"},
     {"route", "route of the configuration"},
     {"running",
      "number of requests running at the endpoint at that time, including this "
--- a/Source/fleet/fleet_state_feed.cc
+++ b/Source/fleet/fleet_state_feed.cc
@@ -4,6 +4,7 @@
 #include <unordered_set>
 #include <utility>
 
+#include "base/history.h"
 #include "base/log.h"
 #include "http/header_fields.h"
 
@@ -54,12 +55,17 @@
 }
 
 void FleetStateFeed::ReadAll() {
+  if (std::exchange(m_reading, true)) {
+    return;
+  }
   m_watch.reset();
+  m_retry.reset();
   if (m_proof_timer) {
     m_proof_timer.reset();
     m_asking_since = m_loop.Now();
   }
   m_store.GetPrefix("", [this](const Result<keyvalue::ReadReply>& reply) {
+    m_reading = false;
     if (!reply.ok()) {
       kLog.Warn("reading the key-value service failed; retrying",
                 {{"reason", reply.error().what()}});
@@ -70,8 +76,21 @@
   });
 }
 
+void FleetStateFeed::ObserveRevision(Revision seen) {
+  if (m_complete && EraOf(seen) > EraOf(m_revision)) {
+    ReadAll();
+  }
+}
+
 void FleetStateFeed::ApplySnapshot(const keyvalue::ReadReply& reply) {
   RecordProof(reply.m_current_as_of);
+  const bool restored =
+      m_complete && EraOf(reply.m_revision) > EraOf(m_revision);
+  if (restored) {
+    kLog.Warn("key-value service was restored; its copy replaces this host's",
+              {{"revision", DescribeRevision(m_revision)},
+               {"era", EraOf(reply.m_revision)}});
+  }
   std::unordered_set<EndpointId> present;
   std::map<std::string, keyvalue::KeyValue> own_keys;
   for (const keyvalue::KeyValue& item : reply.m_items) {
@@ -97,7 +116,7 @@
   m_revision = reply.m_revision;
   m_complete = m_complete || m_configuration != nullptr;
   kLog.Info("read all keys of the key-value service",
-            {{"revision", reply.m_revision},
+            {{"revision", DescribeRevision(reply.m_revision)},
              {"endpoints", static_cast<std::uint64_t>(present.size())},
              {"own_keys", static_cast<std::uint64_t>(m_own_keys.size())}});
   m_events.m_own_keys_changed();
@@ -165,7 +184,7 @@
   // disconnected from the service.
   const Duration time_left = as_of + m_max_relayed_age - m_loop.Now();
   if (!m_watch || !m_complete || revision > m_revision ||
-      time_left <= Duration{}) {
+      EraOf(revision) != EraOf(m_revision) || time_left <= Duration{}) {
     return;
   }
   RecordProof(as_of);
@@ -173,7 +192,7 @@
     kLog.Info(
         "receiving changes from other hosts; watch of the key-value service "
         "paused",
-        {{"revision", m_revision}});
+        {{"revision", DescribeRevision(m_revision)}});
   }
   m_watch->Pause(m_revision);
   m_proof_timer = m_loop.After(std::min(kProofTimeout, time_left), [this] {
@@ -189,7 +208,7 @@
   m_asking_since = m_loop.Now();
   kLog.Info("watch of the key-value service resumed",
             {{"reason", reason},
-             {"revision", m_revision},
+             {"revision", DescribeRevision(m_revision)},
              {"view_age_ms", ToMillis(Age()).count()}});
   // The first answer comes without a wait and shows that the service works.
   m_watch->SetPollWait(Duration{});
@@ -238,7 +257,7 @@
                     ? "endpoint registration lapsed; kept for a grace period"
                     : "endpoint removed",
                 {{"endpoint", id.value()},
-                 {"revision", item.m_mod_revision},
+                 {"revision", DescribeRevision(item.m_mod_revision)},
                  {"source", source},
                  {"view_age_ms", ToMillis(Age()).count()}});
       m_events.m_endpoint_changed(id);
@@ -265,12 +284,14 @@
     m_configuration =
         std::make_shared<const ConfigurationView>(std::move(configuration));
     kLog.Info("configuration in force",
-              {{"version", version}, {"revision", item.m_mod_revision}});
+              {{"version", version},
+               {"revision", DescribeRevision(item.m_mod_revision)}});
     m_complete = true;
     m_events.m_configuration_changed();
   } catch (const Error& error) {
     kLog.Error("configuration unreadable; the previous one stays in force",
-               {{"reason", error.what()}, {"revision", item.m_mod_revision}});
+               {{"reason", error.what()},
+                {"revision", DescribeRevision(item.m_mod_revision)}});
   }
 }
 
@@ -286,7 +307,8 @@
     const auto change = m_directory.Put(std::move(entry));
     if (change == EndpointDirectory::Change::kNone) {
       kLog.Info("outdated endpoint entry ignored",
-                {{"endpoint", id}, {"revision", item.m_mod_revision}});
+                {{"endpoint", id},
+                 {"revision", DescribeRevision(item.m_mod_revision)}});
       return false;
     }
     if (change == EndpointDirectory::Change::kAdded ||
@@ -295,12 +317,14 @@
                 : change == EndpointDirectory::Change::kAdded
                     ? "endpoint joined"
                     : "endpoint restarted",
-                {{"endpoint", id}, {"revision", item.m_mod_revision}});
+                {{"endpoint", id},
+                 {"revision", DescribeRevision(item.m_mod_revision)}});
     }
     return true;
   } catch (const Error& error) {
     kLog.Warn("endpoint entry unreadable; ignored",
-              {{"reason", error.what()}, {"revision", item.m_mod_revision}});
+              {{"reason", error.what()},
+               {"revision", DescribeRevision(item.m_mod_revision)}});
     return false;
   }
 }
--- a/Source/fleet/fleet_state_feed.h
+++ b/Source/fleet/fleet_state_feed.h
@@ -62,6 +62,13 @@
   // host had every change, and was at `revision`. While such proofs arrive,
   // this host does not watch the service itself.
   void ApplyProof(Revision revision, MonotonicTime as_of);
+  // Reads everything again if `seen`, a revision that the service or another
+  // host has stated, is from after a restore of the service that this host's
+  // copy is from before of.
+  void ObserveRevision(Revision seen);
+  // Reads everything again, because the service was restored from an older
+  // copy. Does nothing if a read is under way.
+  void ReadRestored() { ReadAll(); }
   // The revision up to which changes are applied; 0 before the first read.
   Revision revision() const { return m_revision; }
 
@@ -121,6 +128,7 @@
   EndpointDirectory m_directory;
   std::map<std::string, keyvalue::KeyValue> m_own_keys;
   bool m_complete = false;
+  bool m_reading = false;
   Revision m_revision = 0;
   Duration m_batch_pause{};
   Duration m_poll_wait = seconds(1);
--- a/Source/host/fleet_exchange.cc
+++ b/Source/host/fleet_exchange.cc
@@ -398,6 +398,7 @@
     return;
   }
   m_demand.RecordHost(host, FromRow(*report.demand), m_loop.Now());
+  m_events.m_on_store_revision(report.store_revision);
   RecordLeafRevision(host, report.store_revision);
   if (report.urgent != 0) {
     m_urgent |= report.urgent;
@@ -455,6 +456,7 @@
   m_view.m_hosts = std::max<std::size_t>(1, m_groups.hosts());
   m_view.m_silent_hosts = report.silent_hosts;
   m_events.m_on_other_hosts(m_view);
+  m_events.m_on_store_revision(report.store_revision);
   if (report.store_revision > 0) {
     // The relay measured the age after it had received this host's report, so
     // the time at which that report was sent is a safe base to subtract it
--- a/Source/host/fleet_exchange.h
+++ b/Source/host/fleet_exchange.h
@@ -69,6 +69,9 @@
     // them.
     std::function<std::optional<fleet::ChangeSpan>(Revision known)>
         m_store_changes_since;
+    // Receives each revision of the key-value service that another host has
+    // stated.
+    std::function<void(Revision)> m_on_store_revision;
     // Receives key-value changes from this host's relay.
     std::function<void(const fleet::ChangeSpan&)> m_on_store_changes;
     // Receives the relay's confirmation that `revision` was complete at the
--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -101,6 +101,8 @@
            .m_store_freshness = [this] { return OwnStoreFreshness(); },
            .m_store_changes_since =
                [this](Revision known) { return m_changes.Since(known); },
+           .m_on_store_revision =
+               [this](Revision seen) { m_knowledge.ObserveRevision(seen); },
            .m_on_store_changes =
                [this](const fleet::ChangeSpan& span) {
                  m_knowledge.ApplyChanges(span);
@@ -172,6 +174,7 @@
   kLog.Info("started", {{"host", m_settings.m_host.value()},
                         {"failure_domain", m_settings.m_failure_domain.value()},
                         {"incarnation", m_incarnation}});
+  platform.m_store.SetRestoredHandler([this] { OnStoreRestored(); });
   m_knowledge.Start();
   m_registration.Start();
   m_tick_due = m_loop.Now() + kTickInterval;
@@ -281,6 +284,10 @@
   m_prompts.ApplyOwnKeys();
 }
 
+void HostDaemon::OnStoreRestored() {
+  m_knowledge.ReadRestored();
+}
+
 void HostDaemon::FollowPlacementLeader() {
   m_exchange.SetPlacementLeader(PlacementLeader());
   const bool other_leader =
--- a/Source/host/host_daemon.h
+++ b/Source/host/host_daemon.h
@@ -88,6 +88,8 @@
   void OnConfiguration();
   void OnEndpoint(const EndpointId& id);
   void OnOwnKeys();
+  // The key-value service has lost what was written since an older copy.
+  void OnStoreRestored();
   // Applies a change of the placement leader, and tries to obtain the lease if
   // there is none.
   void FollowPlacementLeader();
--- a/Tests/jarro/store_watch_test.cc
+++ b/Tests/jarro/store_watch_test.cc
@@ -65,13 +65,16 @@
   EventLoop m_loop;
   ManualClient m_client;
   int m_batches = 0;
+  int m_ends = 0;
+  Era m_era = 0;
   StoreWatch m_watch{
       m_loop,
       m_client,
       {},
       "/watch?",
       {.m_changed = [this](const keyvalue::WatchBatch&) { ++m_batches; },
-       .m_ended = [](const Error&) {}}};
+       .m_ended = [this](const Error&) { ++m_ends; },
+       .m_era_of = [this](const endpoint::AnswerHead&) { return m_era; }}};
 };
 
 }  // namespace
@@ -114,6 +117,30 @@
   CHECK(store.m_batches == 2);
 }
 
+// Guards against a host that continues from a revision that was given out again
+// (CONFIG on the grown sites): the store had come back from an older copy.
+TEST_CASE("A watch ends when the store is restored") {
+  WatchedStore store;
+  store.m_era = 1;
+  store.AnswerWithoutChanges();
+  CHECK(store.m_ends == 1);
+  CHECK(store.m_batches == 0);
+}
+
+TEST_CASE("A watch passes over an answer from before a restore") {
+  WatchedStore store;
+  const Revision known = InEra(2, 7);
+  store.m_era = 2;
+  store.m_watch.Resume(known);
+  store.m_era = 1;
+  store.AnswerWithoutChanges();
+  CHECK(store.m_ends == 0);
+  CHECK(store.m_batches == 0);
+  store.RunFor(milliseconds(200));
+  REQUIRE(store.calls() == 2);
+  CHECK(store.LastTarget().find("after=7&") != std::string::npos);
+}
+
 TEST_CASE("An answer that does not arrive ends the call soon after its wait") {
   WatchedStore store;
   const Duration limit = store.m_client.m_calls.back().m_request.m_idle_timeout;
