Keep leases that a restore of the store has not ended

What callers would see: all hosts out of the fleet for up to three seconds after a restore, and no order to an engine for five, since leases of an earlier era count as ended. Cause: a lease id alone does not tell whether the lease outlived the restore or was given to another host. A host registered again only after its key's earlier lease had expired, and the placement leader gave its lease up. Change: the key tells. A registration's key is the host's own in any case, so it is written again under the new lease at once. The placement leader reads its key; if it is there as this host wrote it, the lease with this number is its own, and it goes on under the same fence. Both are confirmed as soon as the restore is noticed.

--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -286,6 +286,8 @@
 
 void HostDaemon::OnStoreRestored() {
   m_knowledge.ReadRestored();
+  m_registration.ConfirmNow();
+  m_placement_lease.ConfirmNow();
 }
 
 void HostDaemon::FollowPlacementLeader() {
--- a/Source/membership/placement_lease.h
+++ b/Source/membership/placement_lease.h
@@ -26,7 +26,8 @@
 };
 
 // Holds one key, created under a lease; the revision of its creation is the
-// fencing number. Use on the loop's thread only.
+// fencing number, which rises over restores of the service too. Use on the
+// loop's thread only.
 class PlacementLease {
  public:
   // `store` must outlive the lease.
@@ -41,6 +42,9 @@
   // appears in the meantime.
   void Observe(bool key_exists, Duration patience);
 
+  // Renews the lease at once, because the service may have lost it.
+  void ConfirmNow();
+
   // Returns whether orders may be sent now. Check right before each order.
   bool valid() const;
   // Returns whether this host holds the key. This is true before valid() is:
@@ -55,6 +59,12 @@
   void RequestLease();
   void AcquireKey(keyvalue::LeaseId lease, MonotonicTime sent);
   void Renew();
+  // Reads the key after a renewal has failed. A restore of the service ends no
+  // lease that is older than its copy; the key shows whether this one is.
+  void ReadKey();
+  // Returns whether `item` is the key as this host wrote it. Its revision and
+  // lease may be stated for a later era.
+  bool IsOwn(const keyvalue::KeyValue& item) const;
   void Lose(const std::string& reason);
 
   EventLoop& m_loop;
--- a/Source/membership/registration.cc
+++ b/Source/membership/registration.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "base/history.h"
 #include "base/log.h"
 
 namespace hickoryloft::membership {
@@ -45,55 +46,66 @@
       return;
     }
     m_lease = reply.value().m_lease;
-    WriteKey();
+    WriteKey(/*expected=*/0);
   });
 }
 
-void Registration::WriteKey() {
-  m_store.Swap(
-      {.m_key = m_key,
-       .m_expected_revision = 0,
-       .m_value = m_value,
-       .m_lease = m_lease},
-      [this, alive = std::weak_ptr<int>(m_alive)](
-          const Result<keyvalue::SwapReply>& reply) {
-        if (alive.expired() || m_ended) {
-          return;
-        }
-        if (!reply.ok()) {
-          // If only the reply was lost, the key exists until this lease
-          // expires.
-          ScheduleRetry(reply.error());
-          return;
-        }
-        if (!reply.value().m_swapped) {
-          const auto& current = reply.value().m_current;
-          if (!current || current->m_lease != m_lease) {
-            // The key still belongs to an earlier lease that has yet to expire.
-            ScheduleRetry(Error(ErrorCode::kConflict,
-                                "the key still belongs to another lease"));
-            return;
-          }
-        }
-        kLog.Info("host registered", {{"key", m_key}, {"lease", m_lease}});
-        m_timer = m_loop.Every(m_ttl / kRenewalsPerTtl, [this] { Renew(); });
-      });
+void Registration::WriteKey(Revision expected) {
+  m_store.Swap({.m_key = m_key,
+                .m_expected_revision = expected,
+                .m_value = m_value,
+                .m_lease = m_lease},
+               [this, expected, alive = std::weak_ptr<int>(m_alive)](
+                   const Result<keyvalue::SwapReply>& reply) {
+                 if (alive.expired() || m_ended) {
+                   return;
+                 }
+                 if (!reply.ok()) {
+                   ScheduleRetry(reply.error());
+                   return;
+                 }
+                 const auto& current = reply.value().m_current;
+                 if (!reply.value().m_swapped &&
+                     (!current || current->m_lease != m_lease)) {
+                   if (current && expected == 0) {
+                     // The key is this host's own, under an earlier lease: that
+                     // of a write whose reply was lost, or of before a restore.
+                     WriteKey(current->m_mod_revision);
+                     return;
+                   }
+                   ScheduleRetry(Error(ErrorCode::kConflict,
+                                       "the key has changed in the meantime"));
+                   return;
+                 }
+                 m_registered = true;
+                 kLog.Info("host registered",
+                           {{"key", m_key}, {"lease", NumberIn(m_lease)}});
+                 m_timer =
+                     m_loop.Every(m_ttl / kRenewalsPerTtl, [this] { Renew(); });
+               });
 }
 
 void Registration::Renew() {
   m_store.KeepAlive(m_lease, [this, alive = std::weak_ptr<int>(m_alive)](
                                  const Result<keyvalue::LeaseReply>& reply) {
-    if (alive.expired() || m_ended || reply.ok() ||
+    if (alive.expired() || m_ended || !m_registered || reply.ok() ||
         reply.error().code() != ErrorCode::kNotFound) {
       return;
     }
     kLog.Warn("host registration expired; registering again",
-              {{"key", m_key}, {"lease", m_lease}});
+              {{"key", m_key}, {"lease", NumberIn(m_lease)}});
     m_timer.reset();
+    m_registered = false;
     RequestLease();
   });
 }
 
+void Registration::ConfirmNow() {
+  if (m_registered && !m_ended) {
+    Renew();
+  }
+}
+
 void Registration::ScheduleRetry(const Error& error) {
   kLog.Warn("host registration failed; retrying",
             {{"key", m_key}, {"reason", error.what()}});
--- a/Source/membership/registration.h
+++ b/Source/membership/registration.h
@@ -24,12 +24,15 @@
                Duration ttl);
 
   void Start();
+  // Renews the lease at once, because the service may have lost it.
+  void ConfirmNow();
   // Revokes the lease, which removes the key, and then calls `done`.
   void End(std::function<void()> done);
 
  private:
   void RequestLease();
-  void WriteKey();
+  // Writes the key if its revision is `expected` (0: it does not exist).
+  void WriteKey(Revision expected);
   void Renew();
   void ScheduleRetry(const Error& error);
 
@@ -39,6 +42,7 @@
   std::string m_value;
   Duration m_ttl;
   keyvalue::LeaseId m_lease = 0;
+  bool m_registered = false;
   bool m_ended = false;
   std::unique_ptr<Timer> m_timer;
   // Callbacks hold a weak pointer to this, and return if it has expired.
--- a/Tests/process/jarro_restored_store_test.py
+++ b/Tests/process/jarro_restored_store_test.py
@@ -87,6 +87,16 @@
         self.restore(write)
         self.wait_in_force("key-new")
 
+    def test_placement_leader_keeps_its_lease(self):
+        self.wait_for_placement_leader()
+        leader = self.fleet.platform_state()["holder"]
+        self.begin_lost_time()
+        self.write_notes(LOST_WRITES)
+        self.restore()
+        for _ in range(30):
+            self.assertEqual(self.fleet.platform_state()["holder"], leader)
+            time.sleep(0.1)
+
 
 if __name__ == "__main__":
     unittest.main()
