Use a server again whose registration a restore had lost

What callers saw: a server that had registered in the lost time was never used again, so requests that only it could serve were refused. Cause: the read after the restore removed it like one that had left, and a registration with the start and number of a removed one is ignored, as one that was written late. What a server wrote and the store lost is written again unchanged. Evidence: process_jarro_restored_store fails on: the hosts log "outdated endpoint entry ignored" for ledger-9, and none sends it a request. Change: a registration that is missing after a restore has lapsed, as in an outage, and leaves no record of a removal when its time is over. A server that the host saw leave in the lost time keeps its record, so the entry that the copy brings back is not used (tested; it held before too).

--- a/Source/fleet/endpoint_directory.cc
+++ b/Source/fleet/endpoint_directory.cc
@@ -15,7 +15,7 @@
     return Change::kNone;
   }
   m_removed.erase(id);
-  m_lapsed_until.erase(id);
+  m_lapsed.erase(id);
   ++m_version;
   const auto leaving = m_leaving.find(id);
   entry.m_announced_leaving =
@@ -40,30 +40,34 @@
     return Change::kNone;
   }
   if (keep_until && known->second.AcceptsRequests()) {
-    m_lapsed_until.try_emplace(id, *keep_until);
+    m_lapsed.try_emplace(id, Lapse{.m_until = *keep_until});
     return Change::kLapsed;
   }
-  RemoveEntry(id);
+  RemoveEntry(id, Absence::kRemoved);
   return Change::kRemoved;
 }
 
-void EndpointDirectory::RemoveEntry(const EndpointId& id) {
+void EndpointDirectory::RemoveEntry(const EndpointId& id, Absence absence) {
   const auto known = m_entries.find(id);
   if (known != m_entries.end()) {
-    if (m_removed.size() >= kMaxRemoved) {
-      m_removed.erase(m_removed.begin());
+    // A registration that the service lost is written again unchanged.
+    if (absence == Absence::kRemoved) {
+      if (m_removed.size() >= kMaxRemoved) {
+        m_removed.erase(m_removed.begin());
+      }
+      m_removed[id] = VersionOf(known->second);
     }
-    m_removed[id] = VersionOf(known->second);
     RemoveFromIndices(known->second);
     m_entries.erase(known);
   }
-  m_lapsed_until.erase(id);
+  m_lapsed.erase(id);
   ++m_version;
 }
 
 std::vector<EndpointId> EndpointDirectory::RetainOnly(
     const std::unordered_set<EndpointId>& present,
-    std::optional<MonotonicTime> keep_until) {
+    std::optional<MonotonicTime> keep_until,
+    Absence absence) {
   std::vector<EndpointId> missing;
   for (const auto& [id, entry] : m_entries) {
     if (!present.contains(id)) {
@@ -72,8 +76,11 @@
   }
   std::vector<EndpointId> removed;
   for (const EndpointId& id : missing) {
-    if (Remove(id, keep_until) == Change::kRemoved) {
+    const Change change = Remove(id, keep_until);
+    if (change == Change::kRemoved) {
       removed.push_back(id);
+    } else if (change == Change::kLapsed) {
+      m_lapsed.at(id).m_absence = absence;
     }
   }
   return removed;
@@ -81,15 +88,16 @@
 
 std::vector<EndpointId> EndpointDirectory::DropLapsed(MonotonicTime now) {
   std::vector<EndpointId> dropped;
-  for (auto at = m_lapsed_until.begin(); at != m_lapsed_until.end();) {
-    if (at->second > now) {
+  for (auto at = m_lapsed.begin(); at != m_lapsed.end();) {
+    if (at->second.m_until > now) {
       ++at;
       continue;
     }
     dropped.push_back(at->first);
     const EndpointId id = at->first;
+    const Absence absence = at->second.m_absence;
     ++at;
-    RemoveEntry(id);
+    RemoveEntry(id, absence);
   }
   return dropped;
 }
--- a/Source/fleet/endpoint_directory.h
+++ b/Source/fleet/endpoint_directory.h
@@ -27,6 +27,12 @@
   // is older than the current one.
   enum class Change { kNone, kAdded, kUpdated, kRestarted, kRemoved, kLapsed };
 
+  // Why a registration that was known is missing from all registrations read.
+  enum class Absence {
+    kRemoved,      // It was removed, or lapsed.
+    kHistoryLost,  // The service may have lost it, with other late changes.
+  };
+
   Change Put(EndpointEntry entry);
   // Handles the removal of a registration. `keep_until`: the registration may
   // merely have lapsed; the entry is kept until then unless the endpoint
@@ -36,7 +42,8 @@
   // endpoints that were removed at once.
   std::vector<EndpointId> RetainOnly(
       const std::unordered_set<EndpointId>& present,
-      std::optional<MonotonicTime> keep_until);
+      std::optional<MonotonicTime> keep_until,
+      Absence absence);
   // Removes lapsed entries that are not to be kept any longer, and returns
   // their ids.
   std::vector<EndpointId> DropLapsed(MonotonicTime now);
@@ -73,6 +80,11 @@
     }
   };
 
+  struct Lapse {
+    MonotonicTime m_until;
+    Absence m_absence = Absence::kRemoved;
+  };
+
   // Limit of the records of removed endpoints, and of those of leaving ones.
   static constexpr std::size_t kMaxRemoved = 1024;
 
@@ -80,7 +92,7 @@
     return {entry.m_started_at_ms, entry.m_number};
   }
 
-  void RemoveEntry(const EndpointId& id);
+  void RemoveEntry(const EndpointId& id, Absence absence);
   // Add an entry to the indices, and remove it from them.
   void AddToIndices(const EndpointEntry& entry);
   void RemoveFromIndices(const EndpointEntry& entry);
@@ -88,9 +100,10 @@
   std::map<EndpointId, EndpointEntry> m_entries;
   std::unordered_map<ModelId, std::set<EndpointId>> m_by_model;
   std::unordered_map<ServiceId, std::set<EndpointId>> m_by_service;
-  std::map<EndpointId, MonotonicTime> m_lapsed_until;
+  std::map<EndpointId, Lapse> m_lapsed;
   // The last registration of removed endpoints. A registration that is not
-  // newer and arrives after the removal is ignored.
+  // newer and arrives after the removal is ignored: it was written late, or is
+  // back with an older copy of the service's data.
   std::map<EndpointId, RegistrationVersion> m_removed;
   std::map<EndpointId, std::int64_t> m_leaving;
   std::uint64_t m_version = 0;
--- a/Source/fleet/fleet_state_feed.cc
+++ b/Source/fleet/fleet_state_feed.cc
@@ -90,6 +90,8 @@
     kLog.Warn("key-value service was restored; its copy replaces this host's",
               {{"revision", DescribeRevision(m_revision)},
                {"era", EraOf(reply.m_revision)}});
+    // What running endpoints wrote since the copy is written again.
+    m_recovered_at = m_loop.Now();
   }
   std::unordered_set<EndpointId> present;
   std::map<std::string, keyvalue::KeyValue> own_keys;
@@ -108,7 +110,9 @@
     }
   }
   for (const EndpointId& id : m_directory.RetainOnly(
-           present, m_complete ? LapseDeadline() : std::nullopt)) {
+           present, m_complete ? LapseDeadline() : std::nullopt,
+           restored ? EndpointDirectory::Absence::kHistoryLost
+                    : EndpointDirectory::Absence::kRemoved)) {
     kLog.Info("endpoint removed", {{"endpoint", id.value()}});
     m_events.m_endpoint_changed(id);
   }
--- a/Tests/process/jarro_restored_store_test.py
+++ b/Tests/process/jarro_restored_store_test.py
@@ -5,6 +5,7 @@
 
 import harness
 import jarro_harness
+from scripted_server import ScriptedServer, head
 
 # Enough hosts to form groups, in which most hosts receive the store's changes
 # through a relay.
@@ -14,6 +15,10 @@
 OUTAGE_S = 0.2
 # Writes that are lost, so that the revisions after the restore are lower.
 LOST_WRITES = 30
+# Within this time all hosts have heard that a server has left.
+HEARD_S = 2
+# After this time a registration that is still missing counts as gone.
+GONE_S = 3
 
 
 class RestoredStoreTest(jarro_harness.JarroTest):
@@ -74,6 +79,29 @@
 class TwoHosts(RestoredStoreTest):
     hosts = 2
 
+    def start_server(self):
+        def respond(connection, request):
+            connection.sendall(head(request, "200 OK", "Content-Length: 0"))
+            return True
+        server = ScriptedServer("ledger-9", "ledger", [], respond)
+        self.addCleanup(server.close)
+        server.register(self.fleet)
+        return server
+
+    def is_used(self, server, index):
+        before = len(server.requests)
+        for _ in range(8):
+            self.fleet.post("/look/x", index)
+        return len(server.requests) > before
+
+    def used_by(self, server):
+        return [index for index in range(self.hosts)
+                if self.is_used(server, index)]
+
+    def wait_used(self, server):
+        harness.wait_for(lambda: len(self.used_by(server)) == self.hosts,
+                         IN_FORCE_LIMIT_S, "all hosts use the server")
+
     def test_changes_before_the_revisions_pass_the_old_one_are_seen(self):
         """Regression test (CONFIG): a watch continued from a revision that had
         been given out again, without what came before it."""
@@ -87,6 +115,32 @@
         self.restore(write)
         self.wait_in_force("key-new")
 
+    def test_server_whose_registration_was_lost_is_used_again(self):
+        """Regression test (CONFIG, DENIED): a registration that was lost and
+        written again unchanged was ignored for good."""
+        self.begin_lost_time()
+        server = self.start_server()
+        self.wait_used(server)
+        self.write_notes(LOST_WRITES)
+        self.restore()
+        time.sleep(GONE_S)
+        server.register(self.fleet)
+        self.wait_used(server)
+
+    def test_server_that_has_left_is_not_used_again(self):
+        """Regression test (DRAIN): the copy brought back the registration of
+        a server that had left."""
+        server = self.start_server()
+        self.wait_used(server)
+        self.begin_lost_time()
+        server.leave(self.fleet)
+        time.sleep(HEARD_S)
+        self.assertEqual(self.used_by(server), [])
+        self.restore()
+        for _ in range(10):
+            self.assertEqual(self.used_by(server), [])
+            time.sleep(0.1)
+
     def test_placement_leader_keeps_its_lease(self):
         self.wait_for_placement_leader()
         leader = self.fleet.platform_state()["holder"]
