--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -347,24 +347,8 @@
   if (!m_placement_lease.valid()) {
     return;  // An engine answered after the lease was given up.
   }
-  placement::PlacementState state;
-  for (const auto& [service, planner] : m_placement_controller.planners()) {
-    for (const auto& [engine, models] : planner->Adapters()) {
-      for (const auto& [model, names] : models) {
-        for (const AdapterId& adapter : names) {
-          state.m_adapters.emplace(engine, model, adapter);
-        }
-      }
-    }
-    for (const auto& [engine, model] : planner->UnloadingModels()) {
-      state.m_unloading.emplace(engine, model);
-    }
-    for (const auto& [key, present] : planner->RecentModels(
-             m_loop.Now() - placement::ReplicaMap::kUpdateLifetime)) {
-      state.m_models[key] = present;
-    }
-  }
-  if (m_replicas.Publish(m_placement_lease.fence(), state, m_loop.Now())) {
+  if (m_replicas.Publish(m_placement_lease.fence(),
+                         m_placement_controller.CollectState(), m_loop.Now())) {
     m_exchange.ScheduleUrgentReport(FleetExchange::kPlacement);
     m_frontend.RetryWaiting();
   }
--- a/Source/host/placement_controller.cc
+++ b/Source/host/placement_controller.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "placement/replica_map.h"
 
 namespace hickoryloft::host {
 
@@ -187,6 +188,27 @@
   }
 }
 
+placement::PlacementState PlacementController::CollectState() const {
+  placement::PlacementState state;
+  for (const auto& [service, planner] : m_planners) {
+    for (const auto& [engine, models] : planner->Adapters()) {
+      for (const auto& [model, names] : models) {
+        for (const AdapterId& adapter : names) {
+          state.m_adapters.emplace(engine, model, adapter);
+        }
+      }
+    }
+    for (const auto& [engine, model] : planner->UnloadingModels()) {
+      state.m_unloading.emplace(engine, model);
+    }
+    for (const auto& [key, present] : planner->RecentModels(
+             m_loop.Now() - placement::ReplicaMap::kUpdateLifetime)) {
+      state.m_models[key] = present;
+    }
+  }
+  return state;
+}
+
 void PlacementController::RequestReport(const ServiceId& service,
                                         const EndpointId& engine) {
   const auto address = AddressOf(engine);
--- a/Source/host/placement_controller.h
+++ b/Source/host/placement_controller.h
@@ -14,6 +14,7 @@
 #include "host/host_metrics.h"
 #include "membership/placement_lease.h"
 #include "placement/engine_planner.h"
+#include "placement/placement_state.h"
 #include "placement/plan_pacer.h"
 
 namespace hickoryloft::host {
@@ -44,10 +45,8 @@
   // Plans after a short delay; calls within the delay lead to one plan.
   void PlanSoon();
 
-  const std::map<ServiceId, std::unique_ptr<placement::EnginePlanner>>&
-  planners() const {
-    return m_planners;
-  }
+  // Returns what the planners have changed at the engines, for the other hosts.
+  placement::PlacementState CollectState() const;
 
  private:
   void PlanService(const fleet::ServiceSpec& service);
