Take lease ids of any size that JSON holds exactly

The registration of each host failed ("number of era 0 is out of range"): the store draws lease ids at random up to 2^48, and the era's change gave them the 40 bits of a revision.

--- a/Source/membership/placement_lease.cc
+++ b/Source/membership/placement_lease.cc
@@ -87,7 +87,7 @@
         m_valid_from = m_loop.Now() + m_timing.m_gap;
         m_valid_until = sent + m_timing.m_ttl - m_timing.m_margin;
         kLog.Info("placement lease won",
-                  {{"fence", m_fence}, {"lease", NumberIn(m_lease)}});
+                  {{"fence", m_fence}, {"lease", LeaseNumber(m_lease)}});
         m_renewal =
             m_loop.Every(m_timing.m_ttl / kRenewalsPerTtl, [this] { Renew(); });
       });
@@ -115,28 +115,28 @@
 }
 
 void PlacementLease::ReadKey() {
-  m_store.Get(m_key,
-              [this, fence = m_fence, alive = std::weak_ptr<int>(m_alive)](
-                  const Result<keyvalue::ReadReply>& reply) {
-                if (alive.expired() || fence != m_fence || !reply.ok()) {
-                  return;  // The next renewal reads the key again.
-                }
-                const auto& items = reply.value().m_items;
-                if (items.empty() || !IsOwn(items.front()) ||
-                    items.front().m_lease == m_lease) {
-                  Lose("lease expired or revoked");
-                  return;
-                }
-                m_lease = items.front().m_lease;
-                kLog.Info("placement lease kept over a restore of the service",
-                          {{"fence", m_fence}, {"lease", NumberIn(m_lease)}});
-                Renew();
-              });
+  m_store.Get(
+      m_key, [this, fence = m_fence, alive = std::weak_ptr<int>(m_alive)](
+                 const Result<keyvalue::ReadReply>& reply) {
+        if (alive.expired() || fence != m_fence || !reply.ok()) {
+          return;  // The next renewal reads the key again.
+        }
+        const auto& items = reply.value().m_items;
+        if (items.empty() || !IsOwn(items.front()) ||
+            items.front().m_lease == m_lease) {
+          Lose("lease expired or revoked");
+          return;
+        }
+        m_lease = items.front().m_lease;
+        kLog.Info("placement lease kept over a restore of the service",
+                  {{"fence", m_fence}, {"lease", LeaseNumber(m_lease)}});
+        Renew();
+      });
 }
 
 bool PlacementLease::IsOwn(const keyvalue::KeyValue& item) const {
   return item.m_value == m_host.value() &&
-         NumberIn(item.m_lease) == NumberIn(m_lease) &&
+         LeaseNumber(item.m_lease) == LeaseNumber(m_lease) &&
          NumberIn(item.m_create_revision) == NumberIn(m_fence) &&
          item.m_mod_revision == item.m_create_revision;
 }
--- a/Source/membership/registration.cc
+++ b/Source/membership/registration.cc
@@ -79,7 +79,7 @@
                  }
                  m_registered = true;
                  kLog.Info("host registered",
-                           {{"key", m_key}, {"lease", NumberIn(m_lease)}});
+                           {{"key", m_key}, {"lease", LeaseNumber(m_lease)}});
                  m_timer =
                      m_loop.Every(m_ttl / kRenewalsPerTtl, [this] { Renew(); });
                });
@@ -93,7 +93,7 @@
       return;
     }
     kLog.Warn("host registration expired; registering again",
-              {{"key", m_key}, {"lease", NumberIn(m_lease)}});
+              {{"key", m_key}, {"lease", LeaseNumber(m_lease)}});
     m_timer.reset();
     m_registered = false;
     RequestLease();
--- a/StandIns/jarro_store.h
+++ b/StandIns/jarro_store.h
@@ -97,7 +97,8 @@
   Mode m_mode = Mode::kWorking;
   std::int64_t m_revision = 1;
   std::int64_t m_compacted_revision = 0;
-  std::int64_t m_next_lease_id = 100;
+  // As large as the ids of the platform's store.
+  std::int64_t m_next_lease_id = (std::int64_t{1} << 48) + 100;
   std::int64_t m_era = 1;
   std::map<std::string, Item> m_items;
   std::map<std::int64_t, Lease> m_leases;
--- a/Tests/fuzz/platform_entry_fuzz.cc
+++ b/Tests/fuzz/platform_entry_fuzz.cc
@@ -5,10 +5,10 @@
 #include <nlohmann/json.hpp>
 
 #include "base/error.h"
+#include "base/json_reader.h"
 #include "fuzz_target.h"
 #include "platform/engine_control.h"
 #include "platform/fleet_decoder.h"
-#include "base/json_reader.h"
 #include "platform/settings.h"
 #include "platform/store_watch.h"
 
@@ -41,9 +41,8 @@
   ExpectOnlyErrorCode(ErrorCode::kProtocol,
                       [&] { jarro::ParseEngineReport(text); });
   ExpectOnlyErrorCode(ErrorCode::kProtocol, [&] {
-    const nlohmann::json json =
-        jarro::ParseJson(text, "input", ErrorCode::kProtocol);
-    jarro::ParseItem(jarro::JsonReader(json, "input", ErrorCode::kProtocol));
+    const nlohmann::json json = ParseJson(text, "input", ErrorCode::kProtocol);
+    jarro::ParseItem(JsonReader(json, "input", ErrorCode::kProtocol), 1);
   });
   ExpectOnlyErrorCode(ErrorCode::kInvalidSettings,
                       [&] { jarro::ParseHostSettings(text); });
--- a/Tests/jarro/store_client_test.cc
+++ b/Tests/jarro/store_client_test.cc
@@ -133,12 +133,31 @@
   }
 }
 
+TEST_CASE("A lease may have any number that JSON holds exactly") {
+  AnsweredStore store;
+  const std::int64_t number = (std::int64_t{1} << 53) - 1;
+  keyvalue::LeaseId lease = 0;
+  for (const Era era : {0, 1, 1023, 1024, 8000}) {
+    store.m_store.GrantLease(
+        seconds(1), [&](const Result<keyvalue::LeaseReply>& reply) {
+          REQUIRE(reply.ok());
+          CHECK(reply.value().m_lease !=
+                std::exchange(lease, reply.value().m_lease));
+        });
+    store.Answer(std::to_string(era), 200,
+                 {{"lease", number}, {"ttlMs", 1000}});
+    CHECK(LeaseNumber(lease) == number);
+    CHECK(IsLeaseOf(era, lease));
+    CHECK_FALSE(IsLeaseOf(era + 1, lease));
+  }
+}
+
 // Guards against the renewal and the end of another host's lease, which got the
 // id of a lease that the store had lost.
 TEST_CASE("A lease of before a restore counts as ended") {
   AnsweredStore store;
   store.Read("4", 90);
-  const keyvalue::LeaseId lease = InEra(4, 9);
+  const keyvalue::LeaseId lease = LeaseInEra(4, 9);
   std::vector<ErrorCode> failures;
   const auto renew = [&] {
     store.m_store.KeepAlive(
