A host that has started asks the others which configuration they have

What callers would see: a host that starts after a restore reads the copy and lets keys through that were withdrawn in the lost time, until the operator has written the configuration again (CONFIG); it answers 404 for routes that were added. Cause: what a host read first from the store counted as the newest configuration. Evidence: process_jarro_restored_store fails on: the started host answers 200 to a withdrawn key. Change: hosts state the version of their configuration and their revision in their reports. A host whose copy is not older than another's, but whose configuration is, knows that the store has lost the newer one: until it has it, it is not ready, admits no key, and answers 503 instead of 404. After its start it waits for one host with no newer configuration than its own, two seconds at most, unless no other host is registered. Readiness has a class of its own.

--- a/Source/fleet/fleet_state_feed.cc
+++ b/Source/fleet/fleet_state_feed.cc
@@ -82,6 +82,24 @@
   }
 }
 
+void FleetStateFeed::ObserveConfiguration(std::int64_t version, Revision at) {
+  if (!m_configuration || version <= m_configuration->version() ||
+      version <= m_lost_version || at == 0 || at > m_revision) {
+    return;
+  }
+  m_lost_version = version;
+  kLog.Warn(
+      "another host has a newer configuration, which the key-value service has "
+      "lost; rejecting what the present one may allow by mistake",
+      {{"configuration", m_configuration->version()},
+       {"version", version},
+       {"revision", DescribeRevision(m_revision)}});
+}
+
+bool FleetStateFeed::LacksLostConfiguration() const {
+  return m_configuration && m_configuration->version() < m_lost_version;
+}
+
 void FleetStateFeed::ApplySnapshot(const keyvalue::ReadReply& reply) {
   RecordProof(reply.m_current_as_of);
   const bool restored =
--- a/Source/fleet/fleet_state_feed.h
+++ b/Source/fleet/fleet_state_feed.h
@@ -66,6 +66,13 @@
   // host has stated, is from after a restore of the service that this host's
   // copy is from before of.
   void ObserveRevision(Revision seen);
+  // Applies that another host at revision `at` has version `version` of the
+  // configuration.
+  void ObserveConfiguration(std::int64_t version, Revision at);
+  // Whether another host has a newer configuration than this one although this
+  // host's copy is not older: the service has lost it, and what it withdrew is
+  // in this host's configuration.
+  bool LacksLostConfiguration() const;
   // Reads everything again, because the service was restored from an older
   // copy. Does nothing if a read is under way.
   void ReadRestored() { ReadAll(); }
@@ -127,6 +134,8 @@
   std::shared_ptr<const ConfigurationView> m_configuration;
   EndpointDirectory m_directory;
   std::map<std::string, keyvalue::KeyValue> m_own_keys;
+  // The newest version that the service was seen to have lost.
+  std::int64_t m_lost_version = 0;
   bool m_complete = false;
   bool m_reading = false;
   Revision m_revision = 0;
--- a/Source/host/fleet_exchange.cc
+++ b/Source/host/fleet_exchange.cc
@@ -180,7 +180,9 @@
   report.urgent = urgent;
   report.counts = ToRow(sent.m_counts);
   report.demand = ToRow(m_events.m_collect_own_demand());
-  report.store_revision = m_events.m_store_freshness().m_revision;
+  const StoreKnowledge known = m_events.m_store_freshness().m_known;
+  report.store_revision = known.m_revision;
+  report.configuration = known.m_configuration;
   m_sent_reports.push_back(std::move(sent));
   if (m_sent_reports.size() > kMaxKeptReports) {
     m_sent_reports.pop_front();
@@ -208,6 +210,9 @@
   report.partial = partial;
   report.news_fence = version.m_fence;
   report.news_number = version.m_number;
+  const StoreKnowledge known = m_events.m_store_freshness().m_known;
+  report.store_revision = known.m_revision;
+  report.configuration = known.m_configuration;
   report.counts =
       ToRow(partial ? FleetCounts{.m_admitted = m_aggregator.GroupAdmitted()}
                     : m_aggregator.Group());
@@ -246,7 +251,8 @@
                     : m_aggregator.Fleet());
   report.silent_hosts = static_cast<std::uint32_t>(m_view.m_silent_hosts);
   const StoreFreshness freshness = m_events.m_store_freshness();
-  report.store_revision = freshness.m_revision;
+  report.store_revision = freshness.m_known.m_revision;
+  report.configuration = freshness.m_known.m_configuration;
   // Rounded up, because the receiver must not overestimate how current the
   // revision is.
   report.store_age_ms = static_cast<std::uint32_t>(
@@ -398,7 +404,7 @@
     return;
   }
   m_demand.RecordHost(host, FromRow(*report.demand), m_loop.Now());
-  m_events.m_on_store_revision(report.store_revision);
+  m_events.m_on_peer_knowledge({report.store_revision, report.configuration});
   RecordLeafRevision(host, report.store_revision);
   if (report.urgent != 0) {
     m_urgent |= report.urgent;
@@ -411,6 +417,7 @@
     return;
   }
   const HostId relay(report.relay);
+  m_events.m_on_peer_knowledge({report.store_revision, report.configuration});
   m_aggregator.RecordGroup(relay, report.epoch, report.hosts, report.partial,
                            FromRow(*report.counts), m_loop.Now());
   if (!report.partial) {
@@ -456,7 +463,7 @@
   m_view.m_hosts = std::max<std::size_t>(1, m_groups.hosts());
   m_view.m_silent_hosts = report.silent_hosts;
   m_events.m_on_other_hosts(m_view);
-  m_events.m_on_store_revision(report.store_revision);
+  m_events.m_on_peer_knowledge({report.store_revision, report.configuration});
   if (report.store_revision > 0) {
     // The relay measured the age after it had received this host's report, so
     // the time at which that report was sent is a safe base to subtract it
--- a/Source/host/fleet_exchange.h
+++ b/Source/host/fleet_exchange.h
@@ -32,10 +32,16 @@
   std::size_t m_hosts = 1;  // Including this one.
 };
 
-// How current a host's copy of the key-value service's data is.
+// What a host knows of the key-value service's data.
+struct StoreKnowledge {
+  Revision m_revision = 0;           // 0 before the first read.
+  std::int64_t m_configuration = 0;  // Version; 0 if it has none.
+};
+
+// What this host knows of it, and how current that is.
 struct StoreFreshness {
-  Revision m_revision = 0;  // 0 before the first read.
-  Duration m_age{};         // Changes of this last period may be missing.
+  StoreKnowledge m_known;
+  Duration m_age{};  // Changes of this last period may be missing.
 };
 
 // A lost report makes decisions worse but never wrong, and only until the next
@@ -69,9 +75,8 @@
     // them.
     std::function<std::optional<fleet::ChangeSpan>(Revision known)>
         m_store_changes_since;
-    // Receives each revision of the key-value service that another host has
-    // stated.
-    std::function<void(Revision)> m_on_store_revision;
+    // Receives what another host has stated of its knowledge.
+    std::function<void(const StoreKnowledge&)> m_on_peer_knowledge;
     // Receives key-value changes from this host's relay.
     std::function<void(const fleet::ChangeSpan&)> m_on_store_changes;
     // Receives the relay's confirmation that `revision` was complete at the
--- a/Source/host/frontend.cc
+++ b/Source/host/frontend.cc
@@ -67,7 +67,8 @@
 }
 
 bool Frontend::MayBeOutdated() const {
-  return m_context.m_knowledge.Age() > kMaxTrustedAge;
+  return m_context.m_knowledge.Age() > kMaxTrustedAge ||
+         m_context.m_knowledge.LacksLostConfiguration();
 }
 
 std::optional<Frontend::Rejection> Frontend::Admit(
--- a/Source/host/frontend.h
+++ b/Source/host/frontend.h
@@ -68,7 +68,7 @@
   std::optional<Rejection> CheckStopping(
       const RequestFlow::Admitted& admitted) const;
   // Whether this host's view is so old that an unknown route or key may have
-  // been added since.
+  // been added since, or older than what the key-value service has lost.
   bool MayBeOutdated() const;
   void Reject(http::ServerExchange& exchange,
               const RequestFlow::Admitted& admitted,
--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -18,13 +18,6 @@
 // service.
 constexpr Duration kMemberLeaseTtl = seconds(3);
 constexpr Duration kTickInterval = milliseconds(250);
-// Share of the bound on withdrawn keys that the view may reach in age before
-// requests with a key are refused. The rest covers a silent watch and the
-// transfer of the request to the endpoint.
-constexpr double kUsableAgeShare = 0.75;
-// Share of the same bound beyond which the host reports that it is not ready
-// for new connections, because their requests would be refused soon.
-constexpr double kReadyAgeShare = 0.55;
 // Delay that merges simultaneous registrations into one update of the members.
 constexpr Duration kMemberDelay = milliseconds(50);
 // After SIGTERM, callers still connect until about two readiness checks have
@@ -68,6 +61,7 @@
                  m_changes.Append(from, batch);
                  m_exchange.SendChangesToLeaves();
                }}),
+      m_readiness(loop, m_settings, m_knowledge),
       m_context(MakeContext()),
       m_frontend(m_context),
       m_exchange(
@@ -101,8 +95,13 @@
            .m_store_freshness = [this] { return OwnStoreFreshness(); },
            .m_store_changes_since =
                [this](Revision known) { return m_changes.Since(known); },
-           .m_on_store_revision =
-               [this](Revision seen) { m_knowledge.ObserveRevision(seen); },
+           .m_on_peer_knowledge =
+               [this](const StoreKnowledge& known) {
+                 m_knowledge.ObserveRevision(known.m_revision);
+                 m_knowledge.ObserveConfiguration(known.m_configuration,
+                                                  known.m_revision);
+                 m_readiness.RecordPeerConfiguration(known.m_configuration);
+               },
            .m_on_store_changes =
                [this](const fleet::ChangeSpan& span) {
                  m_knowledge.ApplyChanges(span);
@@ -156,12 +155,13 @@
                 [this](std::shared_ptr<http::ServerExchange> exchange) {
                   m_frontend.HandleRequest(std::move(exchange));
                 }),
-      m_readiness(loop,
-                  m_settings.m_readiness.m_address,
-                  m_settings.m_readiness.m_port,
-                  [this](const std::shared_ptr<http::ServerExchange>& check) {
-                    check->Answer(Ready() ? 200 : 503, {}, "");
-                  }),
+      m_readiness_server(
+          loop,
+          m_settings.m_readiness.m_address,
+          m_settings.m_readiness.m_port,
+          [this](const std::shared_ptr<http::ServerExchange>& check) {
+            check->Answer(m_readiness.Ready(m_stopping) ? 200 : 503, {}, "");
+          }),
       m_metrics_server(
           loop,
           m_settings.m_metrics.m_address,
@@ -206,7 +206,7 @@
             .first->second;
       },
       .m_host_count = [this] { return m_exchange.peers().size() + 1; },
-      .m_keys_current = [this] { return KeysCurrent(); },
+      .m_keys_current = [this] { return m_readiness.KeysCurrent(); },
       .m_on_demand_changed = [this] { OnWaitingRequest(); },
       .m_on_endpoint_leaving =
           [this](const EndpointId& id, std::int64_t started_at_ms) {
@@ -217,31 +217,6 @@
   };
 }
 
-bool HostDaemon::KeysCurrent() const {
-  const FleetBounds& bounds = m_settings.m_bounds;
-  return !bounds.m_strict_withdrawal ||
-         m_knowledge.Age() <
-             duration_cast<Duration>(bounds.m_key_withdrawal * kUsableAgeShare);
-}
-
-bool HostDaemon::Ready() {
-  const FleetBounds& bounds = m_settings.m_bounds;
-  const bool ready =
-      !m_stopping && m_knowledge.complete() &&
-      (!bounds.m_strict_withdrawal ||
-       m_knowledge.Age() <
-           duration_cast<Duration>(bounds.m_key_withdrawal * kReadyAgeShare));
-  if (ready != m_was_ready) {
-    m_was_ready = ready;
-    kLog.Info(
-        ready ? "ready" : "not ready",
-        {{"stopping", m_stopping ? 1 : 0},
-         {"view_age_ms",
-          m_knowledge.complete() ? ToMillis(m_knowledge.Age()).count() : -1}});
-  }
-  return ready;
-}
-
 void HostDaemon::OnConfiguration() {
   const fleet::Configuration& configuration =
       m_knowledge.configuration()->configuration();
@@ -278,6 +253,7 @@
       if (m_members.Update(m_knowledge.own_keys())) {
         m_exchange.SetPeers(m_members.peers());
       }
+      m_readiness.RecordPeers(m_members.peers().size());
     });
   }
   FollowPlacementLeader();
@@ -394,7 +370,10 @@
   if (!m_knowledge.complete()) {
     return {};
   }
-  return {.m_revision = m_knowledge.revision(), .m_age = m_knowledge.Age()};
+  return {
+      .m_known = {.m_revision = m_knowledge.revision(),
+                  .m_configuration = m_knowledge.configuration()->version()},
+      .m_age = m_knowledge.Age()};
 }
 
 bool HostDaemon::AvoidedForPlacement(const EndpointId& id) const {
--- a/Source/host/host_daemon.h
+++ b/Source/host/host_daemon.h
@@ -15,6 +15,7 @@
 #include "host/permit_exchange.h"
 #include "host/placement_controller.h"
 #include "host/prompt_guard.h"
+#include "host/readiness.h"
 #include "http/server.h"
 #include "membership/placement_lease.h"
 #include "membership/registration.h"
@@ -63,6 +64,7 @@
   std::unordered_map<ServiceId, admission::RetryBudget> m_retry_budgets;
   // For each endpoint that other hosts avoid, the sum of their witness counts.
   std::unordered_map<routing::EndpointKey, int> m_avoided_by_others;
+  Readiness m_readiness;
   RequestContext m_context;
   Frontend m_frontend;
   FleetExchange m_exchange;
@@ -72,7 +74,7 @@
   membership::PlacementLease m_placement_lease;
   PlacementController m_placement_controller;
   http::Server m_callers;
-  http::Server m_readiness;
+  http::Server m_readiness_server;
   http::Server m_metrics_server;
   std::unique_ptr<Timer> m_tick;
   std::unique_ptr<Timer> m_members_timer;
@@ -82,7 +84,6 @@
   MonotonicTime m_tick_due;
   MonotonicTime m_stop_started_at;
   bool m_stopping = false;
-  bool m_was_ready = false;
 
   RequestContext MakeContext();
   void OnConfiguration();
@@ -106,8 +107,6 @@
   // Publishes the placement state at the engines if it differs from what was
   // published last.
   void PublishPlacementState();
-  bool Ready();
-  bool KeysCurrent() const;
   bool AvoidedForPlacement(const EndpointId& id) const;
   void Tick();
   // Updates the gauges that are computed only when the metrics are read.
--- a/Source/host/readiness.cc
+++ b/Source/host/readiness.cc
@@ -35,6 +35,12 @@
   m_peers_asked = m_peers_asked || peers == 0;
 }
 
+void Readiness::RecordPeerConfiguration(std::int64_t version) {
+  const auto configuration = m_knowledge.configuration();
+  m_peers_asked =
+      m_peers_asked || (configuration && version <= configuration->version());
+}
+
 bool Readiness::ConfigurationConfirmed() const {
   const bool asked = m_peers_asked || m_loop.Now() - m_started_at > kPeerWait;
   return asked && !m_knowledge.LacksLostConfiguration();
--- a/Source/host/readiness.h
+++ b/Source/host/readiness.h
@@ -4,6 +4,7 @@
 #define SOURCE_HOST_READINESS_H_
 
 #include <cstddef>
+#include <cstdint>
 
 #include "base/event_loop.h"
 #include "fleet/fleet_state_feed.h"
@@ -23,8 +24,8 @@
 
   // Records how many other hosts are registered.
   void RecordPeers(std::size_t peers);
-  // Records that another host has stated which configuration it has.
-  void RecordPeerReport() { m_peers_asked = true; }
+  // Records the version of the configuration that another host has stated.
+  void RecordPeerConfiguration(std::int64_t version);
 
   // Whether the host's keys are recent enough to admit requests with a key.
   bool KeysCurrent() const;
@@ -40,6 +41,7 @@
   const HostSettings& m_settings;
   const fleet::FleetStateFeed& m_knowledge;
   MonotonicTime m_started_at;
+  // No other host needs to be asked any more.
   bool m_peers_asked = false;
   bool m_was_ready = false;
 };
--- a/Tests/process/jarro_restored_store_test.py
+++ b/Tests/process/jarro_restored_store_test.py
@@ -20,6 +20,9 @@
 # After this time a registration that is still missing counts as gone.
 GONE_S = 3
 
+# A host that has started would be ready well within this time.
+STARTED_S = 3.5
+
 
 class RestoredStoreTest(jarro_harness.JarroTest):
     def setUp(self):
@@ -141,6 +144,29 @@
             self.assertEqual(self.used_by(server), [])
             time.sleep(0.1)
 
+    def test_host_that_starts_from_the_copy_asks_the_others(self):
+        """Regression test (CONFIG): a host that had started from the copy let
+        a withdrawn key through."""
+        self.begin_lost_time()
+        self.fleet.configure(2, {"counter": "key-new"})
+        self.wait_in_force("key-counter", 401)
+        self.restore()
+        index = self.hosts
+        self.fleet.hosts.append(None)
+        self.fleet.start_host(index)
+        statuses = set()
+        end = time.monotonic() + STARTED_S
+        while time.monotonic() < end:
+            statuses.add(self.fleet.post("/look/x", index).status)
+        self.assertLessEqual(statuses, {0, 503}, statuses)
+        self.assertFalse(self.fleet.ready(index))
+        self.fleet.configure(2, {"counter": "key-new"})
+        harness.wait_for(lambda: self.fleet.ready(index), IN_FORCE_LIMIT_S,
+                         "the host is ready")
+        self.assertEqual(self.fleet.post("/look/x", index).status, 401)
+        self.assertEqual(
+            self.fleet.post("/look/x", index, key="key-new").status, 200)
+
     def test_placement_leader_keeps_its_lease(self):
         self.wait_for_placement_leader()
         leader = self.fleet.platform_state()["holder"]
