Find a crashing part again after a restore of the store

What callers would see: a part that crashes servers rejected by the hosts that had found it, for good, and let through by all others. Cause: a host counted its finding as recorded by itself, whatever became of the write. A restore may lose the record; revisions of before it say nothing about proofs after it. Evidence: test_admission; without the change the part is not found again. Change: a finding of an earlier era is dropped; what the copy's records still show is found, and recorded, again. What they no longer show is learned anew.

--- a/Source/admission/crashing_parts.cc
+++ b/Source/admission/crashing_parts.cc
@@ -7,6 +7,12 @@
 
 void CrashingParts::SetRecords(CrashRecords records, MonotonicTime now) {
   m_records = std::move(records);
+  if (const Era era = EraOf(NewestRecord()); era > m_era) {
+    // The service was restored. The records of these parts may be lost, and
+    // only a part that is found again is recorded again.
+    m_found.clear();
+    m_era = era;
+  }
   Count();
   std::erase_if(m_reached, [&](const auto& reached) {
     const auto evidence = m_evidence.find(reached.first);
@@ -19,6 +25,19 @@
   }
 }
 
+Revision CrashingParts::NewestRecord() const {
+  Revision newest = 0;
+  for (const EndpointEnd& end : m_records.m_ends) {
+    newest = std::max(newest, end.m_revision);
+  }
+  for (const auto* revisions : {&m_records.m_sound, &m_records.m_held}) {
+    for (const auto& [part, revision] : *revisions) {
+      newest = std::max(newest, revision);
+    }
+  }
+  return newest;
+}
+
 bool CrashingParts::SoundSince(const std::string& part,
                                Revision revision) const {
   const auto sound = m_records.m_sound.find(part);
--- a/Source/admission/crashing_parts.h
+++ b/Source/admission/crashing_parts.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "base/history.h"
 #include "base/ids.h"
 #include "base/time.h"
 
@@ -87,11 +88,14 @@
 
   // Returns whether `part` was proved sound after `revision`.
   bool SoundSince(const std::string& part, Revision revision) const;
+  // Returns the revision of the newest record.
+  Revision NewestRecord() const;
   // Drops the parts that are no longer held, and counts the ends of the others.
   void Count();
   static bool Suffices(const Evidence& evidence);
 
   CrashRecords m_records;
+  Era m_era = 0;  // Of the newest record.
   std::set<std::string> m_held;
   // Parts that this object found and that are not in the records yet, with the
   // newest revision that led to it.
--- a/Tests/admission/crashing_parts_test.cc
+++ b/Tests/admission/crashing_parts_test.cc
@@ -58,7 +58,6 @@
     return FindCrashing();
   }
 
- private:
   Revision m_revision = 0;
 };
 
@@ -84,6 +83,25 @@
   CHECK_FALSE(fleet.m_parts.Held("first"));
 }
 
+// Guards against a part whose record was lost when the key-value service came
+// back from an older copy: no host would have recorded it again.
+TEST_CASE("A part is found again from the records that a restore has left") {
+  Fleet fleet;
+  fleet.m_revision = InEra(1, 50);
+  for (int i = 0; i < 5; ++i) {
+    fleet.EndEndpoint("e" + std::to_string(i), {"bad"});
+    fleet.Pass(milliseconds(500));
+  }
+  REQUIRE(fleet.SettleAndFind() == std::vector<std::string>{"bad"});
+  Revision number = 0;
+  for (EndpointEnd& end : fleet.m_records.m_ends) {
+    end.m_revision = InEra(2, ++number);
+  }
+  fleet.m_parts.SetRecords(fleet.m_records, fleet.m_now);
+  CHECK(fleet.SettleAndFind() == std::vector<std::string>{"bad"});
+  CHECK(fleet.m_parts.Held("bad"));
+}
+
 TEST_CASE("The first part is not held although its proofs come late") {
   Fleet fleet;
   for (int i = 0; i < 4; ++i) {
