Read the service once after a restore

What callers would see: as in, a server whose registration was lost is never used again, on hosts that hear of the restore from another host. Cause: found by review. Such a host reads everything; the read's own answer is the first of the new era at this host, so the restore was reported, and everything read again. The second read was of the same era, and took the lost registration for a removed one. Evidence: test_fleet (the registration comes back unchanged, kNone before). Change: the report of a restore names the era; a copy of that era is not read again. A registration that lapsed because it was lost keeps that reason.

--- a/Source/fleet/endpoint_directory.cc
+++ b/Source/fleet/endpoint_directory.cc
@@ -79,7 +79,7 @@
     const Change change = Remove(id, keep_until);
     if (change == Change::kRemoved) {
       removed.push_back(id);
-    } else if (change == Change::kLapsed) {
+    } else if (absence == Absence::kHistoryLost && m_lapsed.contains(id)) {
       m_lapsed.at(id).m_absence = absence;
     }
   }
--- a/Source/fleet/fleet_state_feed.cc
+++ b/Source/fleet/fleet_state_feed.cc
@@ -76,8 +76,8 @@
   });
 }
 
-void FleetStateFeed::ObserveRevision(Revision seen) {
-  if (m_complete && EraOf(seen) > EraOf(m_revision)) {
+void FleetStateFeed::ObserveEra(Era era) {
+  if (m_complete && era > EraOf(m_revision)) {
     ReadAll();
   }
 }
--- a/Source/fleet/fleet_state_feed.h
+++ b/Source/fleet/fleet_state_feed.h
@@ -62,10 +62,9 @@
   // host had every change, and was at `revision`. While such proofs arrive,
   // this host does not watch the service itself.
   void ApplyProof(Revision revision, MonotonicTime as_of);
-  // Reads everything again if `seen`, a revision that the service or another
-  // host has stated, is from after a restore of the service that this host's
-  // copy is from before of.
-  void ObserveRevision(Revision seen);
+  // Reads everything again if this host's copy is of an earlier era than `era`,
+  // in which the service has answered or another host has read.
+  void ObserveEra(Era era);
   // Applies that another host at revision `at` has version `version` of the
   // configuration.
   void ObserveConfiguration(std::int64_t version, Revision at);
@@ -73,9 +72,6 @@
   // host's copy is not older: the service has lost it, and what it withdrew is
   // in this host's configuration.
   bool LacksLostConfiguration() const;
-  // Reads everything again, because the service was restored from an older
-  // copy. Does nothing if a read is under way.
-  void ReadRestored() { ReadAll(); }
   // The revision up to which changes are applied; 0 before the first read.
   Revision revision() const { return m_revision; }
 
--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -97,7 +97,7 @@
                [this](Revision known) { return m_changes.Since(known); },
            .m_on_peer_knowledge =
                [this](const StoreKnowledge& known) {
-                 m_knowledge.ObserveRevision(known.m_revision);
+                 m_knowledge.ObserveEra(EraOf(known.m_revision));
                  m_knowledge.ObserveConfiguration(known.m_configuration,
                                                   known.m_revision);
                  m_readiness.RecordPeerConfiguration(known.m_configuration);
@@ -174,7 +174,8 @@
   kLog.Info("started", {{"host", m_settings.m_host.value()},
                         {"failure_domain", m_settings.m_failure_domain.value()},
                         {"incarnation", m_incarnation}});
-  platform.m_store.SetRestoredHandler([this] { OnStoreRestored(); });
+  platform.m_store.SetRestoredHandler(
+      [this](Era era) { OnStoreRestored(era); });
   m_knowledge.Start();
   m_registration.Start();
   m_tick_due = m_loop.Now() + kTickInterval;
@@ -260,8 +261,8 @@
   m_prompts.ApplyOwnKeys();
 }
 
-void HostDaemon::OnStoreRestored() {
-  m_knowledge.ReadRestored();
+void HostDaemon::OnStoreRestored(Era era) {
+  m_knowledge.ObserveEra(era);
   m_registration.ConfirmNow();
   m_placement_lease.ConfirmNow();
 }
--- a/Source/host/host_daemon.h
+++ b/Source/host/host_daemon.h
@@ -90,7 +90,7 @@
   void OnEndpoint(const EndpointId& id);
   void OnOwnKeys();
   // The key-value service has lost what was written since an older copy.
-  void OnStoreRestored();
+  void OnStoreRestored(Era era);
   // Applies a change of the placement leader, and tries to obtain the lease if
   // there is none.
   void FollowPlacementLeader();
--- a/Tests/fleet/endpoint_directory_test.cc
+++ b/Tests/fleet/endpoint_directory_test.cc
@@ -82,6 +82,21 @@
   CHECK(directory.Put(newer) == Change::kAdded);
 }
 
+// Guards against a server that is never used again after a restore (CONFIG,
+// DENIED): a second read took its lost registration for a removal.
+TEST_CASE("A registration that was lost may come back unchanged") {
+  using Absence = EndpointDirectory::Absence;
+  EndpointDirectory directory;
+  directory.Put(Entry());
+  directory.RetainOnly({}, kKeepUntil, Absence::kHistoryLost);
+  directory.RetainOnly({}, kKeepUntil, Absence::kRemoved);
+  REQUIRE(directory.DropLapsed(kKeepUntil).size() == 1);
+  CHECK(directory.Put(Entry()) == Change::kAdded);
+  directory.RetainOnly({}, kKeepUntil, Absence::kRemoved);
+  REQUIRE(directory.DropLapsed(kKeepUntil).size() == 1);
+  CHECK(directory.Put(Entry()) == Change::kNone);
+}
+
 // A server that announces in its answers that it is leaving may never register
 // as draining, and may renew its registration as ready in the meantime.
 TEST_CASE("Later registrations do not undo an announced departure") {
--- a/Tests/jarro/store_client_test.cc
+++ b/Tests/jarro/store_client_test.cc
@@ -32,7 +32,7 @@
 // A store whose answers the test gives, each in an era.
 struct AnsweredStore {
   AnsweredStore() {
-    m_store.SetRestoredHandler([this] { ++m_restores; });
+    m_store.SetRestoredHandler([this](Era) { ++m_restores; });
   }
 
   // Answers the oldest open call. `era`: the header field; empty: none.
