Keep the placement lease when two renewals notice a restore

What callers would see: no order to an engine for the gap of a new placement leader after a restore, on every host whose first answer of the new era is that of its own renewal. Cause: the renewal that hears of the restore reads the key; the handler of the restore renews at once and reads it a second time. The first read takes the lease over under its new id. The second one finds that id, takes it for its own lease that has ended, gives it up and revokes it. Change: a renewal or read that began under another lease id is disregarded.

--- a/Source/membership/placement_lease.cc
+++ b/Source/membership/placement_lease.cc
@@ -99,11 +99,11 @@
     Lose("lease not renewed within its TTL");
     return;
   }
-  m_store.KeepAlive(m_lease, [this, sent, fence = m_fence,
+  m_store.KeepAlive(m_lease, [this, sent, lease = m_lease,
                               alive = std::weak_ptr<int>(m_alive)](
                                  const Result<keyvalue::LeaseReply>& reply) {
-    if (alive.expired() || fence != m_fence) {
-      return;
+    if (alive.expired() || lease != m_lease) {
+      return;  // The lease was lost, or is kept under its new id by now.
     }
     if (reply.ok()) {
       m_valid_until =
@@ -116,9 +116,9 @@
 
 void PlacementLease::ReadKey() {
   m_store.Get(
-      m_key, [this, fence = m_fence, alive = std::weak_ptr<int>(m_alive)](
+      m_key, [this, lease = m_lease, alive = std::weak_ptr<int>(m_alive)](
                  const Result<keyvalue::ReadReply>& reply) {
-        if (alive.expired() || fence != m_fence || !reply.ok()) {
+        if (alive.expired() || lease != m_lease || !reply.ok()) {
           return;  // The next renewal reads the key again.
         }
         const auto& items = reply.value().m_items;
