Test that the placement lease outlives two restores

What: "A placement lease that survived a restore is kept, same fence" gets a section with a second restore, and checks the fence at the end again. Why: the lease keeps the fence of the first era, whose parts are compared with those of later ones. No fault was found.

--- a/Tests/membership/restored_leases_test.cc
+++ b/Tests/membership/restored_leases_test.cc
@@ -91,9 +91,14 @@
   CHECK(fleet.m_a.m_lease.fence() == fence);
   REQUIRE(fleet.m_store.Has("holder"));
   CHECK(fleet.HasLease(fleet.LeaseOf("holder")));
+  SECTION("and a second restore") {
+    fleet.m_store.KeepCopy();
+    fleet.m_store.Restore();
+  }
   // Its renewals reach the lease in the new era.
   fleet.Run(kTiming.m_ttl + kAWhile);
   CHECK(fleet.m_a.m_lease.valid());
+  CHECK(fleet.m_a.m_lease.fence() == fence);
   fleet.m_a.m_lease.End();
   fleet.Run(kAWhile);
   CHECK_FALSE(fleet.m_store.Has("holder"));
