Test answers that are cut at each byte of their head

What another operator saw: a server stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body, framed as whole. Not reproduced here: all of these tests pass on the current code, so they come without a change. The parser takes the end of the connection for the end of an answer only once the head is whole, and only if the head has neither a length nor chunks; an interim answer sets this back. Tests: test_endpoint cuts at every byte of the answer (length, empty, chunks, neither), after no interim answer, 100 and 103, on a new and on a kept connection, by a close, a reset, and a reset after the bytes were read. process_jarro_cut_heads does the same for each byte of the head through loft-host, for a stream that may not be resumed and a plain request that may not be repeated: each gets a whole 502. Left as it is: a plain answer with a whole head but neither length nor chunks ends with its connection, so a body that is cut by an orderly close cannot be told from a whole one (process_jarro_stream_ends expects it to be passed on).

--- a/Tests/process/scripted_server.py
+++ b/Tests/process/scripted_server.py
@@ -52,6 +52,7 @@
         self.models = models
         self.respond = respond
         self.requests = []
+        self.kept = set()  # Connections that have carried a whole exchange.
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.port = self._listener.getsockname()[1]
         self._connections = []
@@ -99,6 +100,7 @@
                 while request := self._read(connection):
                     if not self._answer(connection, request):
                         return
+                    self.kept.add(connection)
         except OSError:
             pass
 
