Keep new connections until their request arrives in a planned stop

What callers saw: in a planned stop, from 2.6 s on, a new connection was closed without an answer when the stop's tick (every 50 ms) fell between its start and the first byte of its request. A caller that had sent its request by then could not tell whether it had run, so one that may not be repeated was lost. Cause: a connection counted as idle from its start. Change: a connection is idle once it has carried no request for 500 ms. The process still ends as soon as nothing is open.

--- a/Source/http/server.cc
+++ b/Source/http/server.cc
@@ -70,7 +70,8 @@
 void Server::CloseIdle() {
   std::vector<std::shared_ptr<ServerConnection>> idle;
   for (const auto& connection : m_connections) {
-    if (connection->idle()) {
+    if (connection->idle() &&
+        m_loop.Now() - connection->idle_since() >= kMinIdleTime) {
       idle.push_back(connection);
     }
   }
--- a/Source/http/server.h
+++ b/Source/http/server.h
@@ -34,6 +34,9 @@
  public:
   using Handler = std::function<void(std::shared_ptr<ServerExchange>)>;
 
+  // The first request on a new connection arrives within this time.
+  static constexpr Duration kMinIdleTime = milliseconds(500);
+
   // Port 0 picks a free port. Throws Error(kInvalidArgument) if `address` is
   // not an IP address, and Error(kIo) if the port cannot be bound.
   Server(EventLoop& loop,
@@ -56,7 +59,8 @@
   bool draining() const { return m_draining; }
   // Stops accepting connections.
   void StopListening();
-  // Closes the connections on which no request is being read or answered.
+  // Closes the connections on which no request has been read or answered for
+  // kMinIdleTime.
   void CloseIdle();
 
   std::size_t connections() const { return m_connections.size(); }
--- a/Source/http/server_connection.cc
+++ b/Source/http/server_connection.cc
@@ -71,6 +71,7 @@
   bufferevent_setcb(m_buffer, &OnReadable, &OnDrained, &OnEvent, this);
   bufferevent_setwatermark(m_buffer, EV_READ, 0, kMaxPendingInputBytes);
   bufferevent_enable(m_buffer, EV_READ | EV_WRITE);
+  m_idle_since = m_server.m_loop.Now();
   ArmTimer(m_server.m_limits.m_idle_timeout);
 }
 
@@ -170,6 +171,7 @@
   }
   m_parser.Reset();
   m_phase = Phase::kReading;
+  m_idle_since = m_server.m_loop.Now();
   ArmTimer(m_server.m_limits.m_idle_timeout);
   if (evbuffer_get_length(bufferevent_get_input(m_buffer)) > 0) {
     // Reads a pipelined request in a later loop iteration, so that its handler
--- a/Source/http/server_connection.h
+++ b/Source/http/server_connection.h
@@ -30,6 +30,9 @@
   void Start();
 
   bool idle() const;
+  // Returns the time of the start or of the last response. Precondition:
+  // idle().
+  MonotonicTime idle_since() const { return m_idle_since; }
   void Close();
 
  private:
@@ -66,6 +69,7 @@
   bufferevent* m_buffer;
   event* m_timer;
   Phase m_phase = Phase::kReading;
+  MonotonicTime m_idle_since;
   MessageParser m_parser;
   MessageHead m_head;
   std::string m_body;
--- a/Tests/http/server_test.cc
+++ b/Tests/http/server_test.cc
@@ -243,3 +243,33 @@
   const std::size_t body = got.find("\r\n\r\n") + 4;
   CHECK(got.size() - body == kAnswerBytes);
 }
+
+// Guards against a connection that a planned stop closes between its start and
+// the arrival of its request: the caller cannot tell whether that has run.
+TEST_CASE("A new connection is not closed before its request arrives") {
+  EventLoop loop;
+  Server server(loop, "127.0.0.1", 0,
+                [&](const std::shared_ptr<ServerExchange>& exchange) {
+                  exchange->Answer(503, {}, "");
+                });
+  server.BeginDrain();
+  const auto closer = loop.Every(milliseconds(5), [&] { server.CloseIdle(); });
+  std::string got;
+  std::string got_without_request = "nothing read";
+  bool reset = true;
+  bool closed = false;
+  Serve(loop, [&] {
+    RawCaller without_request(server.port());
+    RawCaller caller(server.port());
+    std::this_thread::sleep_for(milliseconds(100));
+    caller.Send(kGet);
+    got = caller.Read();
+    reset = caller.reset();
+    got_without_request = without_request.Read();
+    closed = !without_request.reset();
+  });
+  CHECK(got.find("HTTP/1.1 503") == 0);
+  CHECK_FALSE(reset);
+  CHECK(got_without_request.empty());
+  CHECK(closed);
+}
