Refuse requests that may not end within a planned stop

What callers saw: in a planned stop, in calm, requests that came late in the grace were passed on and cut at its end without an answer, among them requests that may not be repeated. Cause: other requests than streams were taken until 1.5 s before the end, whatever their time limit. A route may allow far more than that. Evidence: the new process test failed before: "AssertionError: 0 != 503 : /pay/silent 8000 ms: Reply(0, complete=False, '')", a request on a route that is not idempotent, sent 0.5 s after SIGTERM, with a grace of 6 s. Change: a request is taken if its deadline (the smaller of the route's timeout and the caller's limit) lies before the time at which open requests are ended, otherwise it is refused at once with 503 and Retry-After. The fixed reserve is gone: a short request is taken later than before, a long one earlier not. Streams keep their 2.5 s, and are not taken once open requests are being ended. The deadline is computed in one place.

--- a/Source/host/frontend.cc
+++ b/Source/host/frontend.cc
@@ -18,10 +18,9 @@
 // Lower bound on the Retry-After of an account that has used up its rate.
 constexpr Duration kMinQuotaRetryAfter = milliseconds(50);
 // A stopping host admits streams for this long, in which load balancers detect
-// that it is not ready. A stream lasts a few seconds.
+// that it is not ready, although their time limits may lie past its end: a
+// stream lasts a few seconds, and a refusal costs its caller's only retry.
 constexpr Duration kStopStreamTime = milliseconds(2500);
-// Other requests are admitted until this long before the end of the stop.
-constexpr Duration kStopAnswerReserve = milliseconds(1500);
 // Highest urgency value, which is the least urgent; 0 is the most urgent.
 constexpr int kMaxUrgency = 9;
 
@@ -124,10 +123,11 @@
   const MonotonicTime now = m_context.m_loop.Now();
   const bool stream =
       admitted.m_route->m_kind == fleet::RequestKind::kStreaming;
-  const bool refused = stream ? now - m_stop_started_at > kStopStreamTime
-                              : m_stop_ends_at - now < kStopAnswerReserve;
-  return refused ? std::optional(Rejection{503, "host_stops", Duration{}})
-                 : std::nullopt;
+  const bool admits = stream ? now - m_stop_started_at <= kStopStreamTime &&
+                                   now < m_stop_ends_at
+                             : admitted.deadline() <= m_stop_ends_at;
+  return admits ? std::nullopt
+                : std::optional(Rejection{503, "host_stops", Duration{}});
 }
 
 std::optional<Frontend::Rejection> Frontend::CheckKey(
@@ -186,10 +186,7 @@
       soonest = std::min(soonest, spec.m_load_from_memory);
     }
   }
-  const Duration limit =
-      std::min(admitted.m_route->m_timeout,
-               request.m_deadline.value_or(admitted.m_route->m_timeout));
-  if (soonest > limit) {
+  if (soonest > admitted.time_limit()) {
     return Rejection{503, "load_takes_too_long", soonest};
   }
   return std::nullopt;
--- a/Source/host/frontend.h
+++ b/Source/host/frontend.h
@@ -30,8 +30,8 @@
   // Schedules another search for endpoints for all waiting requests. Call when
   // an endpoint may have become available.
   void RetryWaiting();
-  // Announces that the host stops after `grace`. From now on, requests that may
-  // not end by then are rejected.
+  // Announces that the host stops after `grace`. From now on, requests whose
+  // deadline is later are rejected, except streams for a short time.
   void BeginStop(Duration grace);
   // Ends all requests, because the host stops.
   void AbortAll();
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -47,9 +47,7 @@
   m_requirements = {.m_service = m_admitted.m_service,
                     .m_model = request.m_model,
                     .m_adapter = request.m_adapter};
-  const Duration timeout = m_admitted.m_route->m_timeout;
-  m_deadline = request.m_received_at +
-               std::min(timeout, request.m_deadline.value_or(timeout));
+  m_deadline = m_admitted.deadline();
 }
 
 RequestFlow::~RequestFlow() {
--- a/Source/host/request_flow.h
+++ b/Source/host/request_flow.h
@@ -3,6 +3,7 @@
 #ifndef SOURCE_HOST_REQUEST_FLOW_H_
 #define SOURCE_HOST_REQUEST_FLOW_H_
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <set>
@@ -32,6 +33,16 @@
     ClientAccountId m_account;  // Empty on open routes.
     int m_urgency = 0;          // 0 is served first.
     double m_tokens = 0;        // Charged to the account.
+
+    // An answer after this time is useless to the caller. Precondition: m_route
+    // is set.
+    MonotonicTime deadline() const {
+      return m_request.m_received_at + time_limit();
+    }
+    Duration time_limit() const {
+      return std::min(m_route->m_timeout,
+                      m_request.m_deadline.value_or(m_route->m_timeout));
+    }
   };
 
   RequestFlow(RequestContext& context,
--- /dev/null
+++ b/Tests/process/jarro_planned_stop_test.py
@@ -0,0 +1,155 @@
+"""A planned stop of loft-host while its servers are slow. The settings give a
+stop 6 s; what is open after 5.4 s is ended."""
+
+import signal
+import threading
+import time
+import unittest
+
+import harness
+import jarro_harness
+from scripted_server import ScriptedServer, chunk, event, head, stream_head
+
+MODEL = "m5"  # No stand-in holds it.
+GRACE_S = 6
+SLOW_S = 0.3
+SILENT_S = 12
+KEYS = {"counter": "key-slow"}
+
+
+def configuration():
+    """/pay/ and /open/ may take longer than the grace, /look/ a second, and no
+    server is there for /wait/."""
+    result = jarro_harness.configuration(2, KEYS)
+    by_name = {route["name"]: route for route in result["routes"]}
+    by_name["look"]["timeoutMs"] = 1000
+    result["routes"].append({**by_name["open"], "name": "wait",
+                             "pathPrefix": "/wait/", "service": "absent"})
+    result["services"].append({"name": "absent", "maxConnections": 100})
+    return result
+
+
+class PlannedStop(jarro_harness.JarroTest):
+    hosts = 1
+
+    def setUp(self):
+        super().setUp()
+        self.released = threading.Event()
+        self.addCleanup(self.released.set)
+        self.fleet.control("config", configuration())
+        self.engine = self.start_server("s1", "llm")
+        self.ledger = self.start_server("ledger-1", "ledger")
+        # Replaces the second stand-in too, by the same server.
+        self.fleet.control("entry", {"id": "ledger-2",
+                                     "value": self.ledger.entry()})
+        harness.wait_for(lambda: self.send("/chat/x").status == 200
+                         and all(self.send("/pay/x").body == "a receipt"
+                                 for _ in range(6)), 10,
+                         "the host uses the new servers")
+        self.stopped_at = None
+
+    def start_server(self, name, service):
+        models = [MODEL] if service == "llm" else []
+        server = ScriptedServer(name, service, models, self.respond)
+        self.addCleanup(server.close)
+        server.register(self.fleet)
+        return server
+
+    def respond(self, connection, request):
+        if request.target.endswith("/silent"):
+            self.released.wait(SILENT_S)
+            return False
+        if request.target.endswith("/drips"):
+            connection.sendall(
+                stream_head(request, "Transfer-Encoding: chunked"))
+            number = 0
+            while not self.released.wait(0.1):
+                number += 1
+                connection.sendall(chunk(event(number)))
+            return False
+        if self.released.wait(SLOW_S):
+            return False
+        if "/chat/" in request.target:
+            connection.sendall(
+                stream_head(request, f"Content-Length: {len(event(1))}")
+                + event(1))
+        else:
+            connection.sendall(head(request, "200 OK", "Content-Length: 9")
+                               + b"a receipt")
+        return True
+
+    def send(self, path, deadline_ms=8000):
+        headers = {"Deadline-Ms": str(deadline_ms)}
+        if path.startswith("/chat/"):
+            headers.update({"Model": MODEL, "Token-Usage": "100,20"})
+        return self.fleet.post(path, key=KEYS["counter"], headers=headers)
+
+    def start(self, path, deadline_ms=8000):
+        """Sends a request on a thread of its own. Returns a function that waits
+        for its end, and returns the reply and its time after the stop began."""
+        result = []
+
+        def run():
+            reply = self.send(path, deadline_ms)
+            result.extend([reply, time.monotonic()])
+        thread = threading.Thread(target=run)
+        thread.start()
+
+        def join():
+            thread.join()
+            return result[0], result[1] - self.stopped_at
+        return join
+
+    def stop(self):
+        self.stopped_at = time.monotonic()
+        self.fleet.hosts[0].signal(signal.SIGTERM)
+
+    def wait_until(self, after_s):
+        time.sleep(max(0, self.stopped_at + after_s - time.monotonic()))
+
+    def arrived(self):
+        return len(self.ledger.requests) + len(self.engine.requests)
+
+    def check_refused_at_once(self, path, deadline_ms=8000):
+        arrived, began = self.arrived(), time.monotonic()
+        reply = self.send(path, deadline_ms)
+        what = f"{path} {deadline_ms} ms: {reply}"
+        self.assertEqual(reply.status, 503, what)
+        self.assertIn("host_stops", reply.body)
+        self.assertIn("Retry-After", reply.headers)
+        self.assertLess(time.monotonic() - began, SLOW_S, what)
+        self.assertEqual(self.arrived(), arrived, what)
+
+    def check_served(self, path, deadline_ms=8000):
+        reply = self.send(path, deadline_ms)
+        self.assertEqual((reply.status, reply.complete), (200, True),
+                         f"{path} {deadline_ms} ms: {reply}")
+
+    def test_nothing_is_taken_that_may_not_end(self):
+        """Regression test: requests that came late in the grace were passed
+        on, and cut at its end."""
+        open_until_the_end = self.start("/chat/drips")
+        harness.wait_for(lambda: self.engine.requests[-1].target
+                         .endswith("/drips"), 5, "the stream has started")
+        self.stop()
+        self.wait_until(0.5)
+        self.check_refused_at_once("/pay/silent")
+        self.check_refused_at_once("/open/silent")
+        self.check_served("/chat/x")
+        self.check_served("/look/x")
+        self.check_served("/pay/x", deadline_ms=3000)
+        self.wait_until(2.8)
+        self.check_refused_at_once("/chat/x")
+        self.check_refused_at_once("/pay/x", deadline_ms=3000)
+        self.check_served("/pay/x", deadline_ms=1000)
+        self.wait_until(4.0)
+        self.check_served("/look/x")
+        self.wait_until(4.6)
+        self.check_refused_at_once("/look/x")
+        self.check_served("/look/x", deadline_ms=400)
+        open_until_the_end()
+        self.assertEqual(self.fleet.hosts[0].wait(), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
