Answer what is open at the end of a planned stop

What callers saw: at the end of the grace, requests that were at a server were cut without an answer, so their callers could not tell whether they had run. By reading, not by a run: the tokens of such a request were put back to its account, as if it had not run. Cause: Abort answered only requests that waited; others were closed, and the server that had the request was not noted as one that may have run it. Evidence: the new process test failed before: "Tuples differ: (0, False) != (502, True) : /pay/silent: Reply(0, complete=False, '')". Change: Abort notes the server, then ends the request like any other one: 503 with Retry-After only if no server can have run it, else 502 without it; a stream whose head is out is broken off.

--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -419,13 +419,12 @@
   if (finished()) {
     return;
   }
-  if (waiting() && !m_stream_started) {
-    Refuse("host_stops", seconds(0));
-    return;
+  if (m_phase == Phase::kSent || m_phase == Phase::kStreaming) {
+    m_may_have_run_at.insert(m_endpoint);
   }
   EndSend();
-  m_exchange->Abort();
-  Finish("broken_off", "host_stops");
+  // An answer with Retry-After could be taken for "not run".
+  Refuse("host_stops", not_run() ? std::optional(Duration{}) : std::nullopt);
 }
 
 void RequestFlow::OnCallerDisconnected() {
--- a/Source/host/request_flow.h
+++ b/Source/host/request_flow.h
@@ -62,9 +62,10 @@
   // Ends a request that is not at an endpoint: with status 503 if no endpoint
   // can have executed it, otherwise with 502. A stream that has started is
   // aborted instead, because its status has been sent.
-  // Precondition: waiting(), or between two sends.
+  // Precondition: no send is under way.
   void Refuse(const std::string& reason, std::optional<Duration> retry_after);
-  // Ends the request in any state, because the host stops.
+  // Ends the request in any state, because the host stops, like Refuse(). A
+  // request that is at an endpoint may have been executed.
   void Abort();
 
   bool waiting() const { return m_phase == Phase::kWaiting; }
--- a/Tests/process/jarro_planned_stop_test.py
+++ b/Tests/process/jarro_planned_stop_test.py
@@ -150,6 +150,39 @@
         open_until_the_end()
         self.assertEqual(self.fleet.hosts[0].wait(), 0)
 
+    def test_open_requests_have_a_true_answer_at_the_end(self):
+        """Regression test: connections were closed without an answer."""
+        silent = {path: self.start(path) for path in
+                  ("/pay/silent", "/open/silent", "/chat/silent")}
+        waiting = self.start("/wait/x")
+        dripping = self.start("/chat/drips")
+        harness.wait_for(
+            lambda: {"/pay/silent", "/open/silent", "/chat/silent",
+                     "/chat/drips"} <= {
+                request.target for server in (self.ledger, self.engine)
+                for request in server.requests}, 5, "the requests have arrived")
+        self.stop()
+        self.wait_until(0.5)
+        late_stream = self.start("/chat/silent")
+        self.wait_until(3)
+        self.assertEqual(self.fleet.hosts[0].exit_status(), None)
+        for path, join in (*silent.items(), ("late stream", late_stream)):
+            reply, after_s = join()
+            self.assertEqual((reply.status, reply.complete), (502, True),
+                             f"{path}: {reply}")
+            self.assertIn("host_stops", reply.body)
+            self.assertNotIn("Retry-After", reply.headers)
+            self.assertLess(after_s, GRACE_S)
+        reply, after_s = waiting()
+        self.assertEqual((reply.status, reply.complete), (503, True), reply)
+        self.assertIn("Retry-After", reply.headers)
+        reply, after_s = dripping()
+        self.assertEqual((reply.status, reply.complete), (200, False), reply)
+        self.assertIn("t1", reply.events())
+        self.assertLess(after_s, GRACE_S)
+        self.assertEqual(self.fleet.hosts[0].wait(), 0)
+        self.assertLess(time.monotonic() - self.stopped_at, GRACE_S)
+
 
 if __name__ == "__main__":
     unittest.main()
