--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -20,14 +20,6 @@
 constexpr Duration kTickInterval = milliseconds(250);
 // Delay that merges simultaneous registrations into one update of the members.
 constexpr Duration kMemberDelay = milliseconds(50);
-// After SIGTERM, callers still connect until about two readiness checks have
-// failed.
-constexpr Duration kMinStopTime = milliseconds(2600);
-// Times before the end of the grace period at which open requests are aborted,
-// and at which the process ends.
-constexpr Duration kAbortReserve = milliseconds(600);
-constexpr Duration kExitReserve = milliseconds(200);
-
 const Logger kLog("host");
 
 membership::PlacementLeaseTiming LeaseTimingOf(const HostSettings& settings) {
@@ -421,47 +413,4 @@
   kLog.Info("settings reloaded", {{"host", m_settings.m_host.value()}});
 }
 
-void HostDaemon::BeginStop() {
-  if (m_stopping) {
-    return;
-  }
-  m_stopping = true;
-  m_stop_started_at = m_loop.Now();
-  kLog.Info("stopping",
-            {{"open", static_cast<std::uint64_t>(m_frontend.open())}});
-  m_callers.BeginDrain();
-  m_frontend.BeginStop(m_settings.m_bounds.m_stop_grace - kAbortReserve);
-  m_placement_lease.End();
-  m_stop_tick = m_loop.Every(milliseconds(50), [this] { ContinueStop(); });
-}
-
-void HostDaemon::ContinueStop() {
-  const Duration passed = m_loop.Now() - m_stop_started_at;
-  if (passed < kMinStopTime) {
-    return;
-  }
-  m_callers.CloseIdle();
-  const Duration grace = m_settings.m_bounds.m_stop_grace;
-  // A connection stays open until its caller has read the last answer.
-  const bool busy = m_frontend.open() > 0 || m_callers.connections() > 0;
-  if (busy && passed <= grace - kAbortReserve) {
-    return;
-  }
-  // Stop listening before the registration ends, which may take long: a new
-  // connection is then refused before the caller has sent anything.
-  m_callers.StopListening();
-  if (!m_registration_ending) {
-    m_registration_ending = true;
-    m_registration.End([this] { m_registration_ended = true; });
-  }
-  if (passed > grace - kAbortReserve) {
-    m_frontend.AbortAll();
-  }
-  if ((m_registration_ended && !busy) || passed > grace - kExitReserve) {
-    m_stop_tick.reset();
-    kLog.Info("stopped", {{"host", m_settings.m_host.value()}});
-    m_loop.Stop();
-  }
-}
-
 }  // namespace hickoryloft::host
