Keep a grace that is shorter than the balancer's time

Evidence: the new process test (graceS 2) failed before: "Tuples differ: (0, False) != (502, True) : Reply(0, complete=False, '')". Change: the end of the grace comes before the balancer's time.

--- a/Source/host/host_daemon_stop.cc
+++ b/Source/host/host_daemon_stop.cc
@@ -35,14 +35,15 @@
 
 void HostDaemon::ContinueStop() {
   const Duration passed = m_loop.Now() - m_stop_started_at;
-  if (passed < kMinStopTime) {
+  const Duration grace = m_settings.m_bounds.m_stop_grace;
+  const bool aborting = passed > grace - kAbortReserve;
+  if (passed < kMinStopTime && !aborting) {
     return;
   }
   m_callers.CloseIdle();
-  const Duration grace = m_settings.m_bounds.m_stop_grace;
   // A connection stays open until its caller has read the last answer.
   const bool busy = m_frontend.open() > 0 || m_callers.connections() > 0;
-  if (busy && passed <= grace - kAbortReserve) {
+  if (busy && !aborting) {
     return;
   }
   // Stop listening before the registration ends, which may take long: a new
@@ -52,7 +53,7 @@
     m_registration_ending = true;
     m_registration.End([this] { m_registration_ended = true; });
   }
-  if (passed > grace - kAbortReserve) {
+  if (aborting) {
     m_frontend.AbortAll();
   }
   if ((m_registration_ended && !busy) || passed > grace - kExitReserve) {
--- a/Tests/process/jarro_planned_stop_test.py
+++ b/Tests/process/jarro_planned_stop_test.py
@@ -29,11 +29,26 @@
     return result
 
 
-class PlannedStop(jarro_harness.JarroTest):
-    hosts = 1
+class SlowFleet(jarro_harness.JarroFleet):
+
+    def __init__(self, hosts, grace_s):
+        self.grace_s = grace_s
+        super().__init__(hosts)
+
+    def settings(self, index):
+        result = super().settings(index)
+        result["bounds"]["graceS"] = self.grace_s
+        return result
+
+
+class PlannedStopTest(unittest.TestCase):
+    grace_s = GRACE_S
 
     def setUp(self):
-        super().setUp()
+        self.fleet = SlowFleet(1, self.grace_s)
+        self.addCleanup(self.fleet.close)
+        self.fleet.configure(1)
+        self.fleet.wait_ready()
         self.released = threading.Event()
         self.addCleanup(self.released.set)
         self.fleet.control("config", configuration())
@@ -125,6 +140,9 @@
         self.assertEqual((reply.status, reply.complete), (200, True),
                          f"{path} {deadline_ms} ms: {reply}")
 
+
+class PlannedStop(PlannedStopTest):
+
     def test_nothing_is_taken_that_may_not_end(self):
         """Regression test: requests that came late in the grace were passed
         on, and cut at its end."""
@@ -184,5 +202,29 @@
         self.assertLess(time.monotonic() - self.stopped_at, GRACE_S)
 
 
+class ShortGrace(PlannedStopTest):
+    """The grace is shorter than the time in which balancers notice."""
+    grace_s = 2
+
+    def test_open_requests_have_an_answer_within_the_grace(self):
+        """Regression test: the host went on for 2.8 s, whatever the grace."""
+        silent = self.start("/pay/silent")
+        harness.wait_for(lambda: self.ledger.requests[-1].target
+                         == "/pay/silent", 5, "the request has arrived")
+        self.stop()
+        self.wait_until(self.grace_s - 0.5)
+        late = self.start("/chat/silent")
+        reply, after_s = silent()
+        self.assertEqual((reply.status, reply.complete), (502, True), reply)
+        self.assertLess(after_s, self.grace_s)
+        reply, after_s = late()
+        self.assertNotEqual(reply.status, 502, reply)
+        self.assertLess(after_s, self.grace_s)
+        self.assertNotIn("/chat/silent", [request.target for request
+                                          in self.engine.requests])
+        self.assertEqual(self.fleet.hosts[0].wait(), 0)
+        self.assertLess(time.monotonic() - self.stopped_at, self.grace_s)
+
+
 if __name__ == "__main__":
     unittest.main()
