Refuse half-read requests at the end of a planned stop

What callers would see: a request of which only a part had arrived at the end of the grace was cut without an answer, although it had certainly not run. Cause: only requests that the frontend had received were ended. Evidence: the new process test failed before: "AssertionError: False is not true : b''", where a 503 was expected. Change: with the open requests, those that are being read are answered with 503 and Retry-After.

--- a/Source/host/host_daemon_stop.cc
+++ b/Source/host/host_daemon_stop.cc
@@ -55,6 +55,7 @@
   }
   if (aborting) {
     m_frontend.AbortAll();
+    m_callers.RejectUnread();
   }
   if ((m_registration_ended && !busy) || passed > grace - kExitReserve) {
     m_stop_tick.reset();
--- a/Source/http/server.cc
+++ b/Source/http/server.cc
@@ -5,7 +5,6 @@
 #include <sys/socket.h>
 
 #include <utility>
-#include <vector>
 
 #include "base/error.h"
 #include "base/socket_address.h"
@@ -67,17 +66,32 @@
   }
 }
 
-void Server::CloseIdle() {
-  std::vector<std::shared_ptr<ServerConnection>> idle;
+std::vector<std::shared_ptr<ServerConnection>> Server::Select(
+    const std::function<bool(const ServerConnection&)>& matches) const {
+  std::vector<std::shared_ptr<ServerConnection>> selected;
   for (const auto& connection : m_connections) {
-    if (connection->idle() &&
-        m_loop.Now() - connection->idle_since() >= kMinIdleTime) {
-      idle.push_back(connection);
+    if (matches(*connection)) {
+      selected.push_back(connection);
     }
   }
-  for (const auto& connection : idle) {
+  return selected;
+}
+
+void Server::CloseIdle() {
+  const MonotonicTime idle_before = m_loop.Now() - kMinIdleTime;
+  for (const auto& connection : Select([&](const ServerConnection& candidate) {
+         return candidate.idle() && candidate.idle_since() <= idle_before;
+       })) {
     connection->Close();
   }
 }
 
+void Server::RejectUnread() {
+  for (const auto& connection : Select([](const ServerConnection& candidate) {
+         return candidate.reading_request();
+       })) {
+    connection->RejectWith(503, "Retry-After: 0\r\n");
+  }
+}
+
 }  // namespace hickoryloft::http
--- a/Source/http/server.h
+++ b/Source/http/server.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 #include <unordered_set>
+#include <vector>
 
 #include "base/event_loop.h"
 #include "http/server_exchange.h"
@@ -62,6 +63,9 @@
   // Closes the connections on which no request has been read or answered for
   // kMinIdleTime.
   void CloseIdle();
+  // Rejects the requests that have been read in part, which the handler has not
+  // received, with 503 and Retry-After.
+  void RejectUnread();
 
   std::size_t connections() const { return m_connections.size(); }
 
@@ -74,6 +78,9 @@
                        int peer_size,
                        void* self);
   void RemoveConnection(const std::shared_ptr<ServerConnection>& connection);
+  // Returns the connections for which `matches` is true.
+  std::vector<std::shared_ptr<ServerConnection>> Select(
+      const std::function<bool(const ServerConnection&)>& matches) const;
 
   EventLoop& m_loop;
   Handler m_handler;
--- a/Source/http/server_connection.cc
+++ b/Source/http/server_connection.cc
@@ -141,10 +141,11 @@
   }
 }
 
-void ServerConnection::RejectWith(int status) {
+void ServerConnection::RejectWith(int status, std::string_view fields) {
   std::string answer = "HTTP/1.1 " + std::to_string(status) + ' ';
   answer.append(ReasonPhrase(status));
-  answer.append("\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+  answer.append("\r\n").append(fields);
+  answer.append("Content-Length: 0\r\nConnection: close\r\n\r\n");
   Write(answer);
   BeginLinger();
 }
@@ -211,8 +212,7 @@
 void ServerConnection::OnTimer(int /*fd*/, short /*what*/, void* self) {
   const auto connection =
       static_cast<ServerConnection*>(self)->shared_from_this();
-  if (connection->m_phase == Phase::kReading &&
-      connection->m_parser.started()) {
+  if (connection->reading_request()) {
     connection->RejectWith(408);
     return;
   }
--- a/Source/http/server_connection.h
+++ b/Source/http/server_connection.h
@@ -33,6 +33,13 @@
   // Returns the time of the start or of the last response. Precondition:
   // idle().
   MonotonicTime idle_since() const { return m_idle_since; }
+  // Whether a request has been read in part.
+  bool reading_request() const {
+    return m_phase == Phase::kReading && m_parser.started();
+  }
+  // Responds with `status` without calling the handler, then closes the
+  // connection. `fields`: header lines. Precondition: reading_request().
+  void RejectWith(int status, std::string_view fields = "");
   void Close();
 
  private:
@@ -48,9 +55,6 @@
   void ReadInput();
   void DispatchRequest();
   void RejectInput();
-  // Responds with `status` without calling the handler, then closes the
-  // connection.
-  void RejectWith(int status);
   void FinishAnswer(bool keep_alive);
   // Sends the remaining output, then discards input until a timeout. Closing a
   // socket with unread input would send a reset, which can destroy the response
--- a/Tests/process/jarro_planned_stop_test.py
+++ b/Tests/process/jarro_planned_stop_test.py
@@ -2,6 +2,7 @@
 stop 6 s; what is open after 5.4 s is ended."""
 
 import signal
+import socket
 import threading
 import time
 import unittest
@@ -201,6 +202,29 @@
         self.assertEqual(self.fleet.hosts[0].wait(), 0)
         self.assertLess(time.monotonic() - self.stopped_at, GRACE_S)
 
+    def test_half_read_request_is_refused_at_the_end(self):
+        """Regression test: it was cut, and its caller could not know that it
+        had not run."""
+        address = (self.fleet.address(0), self.fleet.ports["front"])
+        open_until_the_end = self.start("/chat/drips")
+        harness.wait_for(lambda: self.engine.requests[-1].target
+                         .endswith("/drips"), 5, "the stream has started")
+        self.stop()
+        self.wait_until(4.5)
+        with socket.create_connection(address, timeout=GRACE_S) as caller:
+            caller.sendall(b"POST /pay/half HTTP/1.1\r\nHost: "
+                           + jarro_harness.HOST_HEADER.encode()
+                           + b"\r\nRequest-Id: half\r\nDeadline-Ms: 300\r\n"
+                           b"Content-Length: 1000\r\n\r\n{")
+            got = b""
+            while piece := caller.recv(4096):
+                got += piece
+        self.assertTrue(got.startswith(b"HTTP/1.1 503 "), got)
+        self.assertIn(b"\r\nRetry-After: ", got)
+        open_until_the_end()
+        self.assertEqual(self.fleet.hosts[0].wait(), 0)
+        self.assertLess(time.monotonic() - self.stopped_at, GRACE_S)
+
 
 class ShortGrace(PlannedStopTest):
     """The grace is shorter than the time in which balancers notice."""
