--- a/Tests/membership/restorable_store.h
+++ b/Tests/membership/restorable_store.h
@@ -79,7 +79,7 @@
   StoreSession(EventLoop& loop, RestorableStore& store)
       : m_loop(loop), m_store(store) {}
 
-  void SetRestoredHandler(std::function<void()> handler) override {
+  void SetRestoredHandler(std::function<void(Era)> handler) override {
     m_restored = std::move(handler);
   }
   // Learns the store's era, as from a watch's answer.
@@ -92,19 +92,17 @@
     if (m_store.Has(key)) {
       reply.m_items.push_back(ItemOf(key));
     }
-    Answer<keyvalue::ReadReply>(0, reply, std::move(callback));
+    Answer<keyvalue::ReadReply>({}, reply, std::move(callback));
   }
   void GetPrefix(const std::string&, Callback<keyvalue::ReadReply>) override {}
   void Swap(keyvalue::CompareAndSwap operation,
             Callback<keyvalue::SwapReply> callback) override {
     const Revision expected = operation.m_expected_revision;
-    const std::int64_t named = expected == 0
-                                   ? operation.m_lease
-                                   : std::min(operation.m_lease, expected);
+    const Named named{.m_revision = expected, .m_lease = operation.m_lease};
     if (Refuse(named, callback)) {
       return;
     }
-    const std::int64_t lease = NumberIn(operation.m_lease);
+    const std::int64_t lease = LeaseNumber(operation.m_lease);
     if (!m_store.m_data.m_leases.contains(lease)) {
       Answer<keyvalue::SwapReply>(
           named, Error(ErrorCode::kNotFound, "the lease has ended"),
@@ -128,30 +126,30 @@
     const std::int64_t lease = ++m_store.m_data.m_last_lease;
     m_store.m_data.m_leases.insert(lease);
     Answer<keyvalue::LeaseReply>(
-        0,
-        keyvalue::LeaseReply{.m_lease = InEra(m_store.m_era, lease),
+        {},
+        keyvalue::LeaseReply{.m_lease = LeaseInEra(m_store.m_era, lease),
                              .m_ttl = ttl},
         std::move(callback));
   }
   void KeepAlive(keyvalue::LeaseId lease,
                  Callback<keyvalue::LeaseReply> callback) override {
-    if (Refuse(lease, callback)) {
+    if (Refuse({.m_lease = lease}, callback)) {
       return;
     }
-    if (m_store.m_era != EraOf(lease) ||
-        !m_store.m_data.m_leases.contains(NumberIn(lease))) {
+    if (!IsLeaseOf(m_store.m_era, lease) ||
+        !m_store.m_data.m_leases.contains(LeaseNumber(lease))) {
       Answer<keyvalue::LeaseReply>(
-          0, Error(ErrorCode::kNotFound, "the lease has ended"),
+          {}, Error(ErrorCode::kNotFound, "the lease has ended"),
           std::move(callback));
       return;
     }
-    Answer<keyvalue::LeaseReply>(0, keyvalue::LeaseReply{.m_lease = lease},
+    Answer<keyvalue::LeaseReply>({}, keyvalue::LeaseReply{.m_lease = lease},
                                  std::move(callback));
   }
   void RevokeLease(keyvalue::LeaseId lease, Callback<Done> callback) override {
-    if (!Refuse(lease, callback)) {
-      m_store.EndLease(NumberIn(lease));
-      Answer<Done>(0, Done{}, std::move(callback));
+    if (!Refuse({.m_lease = lease}, callback)) {
+      m_store.EndLease(LeaseNumber(lease));
+      Answer<Done>({}, Done{}, std::move(callback));
     }
   }
   std::unique_ptr<keyvalue::Watch> WatchPrefix(
@@ -163,6 +161,17 @@
   }
 
  private:
+  // What a call names of an era; 0: nothing.
+  struct Named {
+    Revision m_revision = 0;
+    keyvalue::LeaseId m_lease = 0;
+
+    bool IsOf(Era era) const {
+      return (m_revision == 0 || EraOf(m_revision) == era) &&
+             (m_lease == 0 || IsLeaseOf(era, m_lease));
+    }
+  };
+
   keyvalue::KeyValue ItemOf(const std::string& key) const {
     const RestorableStore::Item& item = m_store.At(key);
     const Era era = m_store.m_era;
@@ -170,17 +179,18 @@
             .m_value = item.m_value,
             .m_create_revision = InEra(era, item.m_created),
             .m_mod_revision = InEra(era, item.m_revision),
-            .m_lease = InEra(era, item.m_lease)};
+            .m_lease = LeaseInEra(era, item.m_lease)};
   }
   void RecordEra(Era era) {
     if (m_era && era > *m_era && m_restored) {
-      m_restored_timer = m_loop.After(Duration{}, [this] { m_restored(); });
+      m_restored_timer =
+          m_loop.After(Duration{}, [this] { m_restored(*m_era); });
     }
     m_era = std::max(m_era.value_or(0), era);
   }
   template <typename T>
-  bool Refuse(std::int64_t named, const Callback<T>& callback) {
-    if (named == 0 || EraOf(named) >= m_era.value_or(0)) {
+  bool Refuse(const Named& named, const Callback<T>& callback) {
+    if (!m_era || named.IsOf(*m_era)) {
       return false;
     }
     m_loop.Post([callback] {
@@ -190,14 +200,14 @@
   }
   // Delivers an answer that the store gives now.
   template <typename T>
-  void Answer(std::int64_t named, Result<T> result, Callback<T> callback) {
+  void Answer(const Named& named, Result<T> result, Callback<T> callback) {
     m_answers.push_back(m_loop.After(
         kTransit, [this, named, era = m_store.m_era, result = std::move(result),
                    callback = std::move(callback)] {
           RecordEra(era);
           const bool not_found =
               !result.ok() && result.error().code() == ErrorCode::kNotFound;
-          const bool other = named != 0 && era != EraOf(named) && !not_found;
+          const bool other = !named.IsOf(era) && !not_found;
           callback(era != m_era || other
                        ? Error(ErrorCode::kOutcomeUnknown, "of another era")
                        : result);
@@ -210,7 +220,7 @@
   EventLoop& m_loop;
   RestorableStore& m_store;
   std::optional<Era> m_era;
-  std::function<void()> m_restored;
+  std::function<void(Era)> m_restored;
   std::unique_ptr<Timer> m_restored_timer;
   std::list<std::unique_ptr<Timer>> m_answers;
 };
--- a/Tests/membership/restored_leases_test.cc
+++ b/Tests/membership/restored_leases_test.cc
@@ -32,7 +32,7 @@
       : m_session(loop, store),
         m_lease(loop, m_session, "holder", HostId(name), kTiming),
         m_registration(loop, m_session, "host/" + name, name, kLongTtl) {
-    m_session.SetRestoredHandler([this] {
+    m_session.SetRestoredHandler([this](Era) {
       m_registration.ConfirmNow();
       m_lease.ConfirmNow();
     });
