Count only events with a field, and know a gap after the first one

What callers would see: an answer of nothing but comments completed a stream that had begun; a continuation that left an event out after the first one went through (ORDER). Cause: found by review. Change: a block needs a line that is no comment. A first id of 1 shows that the server numbers its events.

--- a/Source/host/event_splitter.cc
+++ b/Source/host/event_splitter.cc
@@ -11,6 +11,11 @@
 constexpr std::string_view kEventEnd = "\n\n";
 constexpr std::string_view kEventEndCrLf = "\r\n\r\n";
 constexpr std::string_view kIdField = "id:";
+// Begins a line that is no field; servers keep connections open with such
+// lines.
+constexpr char kComment = ':';
+// The first id of a server that numbers its events.
+constexpr std::int64_t kFirstNumber = 1;
 
 // Returns the length of `text` up to the end of its last complete event.
 std::size_t CompleteLength(std::string_view text) {
@@ -59,6 +64,7 @@
 
 bool EventSplitter::RecordEvents(std::string_view events) {
   int count = 0;
+  bool has_field = false;
   while (!events.empty()) {
     const std::size_t end = std::min(events.find('\n'), events.size());
     std::string_view line = events.substr(0, end);
@@ -67,8 +73,12 @@
       line.remove_suffix(1);
     }
     if (line.empty()) {
-      ++count;
-    } else if (line.starts_with(kIdField)) {
+      count += has_field ? 1 : 0;
+      has_field = false;
+      continue;
+    }
+    has_field = has_field || !line.starts_with(kComment);
+    if (line.starts_with(kIdField)) {
       line.remove_prefix(kIdField.size());
       line.remove_prefix(std::min(line.size(), line.find_first_not_of(' ')));
       if (!RecordId(line)) {
@@ -93,7 +103,9 @@
       return false;
     }
   }
-  if (!m_last_id.empty()) {
+  if (m_last_id.empty() && number == kFirstNumber) {
+    m_ids_consecutive = true;
+  } else if (!m_last_id.empty()) {
     m_ids_consecutive = m_ids_consecutive.value_or(true) && number && last &&
                         *number == *last + 1;
   }
--- a/Source/host/event_splitter.h
+++ b/Source/host/event_splitter.h
@@ -52,8 +52,8 @@
   bool m_misplaced = false;
   // Whether no event of the current answer has had an id yet.
   bool m_first_id_expected = false;
-  // Whether every id so far was the previous one plus one; absent before the
-  // second id.
+  // Whether every id so far was the previous one plus one; absent if nothing
+  // tells yet.
   std::optional<bool> m_ids_consecutive;
 };
 
