Reject an era that no revision can have

What callers would see: after one answer of the store with a garbled era, every later answer counted as older than it until the host restarted. Cause: found by review. The era was recorded before its range was checked. Evidence: test_jarro, era 8192.

--- a/Source/base/history.cc
+++ b/Source/base/history.cc
@@ -18,8 +18,12 @@
 
 }  // namespace
 
+bool IsValidEra(Era era) {
+  return era >= 0 && era <= kMaxEra;
+}
+
 Revision InEra(Era era, std::int64_t number) {
-  if (era < 0 || era > kMaxEra || number < 0 || number > kMaxNumber) {
+  if (!IsValidEra(era) || number < 0 || number > kMaxNumber) {
     throw Error(ErrorCode::kProtocol, "number " + std::to_string(number) +
                                           " of era " + std::to_string(era) +
                                           " is out of range");
--- a/Source/base/history.h
+++ b/Source/base/history.h
@@ -17,6 +17,8 @@
 // Counts the restores of a service; 0 for a service that keeps its history.
 using Era = std::int64_t;
 
+// Whether `era` is in the range that InEra() accepts. Thread-safe.
+bool IsValidEra(Era era);
 // Returns the revision that the service numbered `number` in `era`. Those of a
 // later era are greater than all of the eras before it. 0, which means none, is
 // 0 in every era. Throws Error(kProtocol) if an argument is out of range.
--- a/Tests/jarro/store_client_test.cc
+++ b/Tests/jarro/store_client_test.cc
@@ -123,7 +123,8 @@
 }
 
 TEST_CASE("A header that is no whole number is named in the error") {
-  for (const std::string era : {"x", "-1", "5 ", "99999999999999999999"}) {
+  for (const std::string era :
+       {"x", "-1", "5 ", "8192", "99999999999999999999"}) {
     CAPTURE(era);
     AnsweredStore store;
     store.Read(era, 90);
