Disregard the late end of a former registration lease

Found by review: an answer to the renewal of a lease that had been replaced made the host register once more than needed.

--- a/Source/membership/registration.cc
+++ b/Source/membership/registration.cc
@@ -86,18 +86,19 @@
 }
 
 void Registration::Renew() {
-  m_store.KeepAlive(m_lease, [this, alive = std::weak_ptr<int>(m_alive)](
-                                 const Result<keyvalue::LeaseReply>& reply) {
-    if (alive.expired() || m_ended || !m_registered || reply.ok() ||
-        reply.error().code() != ErrorCode::kNotFound) {
-      return;
-    }
-    kLog.Warn("host registration expired; registering again",
-              {{"key", m_key}, {"lease", LeaseNumber(m_lease)}});
-    m_timer.reset();
-    m_registered = false;
-    RequestLease();
-  });
+  m_store.KeepAlive(
+      m_lease, [this, lease = m_lease, alive = std::weak_ptr<int>(m_alive)](
+                   const Result<keyvalue::LeaseReply>& reply) {
+        if (alive.expired() || m_ended || !m_registered || lease != m_lease ||
+            reply.ok() || reply.error().code() != ErrorCode::kNotFound) {
+          return;
+        }
+        kLog.Warn("host registration expired; registering again",
+                  {{"key", m_key}, {"lease", LeaseNumber(m_lease)}});
+        m_timer.reset();
+        m_registered = false;
+        RequestLease();
+      });
 }
 
 void Registration::ConfirmNow() {
