Only a host with a configuration confirms that of a started one

What callers would see: as in, a withdrawn key let through by a host that starts after a restore. Cause: found by review. A peer that had not read its configuration yet counted as a confirmation, and so did an empty list of hosts, which a restored store may show while all registrations have lapsed. Change: a peer without a configuration confirms nothing. Without peers the host waits for its limit, unless the settings say that the whole fleet starts for the first time.

--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -246,7 +246,6 @@
       if (m_members.Update(m_knowledge.own_keys())) {
         m_exchange.SetPeers(m_members.peers());
       }
-      m_readiness.RecordPeers(m_members.peers().size());
     });
   }
   FollowPlacementLeader();
--- a/Source/host/host_settings.cc
+++ b/Source/host/host_settings.cc
@@ -45,6 +45,7 @@
       {"peer_port", settings.m_peer_port},
       {"key_value_service", ToText(settings.m_key_value_service)},
       {"min_lease_ms", ToMillis(settings.m_min_lease).count()},
+      {"first_start", settings.m_first_start},
       {"bounds",
        {{"key_withdrawal_ms", ToMillis(bounds.m_key_withdrawal).count()},
         {"strict_withdrawal", bounds.m_strict_withdrawal},
--- a/Source/host/host_settings.h
+++ b/Source/host/host_settings.h
@@ -49,6 +49,8 @@
   std::uint16_t m_peer_port = 0;
   SocketName m_key_value_service;
   Duration m_min_lease{};
+  // All hosts start for the first time, so none knows more than this one.
+  bool m_first_start = false;
   FleetBounds m_bounds;
 };
 
--- a/Source/host/readiness.cc
+++ b/Source/host/readiness.cc
@@ -31,19 +31,16 @@
       m_knowledge(knowledge),
       m_started_at(loop.Now()) {}
 
-void Readiness::RecordPeers(std::size_t peers) {
-  m_peers_asked = m_peers_asked || peers == 0;
-}
-
 void Readiness::RecordPeerConfiguration(std::int64_t version) {
   const auto configuration = m_knowledge.configuration();
-  m_peers_asked =
-      m_peers_asked || (configuration && version <= configuration->version());
+  m_peer_confirmed = m_peer_confirmed || (configuration && version > 0 &&
+                                          version <= configuration->version());
 }
 
 bool Readiness::ConfigurationConfirmed() const {
-  const bool asked = m_peers_asked || m_loop.Now() - m_started_at > kPeerWait;
-  return asked && !m_knowledge.LacksLostConfiguration();
+  const bool confirmed = m_settings.m_first_start || m_peer_confirmed ||
+                         m_loop.Now() - m_started_at > kPeerWait;
+  return confirmed && !m_knowledge.LacksLostConfiguration();
 }
 
 bool Readiness::AgeBelow(double share) const {
--- a/Source/host/readiness.h
+++ b/Source/host/readiness.h
@@ -3,7 +3,6 @@
 #ifndef SOURCE_HOST_READINESS_H_
 #define SOURCE_HOST_READINESS_H_
 
-#include <cstddef>
 #include <cstdint>
 
 #include "base/event_loop.h"
@@ -22,9 +21,8 @@
             const HostSettings& settings,
             const fleet::FleetStateFeed& knowledge);
 
-  // Records how many other hosts are registered.
-  void RecordPeers(std::size_t peers);
-  // Records the version of the configuration that another host has stated.
+  // Records the version of the configuration that another host has stated; 0 if
+  // it has none.
   void RecordPeerConfiguration(std::int64_t version);
 
   // Whether the host's keys are recent enough to admit requests with a key.
@@ -41,8 +39,8 @@
   const HostSettings& m_settings;
   const fleet::FleetStateFeed& m_knowledge;
   MonotonicTime m_started_at;
-  // No other host needs to be asked any more.
-  bool m_peers_asked = false;
+  // Another host has confirmed this host's configuration.
+  bool m_peer_confirmed = false;
   bool m_was_ready = false;
 };
 
--- a/Tests/process/jarro_harness.py
+++ b/Tests/process/jarro_harness.py
@@ -79,6 +79,7 @@
         self.platform.port = harness.wait_for(
             self._platform_port, harness.START_LIMIT_S, "the platform listens")
         self.hosts = [None] * hosts
+        self.first_hosts = hosts
         for index in range(hosts):
             self.start_host(index)
 
@@ -103,6 +104,7 @@
     def settings(self, index):
         address = self.address(index)
         return {
+            "bootstrap": index < self.first_hosts,
             "node": f"edge-{index}", "ip": address, "zone": f"z{index % 2}",
             "listen": {"front": f"{address}:{self.ports['front']}",
                        "ready": f"{address}:{self.ports['ready']}"},
