--- a/Tests/fleet/fleet_state_feed_test.cc
+++ b/Tests/fleet/fleet_state_feed_test.cc
@@ -2,7 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include "Tests/fleet/manual_key_value_service.h"
 #include "Tests/fleet/plain_decoder.h"
+#include "base/history.h"
 #include "keyvalue/memory_key_value_service.h"
 
 using namespace hickoryloft;
@@ -82,3 +84,35 @@
   host.Put("mine", "x");
   CHECK(host.m_feed.own_keys().at("mine").m_value == "x");
 }
+
+// A host that hears of a restore from another host reads everything; the answer
+// tells its own store client of the new era, so that it reads a second time.
+TEST_CASE("A lost registration may come back after any number of reads") {
+  EventLoop loop;
+  ManualKeyValueService store;
+  const PlainDecoder decoder;
+  FleetStateFeed feed(loop, store, decoder,
+                      {.m_configuration_changed = [] {},
+                       .m_endpoint_changed = [](const EndpointId&) {},
+                       .m_own_keys_changed = [] {}});
+  store.Put("config", "1");
+  store.Put("e/a", "ready");
+  feed.Start();
+  REQUIRE(feed.directory().Find(EndpointId("a")) != nullptr);
+
+  const int reads = GENERATE(1, 2);
+  CAPTURE(reads);
+  store.m_history.pop_back();  // The copy is from before the registration.
+  store.m_revision = InEra(1, 1);
+  feed.ObserveRevision(store.m_revision);
+  for (int i = 1; i < reads; ++i) {
+    feed.ReadRestored();
+  }
+  const auto end = loop.After(milliseconds(2300), [&loop] { loop.Stop(); });
+  loop.Run();
+  REQUIRE(feed.directory().Find(EndpointId("a")) == nullptr);
+
+  store.Put("e/a", "ready");
+  feed.ReadRestored();
+  CHECK(feed.directory().Find(EndpointId("a")) != nullptr);
+}
--- a/Tests/host/event_splitter_test.cc
+++ b/Tests/host/event_splitter_test.cc
@@ -85,3 +85,15 @@
   CHECK(splitter.Feed("id: 6\n\n") == "id: 6\n\n");
   CHECK(splitter.last_id() == "6");
 }
+
+// An answer without an event completes no stream; a comment, which servers send
+// to keep a connection open, is none, and neither is an empty line.
+TEST_CASE("Comments and empty lines are no events") {
+  for (const std::string bytes : {": ping\n\n", "\n\n", "\r\n\r\n"}) {
+    CAPTURE(bytes);
+    EventSplitter splitter;
+    splitter.BeginAnswer();
+    splitter.Feed(bytes);
+    CHECK(splitter.answer_events() == 0);
+  }
+}
--- a/Tests/membership/placement_lease_test.cc
+++ b/Tests/membership/placement_lease_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "base/history.h"
 #include "keyvalue/memory_key_value_service.h"
 
 using namespace hickoryloft;
@@ -124,3 +125,70 @@
   RunFor(loop, milliseconds(50));
   CHECK_FALSE(lease.held());
 }
+
+namespace {
+
+// A store that is restored while a host holds the placement lease: its copy has
+// the key, as the host wrote it. The host's calls are answered at once.
+class RestoredStore : public StallingStore {
+ public:
+  RestoredStore(EventLoop& loop, keyvalue::KeyValueService& store)
+      : StallingStore(store), m_loop(loop) {}
+
+  void Get(const std::string& key,
+           Callback<keyvalue::ReadReply> callback) override {
+    StallingStore::Get(
+        key, [this, callback](Result<keyvalue::ReadReply> reply) {
+          for (keyvalue::KeyValue& item : reply.value().m_items) {
+            item.m_create_revision = InEra(m_era, item.m_create_revision);
+            item.m_mod_revision = InEra(m_era, item.m_mod_revision);
+            item.m_lease = LeaseInEra(m_era, item.m_lease);
+          }
+          callback(std::move(reply));
+        });
+  }
+  void KeepAlive(keyvalue::LeaseId lease,
+                 Callback<keyvalue::LeaseReply> callback) override {
+    if (IsLeaseOf(m_era, lease)) {
+      StallingStore::KeepAlive(LeaseNumber(lease), std::move(callback));
+      return;
+    }
+    m_loop.Post([callback] {
+      callback(Error(ErrorCode::kNotFound, "the lease has ended"));
+    });
+  }
+  void RevokeLease(keyvalue::LeaseId lease, Callback<Done> callback) override {
+    if (IsLeaseOf(m_era, lease)) {
+      StallingStore::RevokeLease(LeaseNumber(lease), std::move(callback));
+    }
+  }
+
+  Era m_era = 0;
+
+ private:
+  EventLoop& m_loop;
+};
+
+}  // namespace
+
+// The holder's own renewal may be the call that shows the restore: its failure
+// and the confirmation that follows both read the key.
+TEST_CASE("A lease is kept over a restore however often it is confirmed") {
+  const int confirmations = GENERATE(1, 2);
+  CAPTURE(confirmations);
+  EventLoop loop;
+  keyvalue::MemoryKeyValueService memory(loop);
+  RestoredStore store(loop, memory);
+  PlacementLease lease(loop, store, "holder", HostId("a"), kTiming);
+  lease.Observe(false, Duration{});
+  RunFor(loop, milliseconds(50));
+  REQUIRE(lease.held());
+  const FencingNumber fence = lease.fence();
+  store.m_era = 1;
+  for (int i = 0; i < confirmations; ++i) {
+    lease.ConfirmNow();
+  }
+  RunFor(loop, milliseconds(30));
+  CHECK(lease.held());
+  CHECK(lease.fence() == fence);
+}
