--- a/Tests/admission/crashing_parts_test.cc
+++ b/Tests/admission/crashing_parts_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "admission/proven_parts.h"
+#include "base/history.h"
 
 using namespace hickoryloft;
 using namespace hickoryloft::admission;
@@ -42,6 +43,20 @@
     m_records.m_sound[part] = ++m_revision;
     m_parts.SetRecords(m_records, m_now);
   }
+  // The store comes back from a copy: `records` as they were then.
+  void Restore(CrashRecords records) {
+    for (EndpointEnd& end : records.m_ends) {
+      end.m_revision = InEra(1, end.m_revision);
+    }
+    for (auto& [part, revision] : records.m_sound) {
+      revision = InEra(1, revision);
+    }
+    for (auto& [part, revision] : records.m_held) {
+      revision = InEra(1, revision);
+    }
+    m_records = std::move(records);
+    m_parts.SetRecords(m_records, m_now);
+  }
   void RecordHeld(const std::string& part) {
     m_records.m_held[part] = ++m_revision;
     m_parts.SetRecords(m_records, m_now);
@@ -220,6 +235,23 @@
   }
 }
 
+// Era and number order what is read after a restore behind all of the lost
+// time, also what was written before that time.
+TEST_CASE("A proof older than the ends does not release a part by a restore") {
+  Fleet fleet;
+  fleet.Prove("bad");
+  const CrashRecords copy = fleet.m_records;
+  for (int i = 0; i < 5; ++i) {
+    fleet.EndEndpoint("e" + std::to_string(i), {"first", "bad"});
+    fleet.Pass(milliseconds(500));
+    fleet.Prove("first");
+  }
+  REQUIRE(fleet.SettleAndFind() == std::vector<std::string>{"bad"});
+  REQUIRE(fleet.m_parts.Held("bad"));
+  fleet.Restore(copy);
+  CHECK(fleet.m_parts.Held("bad"));
+}
+
 TEST_CASE("The table of proven parts is bounded") {
   ProvenParts parts;
   const MonotonicTime start{seconds(1)};
--- a/Tests/process/jarro_restored_store_test.py
+++ b/Tests/process/jarro_restored_store_test.py
@@ -59,29 +59,6 @@
         meanwhile()
         self.fleet.control("working")
 
-
-class Groups(RestoredStoreTest):
-    hosts = GROUPED_HOSTS
-
-    def test_changes_after_the_restore_reach_all_hosts(self):
-        """Regression test (CONFIG on the grown sites): hosts took the lower
-        revisions after the restore for old news."""
-        self.begin_lost_time()
-        self.fleet.configure(2, {"counter": "key-lost"})
-        self.wait_in_force("key-lost")
-        self.write_notes(LOST_WRITES)
-        time.sleep(0.5)
-        self.restore()
-        # The operator writes again what was lost, and goes on.
-        self.fleet.configure(2, {"counter": "key-lost"})
-        self.fleet.configure(3, {"counter": "key-new"})
-        self.wait_in_force("key-new")
-        self.wait_in_force("key-lost", 401)
-
-
-class TwoHosts(RestoredStoreTest):
-    hosts = 2
-
     def start_server(self):
         def respond(connection, request):
             connection.sendall(head(request, "200 OK", "Content-Length: 0"))
@@ -105,6 +82,40 @@
         harness.wait_for(lambda: len(self.used_by(server)) == self.hosts,
                          IN_FORCE_LIMIT_S, "all hosts use the server")
 
+
+class Groups(RestoredStoreTest):
+    hosts = GROUPED_HOSTS
+
+    def test_changes_after_the_restore_reach_all_hosts(self):
+        """Regression test (CONFIG on the grown sites): hosts took the lower
+        revisions after the restore for old news."""
+        self.begin_lost_time()
+        self.fleet.configure(2, {"counter": "key-lost"})
+        self.wait_in_force("key-lost")
+        self.write_notes(LOST_WRITES)
+        time.sleep(0.5)
+        self.restore()
+        # The operator writes again what was lost, and goes on.
+        self.fleet.configure(2, {"counter": "key-lost"})
+        self.fleet.configure(3, {"counter": "key-new"})
+        self.wait_in_force("key-new")
+        self.wait_in_force("key-lost", 401)
+
+    def test_server_whose_registration_was_lost_is_used_by_all_hosts(self):
+        """Hosts that hear of the restore from another host read twice."""
+        self.begin_lost_time()
+        server = self.start_server()
+        self.wait_used(server)
+        self.write_notes(LOST_WRITES)
+        self.restore()
+        time.sleep(GONE_S)
+        server.register(self.fleet)
+        self.wait_used(server)
+
+
+class TwoHosts(RestoredStoreTest):
+    hosts = 2
+
     def test_changes_before_the_revisions_pass_the_old_one_are_seen(self):
         """Regression test (CONFIG): a watch continued from a revision that had
         been given out again, without what came before it."""
