--- a/Source/keyvalue/key_value_service.h
+++ b/Source/keyvalue/key_value_service.h
@@ -120,11 +120,13 @@
   virtual void RevokeLease(LeaseId lease, Callback<Done> callback) = 0;
 
   // Sets the function that is called, from the loop, when the service turns out
-  // to have been restored from an older copy of its data, with the new era. Changes and leases
-  // since the copy are lost. Revisions and leases of the time after the restore
-  // are greater than all before it; a lease of the time before it counts as
-  // ended. Never called by services that keep their history.
-  virtual void SetRestoredHandler(std::function<void(Era)> /*handler*/) {}
+  // to have been restored from an older copy of its data, with the new era.
+  // Changes and leases since the copy are lost. Revisions and leases of the
+  // time after the restore are greater than all before it; a lease of the time
+  // before it counts as ended. Never called by services that keep their
+  // history.
+  virtual void SetRestoredHandler(const std::function<void(Era)>& /*handler*/) {
+  }
 
   // Reports changes of keys under `prefix` after `from_revision`. `ended` is
   // called once if the watch fails; the caller then reads again and starts a
--- a/Tests/membership/restorable_store.h
+++ b/Tests/membership/restorable_store.h
@@ -79,8 +79,8 @@
   StoreSession(EventLoop& loop, RestorableStore& store)
       : m_loop(loop), m_store(store) {}
 
-  void SetRestoredHandler(std::function<void(Era)> handler) override {
-    m_restored = std::move(handler);
+  void SetRestoredHandler(const std::function<void(Era)>& handler) override {
+    m_restored = handler;
   }
   // Learns the store's era, as from a watch's answer.
   void Hear() { RecordEra(m_store.m_era); }
--- a/Tests/process/jarro_restored_store_test.py
+++ b/Tests/process/jarro_restored_store_test.py
@@ -147,8 +147,8 @@
         self.wait_used(server)
 
     def test_server_that_has_left_is_not_used_again(self):
-        """Regression test (DRAIN): the copy brought back the registration of
-        a server that had left."""
+        """Guards against DRAIN: the copy brings back the registration of a
+        server that has left."""
         server = self.start_server()
         self.wait_used(server)
         self.begin_lost_time()
