--- a/review/2/run.py
+++ b/review/2/run.py
@@ -85,6 +85,7 @@
         self.version = 0
         self.random = random.Random(1)
         self.store = store.Store()
+        self.fleet = None
 
     def now(self):
         return time.monotonic() - self.start
@@ -204,9 +205,11 @@
     except asyncio.TimeoutError:
         verdict = "the run took too long"
     finally:
-        last_words = [f"{host.name}: {line}" for host in run.fleet.hosts
-                      for line in host.last_words()]
-        run.fleet.stop()
+        last_words = []
+        if run.fleet is not None:
+            last_words = [f"{host.name}: {line}" for host in run.fleet.hosts
+                          for line in host.last_words()]
+            run.fleet.stop()
     text = [f"TROUBLE={1 if TROUBLE else 0}", "", "what happened"] + run.lines
     text += ["", "requests that were cut"] + [
         f"{one} ran at {run.ran[one.id]}" for one in run.outcomes
@@ -219,4 +222,4 @@
     return code
 
 
-sys.exit(asyncio.run(main()))
+sys.exit(hosts.run_case(main))
--- a/review/lib/hosts.py
+++ b/review/lib/hosts.py
@@ -14,6 +14,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 MEMORY_MB = 260
@@ -109,6 +110,8 @@
     def last_words(self):
         """What the processes printed that is no line of the log."""
         path = self.directory / f"{self.name}.log"
+        if not path.exists():
+            return []
         return [line for line in path.read_text(errors="replace").split("\n")
                 if line and not line.startswith("{")]
 
@@ -207,3 +210,19 @@
                 host.process.wait()
         if "KEEP_LOGS" not in os.environ:
             shutil.rmtree(self.directory, ignore_errors=True)
+
+
+def run_case(main):
+    """Runs `main` and returns the exit status of the script: what `main`
+    returns, or 2 if the case could not run. SIGTERM and SIGINT end it."""
+    async def guarded():
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await main()
+
+    try:
+        return asyncio.run(guarded())
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
+        return 2
