Plan without models that have left the configuration

The placement leader ended with "unordered_map::at", and the next leader too.

Cause: the planner's work lasts longer than a configuration. The target of a preload stayed while another model was unloaded for it, and its size was looked up in the present configuration (PlanTarget). Evidence: a planner without network throws the same at the next plan; a state test over changing configurations throws in its fifth random run.

Change: a look-up of a model yields nothing if it is not configured, and targets that have left are cleared. Sizes of models that have left are kept while engines hold them, and these are evicted first; before, each counted as a whole engine and blocked it. Unanswered loads of them are settled by the engine's report. An engine that joins another service gets no orders of the first.

Why it works: no statement of the planner assumes any more that what it keeps is configured; the state test changes the configuration at any time and checks that no removed model is loaded and no engine exceeds its memory.

--- a/Source/host/placement_controller.cc
+++ b/Source/host/placement_controller.cc
@@ -69,13 +69,14 @@
   const auto configuration = m_inputs.m_knowledge.configuration();
   for (const auto& [id, service] : configuration->configuration().m_services) {
     if (service.m_engine) {
-      PlanService(service);
+      PlanService(service, configuration->version());
     }
   }
   m_pacer.RecordPlan(started, m_loop.Now());
 }
 
-void PlacementController::PlanService(const fleet::ServiceSpec& service) {
+void PlacementController::PlanService(const fleet::ServiceSpec& service,
+                                      std::int64_t configuration) {
   auto& planner = m_planners[service.m_id];
   if (!planner) {
     planner = std::make_unique<placement::EnginePlanner>(
@@ -84,6 +85,7 @@
   const placement::PlanningView view{
       .m_entries = m_inputs.m_knowledge.directory().entries(),
       .m_spec = *service.m_engine,
+      .m_configuration = configuration,
       .m_demand = m_inputs.m_demand,
       .m_running = m_inputs.m_running,
       .m_avoided = m_inputs.m_avoided};
--- a/Source/host/placement_controller.h
+++ b/Source/host/placement_controller.h
@@ -49,7 +49,8 @@
   placement::PlacementState CollectState() const;
 
  private:
-  void PlanService(const fleet::ServiceSpec& service);
+  void PlanService(const fleet::ServiceSpec& service,
+                   std::int64_t configuration);
   void SendPlannedOrder(const ServiceId& service,
                         const placement::PlannedOrder& planned);
   // Schedules another plan for when the adapters that are loading are present.
--- a/Source/placement/engine_answers.cc
+++ b/Source/placement/engine_answers.cc
@@ -1,4 +1,5 @@
-// EnginePlanner: processing of engines' answers and reports, and accessors.
+// EnginePlanner: processing of engines' answers and reports and of new
+// configurations, and accessors.
 
 #include <algorithm>
 
@@ -153,6 +154,26 @@
   }
 }
 
+void EnginePlanner::ApplyConfiguration(const PlanningView& view) {
+  m_configuration = view.m_configuration;
+  m_sizes.Update(view.m_spec, [&](const ModelId& model) {
+    return IsHeld(model) ||
+           std::any_of(view.m_entries.begin(), view.m_entries.end(),
+                       [&](const auto& listed) {
+                         return listed.second.m_models.contains(model);
+                       });
+  });
+}
+
+bool EnginePlanner::IsHeld(const ModelId& model) const {
+  return std::any_of(
+      m_ledgers.begin(), m_ledgers.end(), [&](const auto& entry) {
+        const EngineLedger& ledger = entry.second;
+        return ledger.m_reported_models.contains(model) ||
+               (ledger.m_open && ledger.m_open->m_model == model);
+      });
+}
+
 std::map<EndpointId, std::map<ModelId, std::set<AdapterId>>>
 EnginePlanner::Adapters() const {
   std::map<EndpointId, std::map<ModelId, std::set<AdapterId>>> present;
--- a/Source/placement/engine_choice.cc
+++ b/Source/placement/engine_choice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 
 #include "placement/engine_planner.h"
 
@@ -25,19 +26,16 @@
 
 }  // namespace
 
-Duration LoadTime(const fleet::EngineSpec& spec,
-                  const ModelId& model,
-                  fleet::WeightTier tier) {
-  const fleet::ModelSpec& weights = spec.m_models.at(model);
+Duration LoadTime(const fleet::ModelSpec& model, fleet::WeightTier tier) {
   switch (tier) {
     case fleet::WeightTier::kHostMemory:
-      return weights.m_load_from_memory;
+      return model.m_load_from_memory;
     case fleet::WeightTier::kDisk:
-      return weights.m_load_from_disk;
+      return model.m_load_from_disk;
     case fleet::WeightTier::kStore:
-      return weights.m_load_from_store;
+      return model.m_load_from_store;
   }
-  return weights.m_load_from_store;
+  return model.m_load_from_store;
 }
 
 std::optional<EnginePlanner::Choice> EnginePlanner::ChooseEngine(
@@ -46,6 +44,10 @@
     MonotonicTime now,
     UnplacedModel& unplaced) {
   std::optional<Choice> best;
+  const auto spec = view.m_spec.m_models.find(model);
+  if (spec == view.m_spec.m_models.end()) {
+    return best;
+  }
   const EndpointId* cached_engine = nullptr;
   double soonest_cached = std::numeric_limits<double>::infinity();
   // A busy engine that has the model cached loads one model after another.
@@ -73,7 +75,7 @@
     }
     const bool cached = entry.TierOf(model) != fleet::WeightTier::kStore;
     const double load_seconds =
-        ToSeconds(LoadTime(view.m_spec, model, entry.TierOf(model)));
+        ToSeconds(LoadTime(spec->second, entry.TierOf(model)));
     if (ledger.Occupied()) {
       ++unplaced.m_occupied;
       if (cached) {
@@ -122,10 +124,14 @@
     const EngineLedger& ledger,
     const ModelId& model,
     MonotonicTime now) const {
-  const fleet::ModelSpec& spec = view.m_spec.m_models.at(model);
+  const auto listed = view.m_spec.m_models.find(model);
+  if (listed == view.m_spec.m_models.end()) {
+    return std::nullopt;
+  }
+  const fleet::ModelSpec& spec = listed->second;
   Choice choice{.m_engine = entry.m_id, .m_tier = entry.TierOf(model)};
-  const double free =
-      view.m_spec.m_megabytes - UsedMegabytes(entry, ledger, view.m_spec);
+  const double free = view.m_spec.m_megabytes -
+                      UsedMegabytes(entry, ledger, view.m_spec, m_sizes);
   double lost_rate = 0;
   if (free < spec.m_megabytes) {
     auto victims = ChooseVictims(view, entry, ledger, spec.m_megabytes - free,
@@ -137,7 +143,7 @@
   }
   const int running = RunningAt(view, entry);
   choice.m_cost =
-      ToSeconds(LoadTime(view.m_spec, model, choice.m_tier)) +
+      ToSeconds(LoadTime(spec, choice.m_tier)) +
       kUnloadSeconds * static_cast<double>(choice.m_victims.size()) +
       kLoadWeight * running / std::max(1, view.m_spec.m_slots) +
       kLostRateWeight * lost_rate;
@@ -154,6 +160,7 @@
   struct Idle {
     ModelId m_model;
     double m_megabytes;
+    bool m_configured;
     double m_rate;
   };
   std::vector<Idle> idle;
@@ -161,20 +168,20 @@
     if (view.m_running(entry.m_id, model) > 0 || !ledger.Holds(entry, model)) {
       continue;
     }
-    const auto spec = view.m_spec.m_models.find(model);
     const auto held = m_present.find(model);
     const int present = held == m_present.end() ? 1 : held->second;
-    if (spec == view.m_spec.m_models.end() ||
-        (present <= 1 && m_waiting_models.contains(model))) {
+    if (present <= 1 && m_waiting_models.contains(model)) {
       continue;
     }
     idle.push_back({.m_model = model,
-                    .m_megabytes = spec->second.m_megabytes,
+                    .m_megabytes = m_sizes.MegabytesOf(model),
+                    .m_configured = view.m_spec.m_models.contains(model),
                     .m_rate = view.m_demand.Rate(KeyOf(model), now) /
                               std::max(1, present)});
   }
   std::sort(idle.begin(), idle.end(), [](const Idle& left, const Idle& right) {
-    return left.m_rate < right.m_rate;
+    return std::tie(left.m_configured, left.m_rate) <
+           std::tie(right.m_configured, right.m_rate);
   });
   std::vector<ModelId> victims;
   for (const Idle& one : idle) {
@@ -183,7 +190,7 @@
     }
     victims.push_back(one.m_model);
     needed -= one.m_megabytes;
-    lost_rate += one.m_rate;
+    lost_rate += one.m_configured ? one.m_rate : 0;
   }
   if (needed > 0) {
     return std::nullopt;
--- a/Source/placement/engine_ledger.cc
+++ b/Source/placement/engine_ledger.cc
@@ -11,13 +11,23 @@
 // one.
 constexpr Duration kAdapterTransferTime = seconds(1);
 
-double ModelMegabytes(const ModelId& model, const fleet::EngineSpec& spec) {
-  const auto known = spec.m_models.find(model);
-  return known == spec.m_models.end() ? spec.m_megabytes
-                                      : known->second.m_megabytes;
+}  // namespace
+
+void ModelSizes::Update(const fleet::EngineSpec& spec,
+                        const std::function<bool(const ModelId&)>& is_held) {
+  m_engine_megabytes = spec.m_megabytes;
+  std::erase_if(m_megabytes, [&](const auto& known) {
+    return !spec.m_models.contains(known.first) && !is_held(known.first);
+  });
+  for (const auto& [model, listed] : spec.m_models) {
+    m_megabytes[model] = listed.m_megabytes;
+  }
 }
 
-}  // namespace
+double ModelSizes::MegabytesOf(const ModelId& model) const {
+  const auto known = m_megabytes.find(model);
+  return known == m_megabytes.end() ? m_engine_megabytes : known->second;
+}
 
 int EngineLedger::AdapterCount() const {
   std::size_t count = 0;
@@ -44,7 +54,8 @@
 
 double UsedMegabytes(const fleet::EndpointEntry& entry,
                      const EngineLedger& ledger,
-                     const fleet::EngineSpec& spec) {
+                     const fleet::EngineSpec& spec,
+                     const ModelSizes& sizes) {
   std::unordered_set<ModelId> models = ledger.m_reported_models;
   for (const auto& [model, adapters] : entry.m_models) {
     if (ledger.Holds(entry, model)) {
@@ -57,7 +68,7 @@
   }
   double used = kAdapterSlotMegabytes * spec.m_adapter_slots;
   for (const ModelId& model : models) {
-    used += ModelMegabytes(model, spec);
+    used += sizes.MegabytesOf(model);
   }
   return used;
 }
--- a/Source/placement/engine_ledger.h
+++ b/Source/placement/engine_ledger.h
@@ -4,8 +4,10 @@
 #define SOURCE_PLACEMENT_ENGINE_LEDGER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
+#include <unordered_map>
 #include <unordered_set>
 #include <utility>
 #include <vector>
@@ -94,16 +96,32 @@
       MonotonicTime now) const;
 };
 
+// The memory that models need. Engines may hold models that have left the
+// configuration since; the last known sizes of these are kept. Not thread-safe.
+class ModelSizes {
+ public:
+  // Takes over the sizes of a configuration. Removed models for which `is_held`
+  // returns false are forgotten.
+  void Update(const fleet::EngineSpec& spec,
+              const std::function<bool(const ModelId&)>& is_held);
+  // Returns the size in megabytes: that of a whole engine if it is unknown.
+  double MegabytesOf(const ModelId& model) const;
+
+ private:
+  double m_engine_megabytes = 0;
+  std::unordered_map<ModelId, double> m_megabytes;
+};
+
 // A registration reflects a change within this time, unless the store is slow.
 constexpr Duration kRegistrationLag = seconds(3);
 
 // Returns the memory, in megabytes, needed by the models of the registration,
 // those of the last report, the one that the open order may still load, and by
-// the adapter slots. A model that is missing in `spec` counts as the memory of
-// the whole engine. Thread-safe.
+// the adapter slots. Thread-safe.
 double UsedMegabytes(const fleet::EndpointEntry& entry,
                      const EngineLedger& ledger,
-                     const fleet::EngineSpec& spec);
+                     const fleet::EngineSpec& spec,
+                     const ModelSizes& sizes);
 
 }  // namespace hickoryloft::placement
 
--- a/Source/placement/engine_planner.cc
+++ b/Source/placement/engine_planner.cc
@@ -53,9 +53,12 @@
     return now - known.second.second > kRegistrationLag;
   });
   ApplyRegistrations(view, now);
+  if (m_configuration != view.m_configuration) {
+    ApplyConfiguration(view);
+  }
   for (auto& [id, ledger] : m_ledgers) {
     if (ledger.m_open) {
-      AdvanceOpenOrder(view.m_entries.at(id), ledger, now, actions);
+      AdvanceOpenOrder(view, view.m_entries.at(id), ledger, now, actions);
     }
   }
   std::vector<ModelDemand::PendingDemand> pending = view.m_demand.Waiting();
@@ -63,7 +66,7 @@
     return demand.m_key.m_service != m_service ||
            !view.m_spec.m_models.contains(demand.m_key.m_model);
   });
-  ClearUnneededTargets(pending);
+  ClearUnneededTargets(view, pending);
   CountModels(view, pending);
   std::stable_sort(pending.begin(), pending.end(),
                    [](const auto& left, const auto& right) {
@@ -121,14 +124,16 @@
 }
 
 void EnginePlanner::ClearUnneededTargets(
+    const PlanningView& view,
     const std::vector<ModelDemand::PendingDemand>& pending) {
   std::set<ModelId> requested;
   for (const ModelDemand::PendingDemand& demand : pending) {
     requested.insert(demand.m_key.m_model);
   }
   for (auto& [id, ledger] : m_ledgers) {
-    if (!ledger.m_open && !ledger.m_is_preload &&
-        !requested.contains(ledger.m_target)) {
+    const bool removed = !view.m_spec.m_models.contains(ledger.m_target);
+    if (removed || (!ledger.m_open && !ledger.m_is_preload &&
+                    !requested.contains(ledger.m_target))) {
       ledger.ClearTarget();
     }
   }
@@ -137,7 +142,9 @@
 void EnginePlanner::ApplyRegistrations(const PlanningView& view,
                                        MonotonicTime now) {
   std::erase_if(m_ledgers, [&](const auto& known) {
-    return !view.m_entries.contains(known.first);
+    const auto entry = view.m_entries.find(known.first);
+    return entry == view.m_entries.end() ||
+           entry->second.m_service != m_service;
   });
   for (const auto& listed : view.m_entries) {
     const fleet::EndpointEntry& entry = listed.second;
@@ -166,11 +173,22 @@
   }
 }
 
-void EnginePlanner::AdvanceOpenOrder(const fleet::EndpointEntry& entry,
+void EnginePlanner::AdvanceOpenOrder(const PlanningView& view,
+                                     const fleet::EndpointEntry& entry,
                                      EngineLedger& ledger,
                                      MonotonicTime now,
                                      PlannedActions& actions) {
   OpenOrder& open = *ledger.m_open;
+  if (open.m_phase == OrderPhase::kUnanswered &&
+      open.m_operation == fleet::OrderOperation::kLoad &&
+      !view.m_spec.m_models.contains(open.m_model)) {
+    // The model has left the configuration: the engine's report tells whether
+    // it was loaded, without another copy of the order.
+    open.m_phase = OrderPhase::kRunning;
+    open.m_since = now;
+    open.m_ask_at = now;
+    ledger.m_accepted_orders.reset();
+  }
   if (open.m_phase == OrderPhase::kUnanswered) {
     if (now - open.m_since >= kResendDelay) {
       open.m_phase = OrderPhase::kSending;
@@ -224,7 +242,7 @@
       model == spec.m_models.end()) {
     return kUnloadTime;
   }
-  return LoadTime(spec, order.m_model, order.m_tier);
+  return LoadTime(model->second, order.m_tier);
 }
 
 void EnginePlanner::CloseOpenOrder(EngineLedger& ledger, MonotonicTime now) {
@@ -335,14 +353,14 @@
   }
   Choice choice{.m_engine = entry.m_id,
                 .m_tier = entry.TierOf(ledger.m_target)};
-  double lacking = view.m_spec.m_models.at(ledger.m_target).m_megabytes +
-                   UsedMegabytes(entry, ledger, view.m_spec) -
+  double lacking = m_sizes.MegabytesOf(ledger.m_target) +
+                   UsedMegabytes(entry, ledger, view.m_spec, m_sizes) -
                    view.m_spec.m_megabytes;
   for (const ModelId& victim : ledger.m_victims) {
     if (lacking > 0 && ledger.Holds(entry, victim) &&
         view.m_running(entry.m_id, victim) == 0) {
       choice.m_victims.push_back(victim);
-      lacking -= view.m_spec.m_models.at(victim).m_megabytes;
+      lacking -= m_sizes.MegabytesOf(victim);
     }
   }
   return lacking <= 0 ? std::optional(std::move(choice)) : std::nullopt;
--- a/Source/placement/engine_planner.h
+++ b/Source/placement/engine_planner.h
@@ -3,6 +3,7 @@
 #ifndef SOURCE_PLACEMENT_ENGINE_PLANNER_H_
 #define SOURCE_PLACEMENT_ENGINE_PLANNER_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -51,24 +52,24 @@
 struct PlanningView {
   const std::map<EndpointId, fleet::EndpointEntry>& m_entries;
   const fleet::EngineSpec& m_spec;
+  std::int64_t m_configuration = 0;  // Version that m_spec belongs to.
   const ModelDemand& m_demand;
   // Returns the requests for a model that run at an engine, over all hosts.
   std::function<int(const EndpointId&, const ModelId&)> m_running;
   std::function<bool(const EndpointId&)> m_avoided;
 };
 
-// Returns how long `model` takes to load from `tier`. Precondition: `spec`
-// contains the model. Thread-safe.
-Duration LoadTime(const fleet::EngineSpec& spec,
-                  const ModelId& model,
-                  fleet::WeightTier tier);
+// Returns how long a model takes to load from `tier`. Thread-safe.
+Duration LoadTime(const fleet::ModelSpec& model, fleet::WeightTier tier);
 
 // Plans loads and unloads. Models with waiting requests come first; each goes
 // to the engine that can load it soonest, counting the models to evict there
 // and the engine's load. A model in use is never evicted. An engine has at most
 // one open order; its memory stays reserved until the engine's own count of
-// accepted orders proves its outcome. Not thread-safe; times passed in must not
-// decrease.
+// accepted orders proves its outcome. Engines, targets and open orders outlive
+// configurations: a model that has left the configuration is never loaded, and
+// is evicted first where an engine still holds it. Not thread-safe; times
+// passed in must not decrease.
 class EnginePlanner {
  public:
   // `residency` decides which models are preloaded, that is loaded before any
@@ -157,13 +158,19 @@
                                    MonotonicTime now) const;
   // Records the duration of the completed load `open`.
   void RecordStoreLoad(const OpenOrder& open, MonotonicTime now);
-  // Clears targets for which no requests wait any more, except preloads.
+  // Takes over the models of a new configuration.
+  void ApplyConfiguration(const PlanningView& view);
+  bool IsHeld(const ModelId& model) const;
+  // Clears the targets that have left the configuration, and those for which no
+  // requests wait any more, except preloads.
   void ClearUnneededTargets(
+      const PlanningView& view,
       const std::vector<ModelDemand::PendingDemand>& pending);
   static int RunningAt(const PlanningView& view,
                        const fleet::EndpointEntry& entry);
   void ApplyRegistrations(const PlanningView& view, MonotonicTime now);
-  void AdvanceOpenOrder(const fleet::EndpointEntry& entry,
+  void AdvanceOpenOrder(const PlanningView& view,
+                        const fleet::EndpointEntry& entry,
                         EngineLedger& ledger,
                         MonotonicTime now,
                         PlannedActions& actions);
@@ -225,6 +232,8 @@
   ModelDemand::Key KeyOf(const ModelId& model) const;
 
   ServiceId m_service;
+  std::optional<std::int64_t> m_configuration;  // Version of m_sizes.
+  ModelSizes m_sizes;
   std::map<EndpointId, EngineLedger> m_ledgers;
   std::map<std::pair<EndpointId, ModelId>, std::pair<bool, MonotonicTime>>
       m_recent_models;
--- a/Source/placement/engine_preload.cc
+++ b/Source/placement/engine_preload.cc
@@ -92,19 +92,25 @@
     IdleEngine idle{
         .m_entry = &entry,
         .m_free_megabytes = view.m_spec.m_megabytes -
-                            UsedMegabytes(entry, ledger, view.m_spec)};
+                            UsedMegabytes(entry, ledger, view.m_spec, m_sizes)};
     for (const auto& [model, adapters] : entry.m_models) {
       if (!ledger.Holds(entry, model)) {
         continue;
       }
       if (view.m_running(id, model) == 0 && !m_waiting_models.contains(model)) {
-        idle.m_idle_models.push_back(model);
+        idle.m_idle_models.push_back(
+            {.m_model = model,
+             .m_megabytes = m_sizes.MegabytesOf(model),
+             .m_configured = view.m_spec.m_models.contains(model)});
       }
       const auto spec = view.m_spec.m_models.find(model);
       if (spec != view.m_spec.m_models.end() && spec->second.m_adapters > 0) {
         idle.m_adapter_rate += view.m_demand.Rate(KeyOf(model), now);
       }
     }
+    std::stable_partition(
+        idle.m_idle_models.begin(), idle.m_idle_models.end(),
+        [](const IdleModel& model) { return !model.m_configured; });
     residency.m_idle.push_back(std::move(idle));
   }
   RefillStoreTokens(view.m_spec, now);
--- a/Source/placement/residency.cc
+++ b/Source/placement/residency.cc
@@ -115,26 +115,28 @@
     return rank(left) < rank(right);
   }
 
-  // Returns the surplus replicas at `engine` to evict so that `model` fits
-  // (empty: it fits without), or nothing if it cannot fit.
+  bool HasSpareReplica(const ModelId& model) const {
+    const auto status = m_view.m_models.find(model);
+    return status != m_view.m_models.end() &&
+           status->second.m_present >
+               RequiredReplicas(status->second, FullResidency::kShrinkFill);
+  }
+
+  // Returns the surplus replicas and removed models at `engine` to evict so
+  // that `model` fits (empty: it fits without), or nothing if it cannot fit.
   std::optional<std::vector<ModelId>> FindEvictions(
       const IdleEngine& engine,
       const ModelId& model) const {
     double lacking =
         m_view.m_spec.m_models.at(model).m_megabytes - engine.m_free_megabytes;
     std::vector<ModelId> victims;
-    for (const ModelId& held : engine.m_idle_models) {
+    for (const IdleModel& held : engine.m_idle_models) {
       if (lacking <= 0) {
         break;
       }
-      const auto status = m_view.m_models.find(held);
-      const bool spare =
-          status != m_view.m_models.end() &&
-          status->second.m_present >
-              RequiredReplicas(status->second, FullResidency::kShrinkFill);
-      if (spare) {
-        victims.push_back(held);
-        lacking -= m_view.m_spec.m_models.at(held).m_megabytes;
+      if (!held.m_configured || HasSpareReplica(held.m_model)) {
+        victims.push_back(held.m_model);
+        lacking -= held.m_megabytes;
       }
     }
     return lacking <= 0 ? std::optional(std::move(victims)) : std::nullopt;
@@ -142,8 +144,14 @@
 
   void AddProposal(const IdleEngine& engine, const ModelId& model) {
     const auto victims = FindEvictions(engine, model);
+    if (!victims) {
+      return;
+    }
     for (const ModelId& victim : *victims) {
-      --m_view.m_models.at(victim).m_present;
+      const auto status = m_view.m_models.find(victim);
+      if (status != m_view.m_models.end()) {
+        --status->second.m_present;
+      }
     }
     ++m_view.m_models.at(model).m_pending;
     m_assigned.insert(engine.m_entry->m_id);
--- a/Source/placement/residency.h
+++ b/Source/placement/residency.h
@@ -12,12 +12,18 @@
 
 namespace hickoryloft::placement {
 
+// A model that an engine holds and that is not in use there.
+struct IdleModel {
+  ModelId m_model;
+  double m_megabytes = 0;
+  bool m_configured = true;  // False: it has left the configuration.
+};
+
 // An engine that can accept an order now.
 struct IdleEngine {
   const fleet::EndpointEntry* m_entry = nullptr;
   double m_free_megabytes = 0;
-  // Models that are not in use there.
-  std::vector<ModelId> m_idle_models;
+  std::vector<IdleModel> m_idle_models;  // In the order of their eviction.
   // Requests per second for the engine's models that have adapters: adapter
   // loads wait while the engine loads from the weight store.
   double m_adapter_rate = 0;
--- a/Tests/placement/engine_planner_state_test.cc
+++ b/Tests/placement/engine_planner_state_test.cc
@@ -61,3 +61,57 @@
         }
       }));
 }
+
+// A placement leader ended with an exception when a model that it was about to
+// preload left the configuration (LOST, issue 37).
+TEST_CASE("Planning survives models that leave the configuration at any time") {
+  CHECK(rc::check(
+      "and removed models are neither loaded nor in the way of others", [] {
+        const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+        const auto late = *rc::gen::element(0.0, 0.2, 0.6);
+        RandomEngine random(seed);
+        constexpr int kModels = 14;
+        PlannerWorld world(3, kModels, std::make_unique<FullResidency>());
+        for (int engine = 0; engine < 3; ++engine) {
+          world.Hold(engine, {2 * engine, 2 * engine + 1});
+          world.KeepOnDisk(engine, {8, 9, 10, 11, 12, 13});
+        }
+        world.m_registration_lag =
+            *rc::gen::element(seconds(0), seconds(1), seconds(6));
+        std::uniform_int_distribution<int> model(0, kModels - 1);
+        std::uniform_int_distribution<int> engine(0, 2);
+        std::uniform_int_distribution<int> percent(0, 99);
+        for (int step = 0; step < 300; ++step) {
+          const int changed = model(random);
+          if (percent(random) < 15) {
+            world.RemoveModel(changed);
+          } else if (percent(random) < 25) {
+            world.AddModel(changed);
+          }
+          if (percent(random) < 15) {
+            world.AddDemand(model(random), 1);
+          }
+          if (percent(random) < 15) {
+            world.AddDemand(model(random), 1, "a1");
+          }
+          if (percent(random) < 15) {
+            world.m_waiting_requests.clear();
+          }
+          if (percent(random) < 20) {
+            world.m_running[{Engine(engine(random)), Model(model(random))}] =
+                percent(random) % 3;
+          }
+          if (percent(random) < 2) {
+            world.m_planner.Reset();
+          }
+          const std::size_t orders = world.m_orders.size();
+          world.Step(milliseconds(100), late, random);
+          for (std::size_t at = orders; at < world.m_orders.size(); ++at) {
+            const fleet::EngineOrder& order = world.m_orders[at].m_order;
+            RC_ASSERT(order.m_operation == OrderOperation::kUnload ||
+                      world.m_spec.m_models.contains(order.m_model));
+          }
+          RC_ASSERT(world.m_max_used <= kEngineMegabytes);
+        }
+      }));
+}
--- a/Tests/placement/engine_planner_test.cc
+++ b/Tests/placement/engine_planner_test.cc
@@ -213,3 +213,94 @@
   }
   CHECK(world.m_orders.empty());
 }
+
+// The placement leader ended with an exception at the next plan, and cut the
+// requests of its callers (LOST, review/2).
+TEST_CASE("A preload is dropped when its model leaves the configuration") {
+  PlannerWorld world(1, 4, std::make_unique<FullResidency>());
+  RandomEngine random(1);
+  world.Hold(0, {0});
+  world.KeepOnDisk(0, {2});
+  world.m_engines[Engine(0)].m_running = PlannerWorld::Running{
+      .m_order = {.m_operation = OrderOperation::kUnload, .m_model = Model(3)},
+      .m_done_at = world.m_now + milliseconds(300)};
+  world.Step(milliseconds(100), 0, random);
+  REQUIRE(world.m_orders.empty());
+  world.RemoveModel(2);
+  world.RemoveModel(1);
+  world.RemoveModel(3);
+  for (int i = 0; i < 30; ++i) {
+    CHECK_NOTHROW(world.Step(milliseconds(100), 0, random));
+  }
+  CHECK(world.m_orders.empty());
+}
+
+// A model that had left the configuration counted as the memory of a whole
+// engine and was never evicted, so the engine took no further model.
+TEST_CASE("A removed model makes room for configured ones") {
+  const bool preloaded = GENERATE(false, true);
+  std::unique_ptr<ResidencyPolicy> residency =
+      std::make_unique<DemandOnlyResidency>();
+  if (preloaded) {
+    residency = std::make_unique<FullResidency>();
+  }
+  PlannerWorld world(1, 5, std::move(residency));
+  RandomEngine random(1);
+  world.RemoveModel(1);
+  world.RemoveModel(3);
+  world.Hold(0, {0, 2});
+  world.KeepOnDisk(0, {4});
+  world.m_running[{Engine(0), Model(0)}] = 1;
+  world.Step(milliseconds(100), 0, random);
+  world.RemoveModel(2);
+  // The next leader does not know the size of the removed model.
+  const bool new_leader = GENERATE(false, true);
+  EnginePlanner fresh(kService, std::make_unique<FullResidency>());
+  if (new_leader) {
+    world.m_planner = std::move(fresh);
+  }
+  if (!preloaded) {
+    world.AddDemand(4, 1);
+  }
+  for (int i = 0; i < 40; ++i) {
+    world.Step(milliseconds(100), 0, random);
+  }
+  CHECK(world.m_engines[Engine(0)].m_models ==
+        std::set<ModelId>{Model(0), Model(4)});
+  CHECK(world.m_max_used <= kEngineMegabytes);
+}
+
+// A model that leaves the configuration is not loaded by a repeated order.
+TEST_CASE("An unanswered load of a removed model is not repeated") {
+  PlannerWorld world(1, 4);
+  RandomEngine random(1);
+  world.KeepOnDisk(0, {2});
+  world.AddDemand(2, 1);
+  for (int i = 0; i < 5 && world.m_orders.empty(); ++i) {
+    world.Step(milliseconds(100), 1, random);
+  }
+  REQUIRE(world.m_orders.size() == 1);
+  world.RemoveModel(2);
+  for (int i = 0; i < 15; ++i) {
+    world.Step(milliseconds(100), 0, random);
+  }
+  CHECK(world.m_orders.size() == 1);
+}
+
+// The id of an engine is used by an engine of another service: the orders of
+// before do not concern it.
+TEST_CASE("An engine that joins another service gets no order of this one") {
+  PlannerWorld world(1, 4);
+  RandomEngine random(1);
+  world.KeepOnDisk(0, {2});
+  world.AddDemand(2, 1);
+  for (int i = 0; i < 5 && world.m_orders.empty(); ++i) {
+    world.Step(milliseconds(100), 1, random);
+  }
+  REQUIRE(world.m_orders.size() == 1);
+  world.m_entries[Engine(0)].m_service = ServiceId("other");
+  for (int i = 0; i < 15; ++i) {
+    world.Step(milliseconds(100), 0, random);
+  }
+  CHECK(world.m_orders.size() == 1);
+}
--- a/Tests/placement/planner_world.h
+++ b/Tests/placement/planner_world.h
@@ -45,12 +45,7 @@
               .m_adapter_slots = 8,
               .m_loads_per_second = 6.8};
     for (int i = 0; i < models; ++i) {
-      m_spec.m_models[Model(i)] = {
-          .m_megabytes = i % 2 == 0 ? 72700.0 : 42700.0,
-          .m_load_from_store = seconds(6),
-          .m_load_from_disk = milliseconds(800),
-          .m_load_from_memory = milliseconds(500),
-          .m_adapters = 20};
+      AddModel(i);
     }
     for (int i = 0; i < engines; ++i) {
       m_engines[Engine(i)] = {};
@@ -72,6 +67,23 @@
     std::optional<Running> m_running;
   };
 
+  // Change the configuration.
+  void AddModel(int model) {
+    m_spec.m_models[Model(model)] = {.m_megabytes = Megabytes(Model(model)),
+                                     .m_load_from_store = seconds(6),
+                                     .m_load_from_disk = milliseconds(800),
+                                     .m_load_from_memory = milliseconds(500),
+                                     .m_adapters = 20};
+    ++m_configuration;
+  }
+  void RemoveModel(int model) {
+    m_spec.m_models.erase(Model(model));
+    ++m_configuration;
+  }
+  static double Megabytes(const ModelId& model) {
+    return std::stoi(model.value().substr(1)) % 2 == 0 ? 72700.0 : 42700.0;
+  }
+
   void Hold(int engine, std::initializer_list<int> models) {
     for (const int model : models) {
       m_engines[Engine(engine)].m_models.insert(Model(model));
@@ -111,6 +123,7 @@
   PlanningView View() {
     return {.m_entries = m_entries,
             .m_spec = m_spec,
+            .m_configuration = m_configuration,
             .m_demand = m_demand,
             .m_running =
                 [this](const EndpointId& engine, const ModelId& model) {
@@ -318,13 +331,14 @@
     }
     double used = 0;
     for (const ModelId& model : models) {
-      used += m_spec.m_models.at(model).m_megabytes;
+      used += Megabytes(model);
     }
     m_max_used = std::max(m_max_used, used);
   }
 
   MonotonicTime m_now{seconds(100)};
   fleet::EngineSpec m_spec;
+  std::int64_t m_configuration = 0;
   std::map<EndpointId, fleet::EndpointEntry> m_entries;
   ModelDemand m_demand;
   EnginePlanner m_planner;
