Keep the tokens of callers that leave while their request is sent

Cause: OnCallerDisconnected() ended a send without a record that the endpoint may have executed the request, and Frontend::Remove() put the tokens back, here and by the reports at all hosts. Seven places ended sends, each with its own copy of that step. Evidence: with a server that runs the request of a caller that leaves, the account's next request was admitted beyond its rate.

Change: ExecutionRecord knows the send under way, and RequestFlow::EndSend() asks each end what is certain; whatever proves nothing counts as executed. Truth of refusals, repeats and tokens follow from it.

Why it works: a send that has begun is no longer "not run" until an end proves it, so an end that forgets to say anything errs on the safe side. A request that still waits when its caller leaves gets its tokens back (tested, passed before too).

--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -51,7 +51,7 @@
 }
 
 RequestFlow::~RequestFlow() {
-  EndSend();
+  EndSend(SendEnd::kMayHaveRun);
 }
 
 Duration RequestFlow::Waited() const {
@@ -136,7 +136,7 @@
   m_requirements.m_tried.insert(m_endpoint);
   m_context.m_permits.Use(entry);
   m_context.m_load.Begin(m_endpoint, request.m_model);
-  m_counted_in_load = true;
+  m_executions.BeginSend(m_endpoint);
   kLog.Info("sent", {{"id", request.m_id},
                      {"endpoint", m_endpoint.value()},
                      {"send", m_sends},
@@ -163,11 +163,12 @@
        .m_failed = [this](const Error& error) { OnFailed(error); }});
 }
 
-void RequestFlow::EndSend() {
+void RequestFlow::EndSend(SendEnd end) {
   m_call.reset();
-  if (std::exchange(m_counted_in_load, false)) {
+  if (m_executions.sending()) {
     m_context.m_load.End(m_endpoint, m_admitted.m_request.m_model);
   }
+  m_executions.EndSend(end);
 }
 
 void RequestFlow::OnHead(const endpoint::AnswerHead& head) {
@@ -252,10 +253,11 @@
 void RequestFlow::OnDone() {
   const SendOutcome outcome = m_answer.Judge(m_events, m_stream_started);
   if (outcome == SendOutcome::kNotExecuted) {
+    EndSend(SendEnd::kNotExecuted);
     OnNotExecuted(m_answer.m_head.m_status);
     return;
   }
-  m_may_have_run_at.insert(m_endpoint);
+  EndSend(SendEnd::kMayHaveRun);
   m_answer.LogUncertainEnd(m_admitted.m_request.m_id, m_endpoint, m_events,
                            outcome);
   if (outcome != SendOutcome::kComplete) {
@@ -314,9 +316,7 @@
 
 void RequestFlow::OnFailed(const Error& error) {
   const bool may_have_run = error.code() != ErrorCode::kUnavailable;
-  if (may_have_run) {
-    m_may_have_run_at.insert(m_endpoint);
-  }
+  EndSend(may_have_run ? SendEnd::kMayHaveRun : SendEnd::kNotExecuted);
   // A connection that failed before the connect timeout was refused.
   const bool refused =
       !may_have_run && m_context.m_loop.Now() - m_sent_at < kConnectTimeout;
@@ -362,11 +362,10 @@
       route.m_kind == fleet::RequestKind::kIdempotent ||
       (route.m_kind == fleet::RequestKind::kStreaming && route.m_resumable);
   return repeatable &&
-         static_cast<int>(m_may_have_run_at.size()) < route.m_max_endpoints;
+         static_cast<int>(m_executions.endpoints()) < route.m_max_endpoints;
 }
 
 void RequestFlow::RetryOrFinish(bool may_have_run, const std::string& reason) {
-  EndSend();
   // A prompt that may have crashed this endpoint must not reach another one.
   const bool suspect =
       may_have_run && m_answer.EndsEarly(m_context.m_loop.Now()) &&
@@ -404,90 +403,4 @@
   AnswerWithProblem(502, "failed", reason, std::nullopt);
 }
 
-void RequestFlow::Refuse(const std::string& reason,
-                         std::optional<Duration> retry_after) {
-  if (m_stream_started) {
-    m_exchange->Abort();
-    Finish("broken_off", reason);
-    return;
-  }
-  AnswerWithProblem(not_run() ? 503 : 502, not_run() ? "refused" : "failed",
-                    reason, retry_after);
-}
-
-void RequestFlow::Abort() {
-  if (finished()) {
-    return;
-  }
-  if (m_phase == Phase::kSent || m_phase == Phase::kStreaming) {
-    m_may_have_run_at.insert(m_endpoint);
-  }
-  EndSend();
-  // An answer with Retry-After could be taken for "not run".
-  Refuse("host_stops", not_run() ? std::optional(Duration{}) : std::nullopt);
-}
-
-void RequestFlow::OnCallerDisconnected() {
-  EndSend();
-  Finish("caller_left", "");
-}
-
-void RequestFlow::OnDeadline() {
-  const bool sent = m_phase == Phase::kSent || m_phase == Phase::kStreaming;
-  if (sent) {
-    m_may_have_run_at.insert(m_endpoint);
-    AvoidEndpoint();
-  }
-  EndSend();
-  if (m_stream_started) {
-    m_exchange->Abort();
-    Finish("broken_off", "deadline");
-    return;
-  }
-  if (not_run()) {
-    AnswerWithProblem(503, "refused", "deadline_passed_waiting", std::nullopt);
-    return;
-  }
-  AnswerWithProblem(504, "failed", "deadline", std::nullopt);
-}
-
-void RequestFlow::AnswerWithProblem(int status,
-                                    const std::string& outcome,
-                                    const std::string& reason,
-                                    std::optional<Duration> retry_after) {
-  EndSend();
-  http::HeaderFields headers = {{"Content-Type", "application/problem+json"}};
-  if (retry_after) {
-    headers.push_back(RetryAfterField(*retry_after));
-  }
-  if (outcome == "refused") {
-    m_context.m_metrics.CountRefusal(reason);
-  }
-  m_exchange->Answer(status, headers, ProblemBody(status, reason));
-  Finish(outcome, reason);
-}
-
-void RequestFlow::Finish(const std::string& outcome,
-                         const std::string& reason) {
-  if (finished()) {
-    return;
-  }
-  m_phase = Phase::kFinished;
-  EndSend();
-  m_deadline_timer.reset();
-  m_exchange->Watch(nullptr, nullptr);
-  if (outcome == "answered") {
-    m_context.m_metrics.m_whole_answer.Record(Waited());
-  }
-  m_context.m_metrics.CountOutcome(fleet::ToText(m_admitted.m_route->m_kind),
-                                   m_admitted.m_account, outcome);
-  kLog.Info("over", {{"id", m_admitted.m_request.m_id},
-                     {"outcome", outcome},
-                     {"reason", reason},
-                     {"sends", m_sends},
-                     {"events", m_events.events()},
-                     {"after_ms", ToMillis(Waited()).count()}});
-  m_context.m_on_finished(*this);
-}
-
 }  // namespace hickoryloft::host
--- a/Source/host/request_flow.h
+++ b/Source/host/request_flow.h
@@ -13,6 +13,7 @@
 #include "fleet/configuration_view.h"
 #include "host/endpoint_finder.h"
 #include "host/event_splitter.h"
+#include "host/execution_record.h"
 #include "host/received_answer.h"
 #include "host/request_context.h"
 #include "http/server_exchange.h"
@@ -71,7 +72,7 @@
   bool waiting() const { return m_phase == Phase::kWaiting; }
   bool finished() const { return m_phase == Phase::kFinished; }
   // Whether it is certain that no endpoint has executed the request.
-  bool not_run() const { return m_may_have_run_at.empty(); }
+  bool not_run() const { return m_executions.not_run(); }
   // Returns counts of the endpoints by availability, for the log.
   std::string DescribeEndpoints() const {
     return EndpointFinder(m_context, m_requirements).Describe();
@@ -111,7 +112,9 @@
   // ends it.
   void RetryOrFinish(bool may_have_run, const std::string& reason);
   bool MayRepeat() const;
-  void EndSend();
+  // Ends the send that is under way, if any. Every end of a send comes here:
+  // what `end` says decides about refusals, repeats and the account's tokens.
+  void EndSend(SendEnd end);
   void AnswerWithProblem(int status,
                          const std::string& outcome,
                          const std::string& reason,
@@ -130,7 +133,6 @@
   std::unique_ptr<endpoint::Call> m_call;
   EndpointId m_endpoint;
   std::int64_t m_endpoint_started_at_ms = 0;
-  bool m_counted_in_load = false;
   MonotonicTime m_sent_at;
   ReceivedAnswer m_answer;
 
@@ -138,8 +140,7 @@
   EndpointRequirements m_requirements;
   int m_sends = 0;
   std::set<EndpointId> m_sent_to;
-  // Endpoints that may have executed the request.
-  std::set<EndpointId> m_may_have_run_at;
+  ExecutionRecord m_executions;
   EventSplitter m_events;
   bool m_stream_started = false;
   // The request is let through although a part of its prompt is held.
--- /dev/null
+++ b/Source/host/request_flow_end.cc
@@ -0,0 +1,99 @@
+// RequestFlow: the ends of a request that are not its endpoint's answer, and
+// what all ends have in common.
+
+#include <utility>
+
+#include "base/log.h"
+#include "host/request_flow.h"
+#include "host/retry_after.h"
+
+namespace hickoryloft::host {
+
+namespace {
+
+const Logger kLog("request");
+
+}  // namespace
+
+void RequestFlow::Refuse(const std::string& reason,
+                         std::optional<Duration> retry_after) {
+  if (m_stream_started) {
+    m_exchange->Abort();
+    Finish("broken_off", reason);
+    return;
+  }
+  AnswerWithProblem(not_run() ? 503 : 502, not_run() ? "refused" : "failed",
+                    reason, retry_after);
+}
+
+void RequestFlow::Abort() {
+  if (finished()) {
+    return;
+  }
+  EndSend(SendEnd::kMayHaveRun);
+  // An answer with Retry-After could be taken for "not run".
+  Refuse("host_stops", not_run() ? std::optional(Duration{}) : std::nullopt);
+}
+
+void RequestFlow::OnCallerDisconnected() {
+  EndSend(SendEnd::kMayHaveRun);
+  Finish("caller_left", "");
+}
+
+void RequestFlow::OnDeadline() {
+  if (m_executions.sending()) {
+    AvoidEndpoint();
+  }
+  EndSend(SendEnd::kMayHaveRun);
+  if (m_stream_started) {
+    m_exchange->Abort();
+    Finish("broken_off", "deadline");
+    return;
+  }
+  if (not_run()) {
+    AnswerWithProblem(503, "refused", "deadline_passed_waiting", std::nullopt);
+    return;
+  }
+  AnswerWithProblem(504, "failed", "deadline", std::nullopt);
+}
+
+void RequestFlow::AnswerWithProblem(int status,
+                                    const std::string& outcome,
+                                    const std::string& reason,
+                                    std::optional<Duration> retry_after) {
+  EndSend(SendEnd::kMayHaveRun);
+  http::HeaderFields headers = {{"Content-Type", "application/problem+json"}};
+  if (retry_after) {
+    headers.push_back(RetryAfterField(*retry_after));
+  }
+  if (outcome == "refused") {
+    m_context.m_metrics.CountRefusal(reason);
+  }
+  m_exchange->Answer(status, headers, ProblemBody(status, reason));
+  Finish(outcome, reason);
+}
+
+void RequestFlow::Finish(const std::string& outcome,
+                         const std::string& reason) {
+  if (finished()) {
+    return;
+  }
+  m_phase = Phase::kFinished;
+  EndSend(SendEnd::kMayHaveRun);
+  m_deadline_timer.reset();
+  m_exchange->Watch(nullptr, nullptr);
+  if (outcome == "answered") {
+    m_context.m_metrics.m_whole_answer.Record(Waited());
+  }
+  m_context.m_metrics.CountOutcome(fleet::ToText(m_admitted.m_route->m_kind),
+                                   m_admitted.m_account, outcome);
+  kLog.Info("over", {{"id", m_admitted.m_request.m_id},
+                     {"outcome", outcome},
+                     {"reason", reason},
+                     {"sends", m_sends},
+                     {"events", m_events.events()},
+                     {"after_ms", ToMillis(Waited()).count()}});
+  m_context.m_on_finished(*this);
+}
+
+}  // namespace hickoryloft::host
