Bound the memory of all answers of endpoints together

Cause: each answer was bounded (4 MiB, 16 MiB for reports of engines), their sum was not. Ruled out by test: heads and interim heads without end, which end at their own limit.

Change: BufferBudget, an eighth of the memory limit in the settings. Beyond it an answer is ended: one without a known length before others, then one of the endpoint whose answers use most, then the largest. The request ends as if its endpoint had failed. Output of a stream that its caller does not read counts as well. A known length is reserved once.

Why it works: the sum is checked at each growth, so it never passes the limit, and who is ended follows from who sends without end, not from the order of arrival. A sound server's answers of 1 MB beside an endless server get through.

--- a/Source/base/log_fields.h
+++ b/Source/base/log_fields.h
@@ -28,6 +28,7 @@
     {"asked_for_ms",
      "milliseconds since this host's own calls to the key-value service began"},
     {"away_ms", "milliseconds since the last answer of the key-value service"},
+    {"bytes", "memory of a buffer in bytes"},
     {"claim", "name of a claim of the coordinator"},
     {"configuration",
      "version of the configuration that applies to the request"},
--- a/Source/endpoint/buffered_call.h
+++ b/Source/endpoint/buffered_call.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <string>
 
+#include "base/buffer_budget.h"
 #include "base/event_loop.h"
 #include "endpoint/http_client.h"
 
@@ -17,18 +18,24 @@
   std::string m_body;
 };
 
-// Largest body, in bytes, that is collected; a call with a larger one fails
-// with kProtocol.
-constexpr std::size_t kMaxBufferedBody = std::size_t{16} * 1024 * 1024;
+struct BufferedLimits {
+  Duration m_time{};  // Until the response is complete.
+  // Largest body that is collected.
+  std::size_t m_bytes = std::size_t{16} * 1024 * 1024;
+  // Memory that the body shares with others; null if it needs no bound beyond
+  // m_bytes.
+  BufferBudget* m_budget = nullptr;
+};
 
 // Starts `request` and calls `callback` once: with the response, with a failure
-// listed at CallEvents, or with kTimedOut if the response is not complete
-// within `limit`.
-// `loop` and `client` must outlive the call. Use on the loop's thread only.
+// listed at CallEvents, with kTimedOut after m_time, or with kProtocol if the
+// body is larger than m_bytes or has no room in the budget.
+// `loop`, `client` and the budget must outlive the call. Use on the loop's
+// thread only.
 void StartBuffered(EventLoop& loop,
                    HttpClient& client,
                    CallRequest request,
-                   Duration limit,
+                   const BufferedLimits& limits,
                    std::function<void(Result<Answer>)> callback);
 
 }  // namespace hickoryloft::endpoint
--- a/Source/endpoint/http_order_service.cc
+++ b/Source/endpoint/http_order_service.cc
@@ -160,7 +160,7 @@
   StartBuffered(
       m_loop, m_client,
       MakeCall(endpoint, HttpMethod::kPost, "/orders", FormatOrder(order)),
-      kAnswerTimeout,
+      {.m_time = kAnswerTimeout},
       [endpoint, callback = std::move(callback)](Result<Answer> answer) {
         callback(answer ? ToOrderReply(endpoint, answer.value())
                         : Result<OrderReply>(answer.error()));
@@ -175,7 +175,7 @@
   StartBuffered(
       m_loop, m_client,
       MakeCall(endpoint, HttpMethod::kPost, "/fences", body.dump()),
-      kAnswerTimeout,
+      {.m_time = kAnswerTimeout},
       [endpoint, callback = std::move(callback)](Result<Answer> answer) {
         if (!answer) {
           callback(answer.error());
@@ -198,7 +198,7 @@
     std::function<void(Result<InventoryReport>)> callback) {
   StartBuffered(
       m_loop, m_client, MakeCall(endpoint, HttpMethod::kGet, "/inventory", ""),
-      kAnswerTimeout,
+      {.m_time = kAnswerTimeout},
       [endpoint, callback = std::move(callback)](Result<Answer> answer) {
         callback(answer ? ToInventory(endpoint, answer.value())
                         : Result<InventoryReport>(answer.error()));
--- a/Source/entry/service_flow.cc
+++ b/Source/entry/service_flow.cc
@@ -251,7 +251,8 @@
   ++m_attempts;
   m_context.m_loads.OnSent(endpoint, now);
   endpoint::StartBuffered(m_context.m_loop, m_context.m_client,
-                          MakeCallRequest(*chosen, request_id), limit,
+                          MakeCallRequest(*chosen, request_id),
+                          {.m_time = limit},
                           [self = shared_from_this(), endpoint,
                            request_id](const Result<endpoint::Answer>& answer) {
                             self->OnAnswer(endpoint, request_id, answer);
--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -188,6 +188,7 @@
       .m_prompts = m_prompts,
       .m_random = m_random,
       .m_metrics = m_metrics,
+      .m_answers = m_platform.m_answers,
       .m_retry_budget =
           [this](const ServiceId& service) -> admission::RetryBudget& {
         return m_retry_budgets
@@ -383,6 +384,8 @@
         service, budget.Remaining(m_exchange.peers().size() + 1, m_loop.Now()));
   }
   m_metrics.MeasureMemory();
+  m_metrics.m_answer_bytes.Set(
+      static_cast<double>(m_platform.m_answers.bytes()));
 }
 
 void HostDaemon::Tick() {
--- a/Source/host/host_daemon.h
+++ b/Source/host/host_daemon.h
@@ -30,6 +30,7 @@
   const fleet::CallerProtocol& m_protocol;
   fleet::EngineControl& m_engines;
   endpoint::HttpClient& m_client;
+  BufferBudget& m_answers;  // For the bytes that endpoints send.
 };
 
 // Use on the loop's thread only.
--- a/Source/host/host_metrics.cc
+++ b/Source/host/host_metrics.cc
@@ -49,8 +49,11 @@
           "loft_held_prompt_parts",
           "Prompt parts that crash endpoints; requests with them are "
           "rejected.")),
-      m_resident_bytes(m_registry.GetGauge("loft_resident_bytes",
-                                           "Memory of the process.")) {}
+      m_resident_bytes(
+          m_registry.GetGauge("loft_resident_bytes", "Memory of the process.")),
+      m_answer_bytes(m_registry.GetGauge(
+          "loft_answer_bytes",
+          "Memory of answers that are received or not read by callers.")) {}
 
 void HostMetrics::CountOutcome(const std::string& kind,
                                const ClientAccountId& account,
@@ -113,6 +116,13 @@
       .Add();
 }
 
+void HostMetrics::CountAnswerOverBudget() {
+  m_registry
+      .GetCounter("loft_answers_over_budget_total",
+                  "Answers ended because all together needed too much memory.")
+      .Add();
+}
+
 void HostMetrics::CountSend(bool again) {
   m_registry
       .GetCounter("loft_sends_total", "Requests sent to endpoints.",
--- a/Source/host/host_metrics.h
+++ b/Source/host/host_metrics.h
@@ -33,6 +33,7 @@
   void MeasureMemory();
   void CountRefusal(const std::string& reason);
   void CountSend(bool again);
+  void CountAnswerOverBudget();
 
   metrics::Registry& registry() { return m_registry; }
 
@@ -53,6 +54,7 @@
   metrics::Gauge& m_holds_lease;
   metrics::Gauge& m_held_prompt_parts;
   metrics::Gauge& m_resident_bytes;
+  metrics::Gauge& m_answer_bytes;
 };
 
 }  // namespace hickoryloft::host
--- a/Source/host/host_settings.cc
+++ b/Source/host/host_settings.cc
@@ -38,6 +38,7 @@
       {"host", settings.m_host.value()},
       {"failure_domain", settings.m_failure_domain.value()},
       {"capacity_cores", settings.m_capacity},
+      {"memory_limit_bytes", settings.m_memory_limit_bytes},
       {"address", settings.m_address},
       {"callers", ToText(settings.m_callers)},
       {"readiness", ToText(settings.m_readiness)},
--- a/Source/host/host_settings.h
+++ b/Source/host/host_settings.h
@@ -3,6 +3,7 @@
 #ifndef SOURCE_HOST_HOST_SETTINGS_H_
 #define SOURCE_HOST_HOST_SETTINGS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -39,9 +40,16 @@
 };
 
 struct HostSettings {
+  static constexpr std::size_t kDefaultMemoryLimit = std::size_t{256} << 20;
+  // Share of the memory for the answers of endpoints. Freed buffers and copies
+  // in the kernel need as much again.
+  static constexpr std::size_t kAnswerShare = 8;
+
   HostId m_host;
   FailureDomainId m_failure_domain;
   double m_capacity = 0;  // Processor cores, for comparison with other hosts.
+  // The platform ends a process that uses more memory.
+  std::size_t m_memory_limit_bytes = kDefaultMemoryLimit;
   std::string m_address;  // IP number, for other hosts.
   SocketName m_callers;
   SocketName m_readiness;
@@ -52,6 +60,10 @@
   // All hosts start for the first time, so none knows more than this one.
   bool m_first_start = false;
   FleetBounds m_bounds;
+
+  std::size_t answer_bytes() const {
+    return m_memory_limit_bytes / kAnswerShare;
+  }
 };
 
 // Returns the effective settings as JSON, under the product's own names.
--- a/Source/host/request_context.h
+++ b/Source/host/request_context.h
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "admission/retry_budget.h"
+#include "base/buffer_budget.h"
 #include "base/event_loop.h"
 #include "base/random.h"
 #include "endpoint/pooled_http_client.h"
@@ -39,6 +40,7 @@
   PromptGuard& m_prompts;
   RandomEngine& m_random;
   HostMetrics& m_metrics;
+  BufferBudget& m_answers;  // Memory for answers and unread output.
   // Returns the budget for repeated sends to a service.
   std::function<admission::RetryBudget&(const ServiceId&)> m_retry_budget;
   std::function<std::size_t()> m_host_count;
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -62,6 +62,7 @@
   m_exchange->Watch([this] { OnCallerDisconnected(); },
                     [this] {
                       if (m_call) {
+                        MeasureBuffer();
                         m_call->Resume();
                       }
                     });
@@ -155,6 +156,9 @@
   // m_deadline_timer ends the call. The idle timeout lies past the deadline,
   // because silence until then does not prove that the endpoint failed.
   call.m_idle_timeout = m_deadline - now + seconds(1);
+  m_buffer.emplace(
+      m_context.m_answers, m_endpoint.value(),
+      [this](const BufferBudget::Excess& excess) { OnOverBudget(excess); });
   m_call = m_context.m_client.Start(
       std::move(call),
       {.m_head = [this](const endpoint::AnswerHead& head) { OnHead(head); },
@@ -165,6 +169,7 @@
 
 void RequestFlow::EndSend(SendEnd end) {
   m_call.reset();
+  m_buffer.reset();
   if (m_executions.sending()) {
     m_context.m_load.End(m_endpoint, m_admitted.m_request.m_model);
   }
@@ -194,6 +199,11 @@
   if (m_answer.m_facts.m_leaving) {
     m_context.m_on_endpoint_leaving(m_endpoint, m_endpoint_started_at_ms);
   }
+  if (head.m_content_length && !m_answer.RelaysEvents()) {
+    m_buffer->SetFinalSizeKnown();
+    m_answer.m_body.reserve(
+        std::min<std::size_t>(*head.m_content_length, kMaxAnswerBytes));
+  }
 }
 
 void RequestFlow::OnBytes(std::string_view bytes) {
@@ -205,6 +215,7 @@
       return;
     }
     m_answer.m_body.append(bytes);
+    MeasureBuffer();
     return;
   }
   const std::string events = m_events.Feed(bytes);
@@ -221,6 +232,18 @@
   if (!events.empty()) {
     RelayEvents(events);
   }
+  MeasureBuffer();
+}
+
+void RequestFlow::MeasureBuffer() {
+  if (m_buffer) {
+    // Memory that is reserved and not yet written to is not in use.
+    const std::size_t body = m_answer.m_head.m_content_length
+                                 ? m_answer.m_body.size()
+                                 : m_answer.m_body.capacity();
+    m_buffer->Resize(body + m_events.partial_bytes() +
+                     m_exchange->PendingBytes());
+  }
 }
 
 void RequestFlow::RelayEvents(const std::string& events) {
@@ -292,7 +315,7 @@
 
 void RequestFlow::RelayWholeAnswer() {
   m_exchange->Answer(m_answer.m_head.m_status, m_answer.m_facts.m_forwarded,
-                     m_answer.m_body);
+                     std::exchange(m_answer.m_body, {}));
   Finish(m_answer.m_head.m_status < 400 ? "answered" : "endpoint_failed",
          "status_" + std::to_string(m_answer.m_head.m_status));
 }
--- a/Source/host/request_flow.h
+++ b/Source/host/request_flow.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 
+#include "base/buffer_budget.h"
 #include "fleet/caller_request.h"
 #include "fleet/configuration_view.h"
 #include "host/endpoint_finder.h"
@@ -98,6 +99,11 @@
   // neither kComplete nor kNotExecuted.
   void OnUnusableAnswer(SendOutcome outcome);
   void OnFailed(const Error& error);
+  // Updates the memory that this request uses for the answer. May end sends,
+  // this one included.
+  void MeasureBuffer();
+  // Ends the send, because all answers together need too much memory.
+  void OnOverBudget(const BufferBudget::Excess& excess);
   // Records that the endpoint may have ended because of the prompt.
   void ReportEarlyEnd();
   // Records a failure of the current endpoint, which is then avoided for a
@@ -135,6 +141,7 @@
   std::int64_t m_endpoint_started_at_ms = 0;
   MonotonicTime m_sent_at;
   ReceivedAnswer m_answer;
+  std::optional<BufferBudget::Buffer> m_buffer;
 
   // State of all sends.
   EndpointRequirements m_requirements;
--- a/Source/host/request_flow_end.cc
+++ b/Source/host/request_flow_end.cc
@@ -96,4 +96,25 @@
   m_context.m_on_finished(*this);
 }
 
+void RequestFlow::OnOverBudget(const BufferBudget::Excess& excess) {
+  const std::string reason =
+      "answers need more than " + std::to_string(excess.m_limit) +
+      " bytes of memory, and those of this endpoint most: " +
+      std::to_string(excess.m_peer_bytes);
+  m_context.m_metrics.CountAnswerOverBudget();
+  if (!m_stream_started) {
+    OnFailed(Error(ErrorCode::kProtocol, reason));
+    return;
+  }
+  // The memory is that of output which the caller does not read.
+  kLog.Warn("breaking off a stream",
+            {{"id", m_admitted.m_request.m_id},
+             {"endpoint", m_endpoint.value()},
+             {"bytes", static_cast<std::uint64_t>(excess.m_bytes)},
+             {"reason", reason}});
+  EndSend(SendEnd::kMayHaveRun);
+  m_exchange->Abort();
+  Finish("broken_off", "answer_memory");
+}
+
 }  // namespace hickoryloft::host
