End the search for crashing prompt parts for any records

Cause: FindCrashing() ran until no evidence was left. Count() dropped the part that had just been found if any record named it as held, also one that a newer proof had released, so its evidence stayed and it was found for ever.

Change: a found part gives way only to a record that holds it. The search is bounded by the number of parts with evidence, whatever the records say, also those of another version.

Why it works: a part that is found is held, and an end with a held part is explained and no longer evidence, so each round removes a part.

--- a/Source/admission/crashing_parts.cc
+++ b/Source/admission/crashing_parts.cc
@@ -47,6 +47,11 @@
   return sound != m_records.m_sound.end() && sound->second > revision;
 }
 
+bool CrashingParts::HeldByRecord(const std::string& part) const {
+  const auto record = m_records.m_held.find(part);
+  return record != m_records.m_held.end() && !SoundSince(part, record->second);
+}
+
 bool CrashingParts::Suffices(const Evidence& evidence) {
   return evidence.m_incarnations.size() >= kMinEnds &&
          evidence.m_last - evidence.m_first >= kMinSpread;
@@ -55,14 +60,14 @@
 void CrashingParts::Count() {
   std::erase_if(m_found, [&](const auto& found) {
     return SoundSince(found.first, found.second.m_revision) ||
-           m_records.m_held.contains(found.first);
+           HeldByRecord(found.first);
   });
   m_held.clear();
   for (const auto& [part, found] : m_found) {
     m_held.insert(part);
   }
   for (const auto& [part, revision] : m_records.m_held) {
-    if (!SoundSince(part, revision)) {
+    if (HeldByRecord(part)) {
       m_held.insert(part);
     }
   }
@@ -104,7 +109,9 @@
       findings.push_back(found.m_finding);
     }
   }
-  while (true) {
+  // Each part that is found explains all of its ends, so its evidence is gone
+  // afterwards. The bound holds for any records, also of another version.
+  for (std::size_t left = m_evidence.size(); left > 0; --left) {
     const std::pair<const std::string, Evidence>* worst = nullptr;
     for (const auto& entry : m_evidence) {
       const auto reached = m_reached.find(entry.first);
@@ -137,6 +144,7 @@
       return evidence == m_evidence.end() || !Suffices(evidence->second);
     });
   }
+  return findings;
 }
 
 std::size_t CrashingParts::Ends(const std::string& part) const {
--- a/Source/admission/crashing_parts.h
+++ b/Source/admission/crashing_parts.h
@@ -95,6 +95,9 @@
 
   // Returns whether `part` was proved sound after `revision`.
   bool SoundSince(const std::string& part, Revision revision) const;
+  // Returns whether a record says that `part` is held, and no later proof
+  // releases it.
+  bool HeldByRecord(const std::string& part) const;
   // Returns the revision of the newest record.
   Revision NewestRecord() const;
   // Drops the parts that are no longer held, and counts the ends of the others.
--- a/Tests/admission/crashing_parts_test.cc
+++ b/Tests/admission/crashing_parts_test.cc
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -98,6 +99,72 @@
   CHECK_FALSE(fleet.m_parts.Held("first"));
 }
 
+// Guards against an endless loop of all hosts (Fault, review/1): the record of
+// a part that was held and then proved sound stays for minutes, and the part
+// crashes endpoints again.
+TEST_CASE("A part that was proved sound is held again after further ends") {
+  Fleet fleet;
+  const auto end_endpoints = [&](const std::string& name) {
+    for (int i = 0; i < 5; ++i) {
+      fleet.EndEndpoint(name + std::to_string(i), {"bad"});
+      fleet.Pass(milliseconds(500));
+    }
+  };
+  end_endpoints("v1-");
+  REQUIRE(fleet.SettleAndFind() == std::vector<std::string>{"bad"});
+  fleet.RecordHeld("bad");
+  fleet.Prove("bad");
+  REQUIRE_FALSE(fleet.m_parts.Held("bad"));
+  end_endpoints("v2-");
+  CHECK(fleet.SettleAndFind() == std::vector<std::string>{"bad"});
+  CHECK(fleet.m_parts.Held("bad"));
+  // A host that starts now reads the same records.
+  Fleet started;
+  started.m_records = fleet.m_records;
+  started.m_parts.SetRecords(started.m_records, started.m_now);
+  CHECK(started.SettleAndFind() == std::vector<std::string>{"bad"});
+  CHECK(started.m_parts.Held("bad"));
+  // The new record takes the place of the old one.
+  fleet.RecordHeld("bad");
+  CHECK(fleet.SettleAndFind().empty());
+  CHECK(fleet.m_parts.Held("bad"));
+}
+
+// Hosts read what hosts of another version wrote, in any order: the search ends
+// and holds what it found.
+TEST_CASE("The search for crashing parts ends for any records") {
+  std::mt19937 random(11);
+  const auto draw = [&](int below) {
+    return static_cast<int>(random() % static_cast<unsigned>(below));
+  };
+  for (int round = 0; round < 2000; ++round) {
+    Fleet fleet;
+    const auto name = [&] { return std::string(1, "abcde"[draw(5)]); };
+    for (int i = draw(30); i > 0; --i) {
+      EndpointEnd end{.m_incarnation = "e" + std::to_string(draw(12)),
+                      .m_seen_by = HostId("h"),
+                      .m_at = seconds(draw(9)),
+                      .m_revision = InEra(draw(2), draw(40))};
+      for (int parts = draw(4); parts > 0; --parts) {
+        end.m_parts.push_back({.m_id = name(), .m_depth = draw(4) - 1});
+      }
+      fleet.m_records.m_ends.push_back(end);
+    }
+    for (int i = draw(4); i > 0; --i) {
+      fleet.m_records.m_sound[name()] = InEra(draw(2), draw(40));
+      fleet.m_records.m_held[name()] = InEra(draw(2), draw(40));
+    }
+    fleet.m_parts.SetRecords(fleet.m_records, fleet.m_now);
+    const std::vector<std::string> found = fleet.SettleAndFind();
+    REQUIRE(std::set<std::string>(found.begin(), found.end()).size() ==
+            found.size());
+    for (const std::string& part : found) {
+      REQUIRE(fleet.m_parts.Held(part));
+    }
+    REQUIRE(fleet.FindCrashing().empty());
+  }
+}
+
 // Guards against a part whose record was lost when the key-value service came
 // back from an older copy: no host would have recorded it again.
 TEST_CASE("A part is found again from the records that a restore has left") {
