Refuse requests for adapters that the configuration does not list

What callers saw: a request with a valid key and an adapter name that is not UTF-8 ended the host that gives the orders, and the next request the next one (found by the review, by hand). All requests open there were cut.

Cause: the name went from a header into an order without a look at the configuration; the order's JSON cannot hold such bytes, and nothing caught the exception. The same way, a name that exists nowhere became an order which the engine refuses, and the engine got no orders for five seconds then.

Change: ModelSpec::HasAdapter(); hosts refuse such requests with 503 unknown_adapter, and the planner ignores such demand, since another host may report it.

Why it works: a name that is listed has only an 'a' and digits, so no other text reaches an order.

--- a/Source/fleet/configuration.h
+++ b/Source/fleet/configuration.h
@@ -4,6 +4,7 @@
 #define SOURCE_FLEET_CONFIGURATION_H_
 
 #include <array>
+#include <charconv>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -56,6 +57,19 @@
   Duration m_load_from_disk{};
   Duration m_load_from_memory{};
   int m_adapters = 0;  // Named a1, a2 and so on.
+
+  // Returns whether the model has an adapter of that name. Thread-safe.
+  bool HasAdapter(const AdapterId& adapter) const {
+    const std::string& name = adapter.value();
+    if (name.size() < 2 || name[0] != 'a' || name[1] == '0') {
+      return false;
+    }
+    int number = 0;
+    const char* end = name.data() + name.size();
+    const auto parsed = std::from_chars(name.data() + 1, end, number);
+    return parsed.ec == std::errc{} && parsed.ptr == end && number >= 1 &&
+           number <= m_adapters;
+  }
 };
 
 // The model engines of a service.
--- a/Source/host/frontend.cc
+++ b/Source/host/frontend.cc
@@ -162,10 +162,17 @@
   }
   const fleet::ServiceSpec* service =
       admitted.m_configuration->FindService(admitted.m_service);
-  if (service == nullptr || !service->m_engine ||
-      !service->m_engine->m_models.contains(request.m_model)) {
+  if (service == nullptr || !service->m_engine) {
     return Rejection{503, "unknown_model", std::nullopt};
   }
+  const auto listed = service->m_engine->m_models.find(request.m_model);
+  if (listed == service->m_engine->m_models.end()) {
+    return Rejection{503, "unknown_model", std::nullopt};
+  }
+  const fleet::ModelSpec& spec = listed->second;
+  if (!request.m_adapter.empty() && !spec.HasAdapter(request.m_adapter)) {
+    return Rejection{503, "unknown_adapter", std::nullopt};
+  }
   const fleet::EndpointDirectory& directory = m_context.m_knowledge.directory();
   const auto& holders = directory.EndpointsWithModel(request.m_model);
   if (std::any_of(holders.begin(), holders.end(), [&](const EndpointId& id) {
@@ -174,8 +181,6 @@
     return std::nullopt;
   }
   // Reject the request if no engine can load the model before its deadline.
-  const fleet::ModelSpec& spec =
-      service->m_engine->m_models.at(request.m_model);
   Duration soonest = spec.m_load_from_store;
   for (const EndpointId& id : directory.EndpointsOf(admitted.m_service)) {
     const fleet::EndpointEntry& entry = *directory.Find(id);
--- a/Source/placement/engine_planner.cc
+++ b/Source/placement/engine_planner.cc
@@ -63,8 +63,10 @@
   }
   std::vector<ModelDemand::PendingDemand> pending = view.m_demand.Waiting();
   std::erase_if(pending, [&](const ModelDemand::PendingDemand& demand) {
-    return demand.m_key.m_service != m_service ||
-           !view.m_spec.m_models.contains(demand.m_key.m_model);
+    const auto& [service, model, adapter] = demand.m_key;
+    const auto listed = view.m_spec.m_models.find(model);
+    return service != m_service || listed == view.m_spec.m_models.end() ||
+           (!adapter.empty() && !listed->second.HasAdapter(adapter));
   });
   ClearUnneededTargets(view, pending);
   CountModels(view, pending);
--- a/Tests/fleet/configuration_view_test.cc
+++ b/Tests/fleet/configuration_view_test.cc
@@ -55,3 +55,17 @@
   CHECK(PickTarget(route, 0.91).value() == "b");
   CHECK(PickTarget(route, 0.9999).value() == "b");
 }
+
+// Guards against orders for adapters that do not exist: the name comes from a
+// request and may hold any bytes.
+TEST_CASE("Only the configured adapters of a model have names") {
+  const ModelSpec model{.m_adapters = 12};
+  for (const char* name : {"a1", "a9", "a10", "a12"}) {
+    CHECK(model.HasAdapter(AdapterId(name)));
+  }
+  for (const char* name : {"", "a", "a0", "a01", "a13", "a-1", "a+1", "b1",
+                           "a1 ", "a99999999999", "\xe9t\xe9", "a1/a2"}) {
+    CHECK_FALSE(model.HasAdapter(AdapterId(name)));
+  }
+  CHECK_FALSE(ModelSpec{}.HasAdapter(AdapterId("a1")));
+}
--- a/Tests/placement/engine_planner_test.cc
+++ b/Tests/placement/engine_planner_test.cc
@@ -304,3 +304,23 @@
   }
   CHECK(world.m_orders.size() == 1);
 }
+
+// A request named an adapter whose bytes the order's JSON cannot hold, and the
+// placement leader ended (review, by hand).
+TEST_CASE("An adapter that the configuration does not list gets no order") {
+  PlannerWorld world(1, 4);
+  RandomEngine random(1);
+  world.Hold(0, {0});
+  for (const char* adapter : {"\xe9t\xe9", "a0", "a21"}) {
+    world.AddDemand(0, 1, adapter);
+    for (int i = 0; i < 5; ++i) {
+      world.Step(milliseconds(100), 0, random);
+    }
+  }
+  CHECK(world.m_orders.empty());
+  world.AddDemand(0, 1, "a20");
+  for (int i = 0; i < 5; ++i) {
+    world.Step(milliseconds(100), 0, random);
+  }
+  CHECK(world.m_orders.size() == 1);
+}
