Keep the host running when a plan fails

Cause: nothing between the event loop and main() catches an exception of a plan.

Change: a plan of a service that throws is logged as an error and counted (loft_failed_plans_total), and the planners read the state of the engines again. Answers to orders and report requests from before that are disregarded by a generation number, which replaces the comparison of fencing numbers.

Why it works: the planners' state after a failure may be half changed; discarding it is what a new leader does, and engines reject orders with a wrong count. It hides no fault: the tests of the planner see the exceptions themselves.

--- a/Source/host/host_metrics.cc
+++ b/Source/host/host_metrics.cc
@@ -123,6 +123,13 @@
       .Add();
 }
 
+void HostMetrics::CountFailedPlan() {
+  m_registry
+      .GetCounter("loft_failed_plans_total",
+                  "Plans that ended with an error; each is a fault to report.")
+      .Add();
+}
+
 void HostMetrics::CountSend(bool again) {
   m_registry
       .GetCounter("loft_sends_total", "Requests sent to endpoints.",
--- a/Source/host/host_metrics.h
+++ b/Source/host/host_metrics.h
@@ -34,6 +34,7 @@
   void CountRefusal(const std::string& reason);
   void CountSend(bool again);
   void CountAnswerOverBudget();
+  void CountFailedPlan();
 
   metrics::Registry& registry() { return m_registry; }
 
--- a/Source/host/placement_controller.cc
+++ b/Source/host/placement_controller.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <exception>
 #include <utility>
 
 #include "base/log.h"
@@ -61,20 +62,41 @@
   }
   if (m_planned_fence != m_inputs.m_lease.fence()) {
     m_planned_fence = m_inputs.m_lease.fence();
-    for (const auto& [service, planner] : m_planners) {
-      planner->Reset();
-    }
+    ResetPlanners();
   }
   const MonotonicTime started = m_loop.Now();
   const auto configuration = m_inputs.m_knowledge.configuration();
   for (const auto& [id, service] : configuration->configuration().m_services) {
     if (service.m_engine) {
-      PlanService(service, configuration->version());
+      PlanGuarded(service, configuration->version());
     }
   }
   m_pacer.RecordPlan(started, m_loop.Now());
 }
 
+void PlacementController::ResetPlanners() {
+  ++m_generation;
+  for (const auto& [service, planner] : m_planners) {
+    planner->Reset();
+  }
+}
+
+void PlacementController::PlanGuarded(const fleet::ServiceSpec& service,
+                                      std::int64_t configuration) {
+  try {
+    PlanService(service, configuration);
+  } catch (const std::exception& error) {
+    kLog.Error(
+        "planning failed; reading the state of the engines again for the next "
+        "plan",
+        {{"service", service.m_id.value()},
+         {"version", configuration},
+         {"reason", error.what()}});
+    m_inputs.m_metrics.CountFailedPlan();
+    ResetPlanners();
+  }
+}
+
 void PlacementController::PlanService(const fleet::ServiceSpec& service,
                                       std::int64_t configuration) {
   auto& planner = m_planners[service.m_id];
@@ -157,7 +179,8 @@
   m_engines.SendOrder(
       *address, order,
       [this, service, engine = planned.m_engine, order, tier = planned.m_tier,
-       sent = m_loop.Now()](fleet::OrderOutcome outcome) {
+       sent = m_loop.Now(),
+       generation = m_generation](fleet::OrderOutcome outcome) {
         kLog.Info("order answered",
                   {{"engine", engine.value()},
                    {"operation", ToText(order.m_operation)},
@@ -167,7 +190,7 @@
                    {"after_ms", ToMillis(m_loop.Now() - sent).count()}});
         m_inputs.m_metrics.CountOrder(ToText(order.m_operation), tier,
                                       ToText(outcome));
-        if (order.m_fence != m_planned_fence) {
+        if (generation != m_generation) {
           return;
         }
         m_planners[service]->HandleOutcome(engine, outcome, m_loop.Now());
@@ -218,14 +241,14 @@
     return;
   }
   m_engines.ReadReport(
-      *address, [this, service, engine, fence = m_planned_fence](
+      *address, [this, service, engine, generation = m_generation](
                     const Result<fleet::EngineReport>& report) {
         if (!report.ok()) {
           kLog.Warn(
               "cannot read the report of an engine",
               {{"engine", engine.value()}, {"reason", report.error().what()}});
         }
-        if (fence != m_planned_fence) {
+        if (generation != m_generation) {
           return;
         }
         m_planners[service]->HandleReport(engine, report, m_loop.Now());
--- a/Source/host/placement_controller.h
+++ b/Source/host/placement_controller.h
@@ -49,6 +49,12 @@
   placement::PlacementState CollectState() const;
 
  private:
+  // Discards the state of all planners, which read it again from the engines.
+  void ResetPlanners();
+  // Plans one service. A plan that fails costs the planners' state, not the
+  // host with the requests of its callers.
+  void PlanGuarded(const fleet::ServiceSpec& service,
+                   std::int64_t configuration);
   void PlanService(const fleet::ServiceSpec& service,
                    std::int64_t configuration);
   void SendPlannedOrder(const ServiceId& service,
@@ -65,6 +71,9 @@
   Inputs m_inputs;
   std::function<void()> m_on_changed;
   FencingNumber m_planned_fence = 0;
+  // Number of times that the planners have discarded their state. Answers to
+  // what was sent before are disregarded.
+  std::uint64_t m_generation = 0;
   std::map<ServiceId, std::unique_ptr<placement::EnginePlanner>> m_planners;
   // When a model without an engine was last logged.
   std::map<ModelId, MonotonicTime> m_unplaced_logged_at;
--- a/Tests/host/placement_controller_test.cc
+++ b/Tests/host/placement_controller_test.cc
@@ -1,6 +1,7 @@
 #include "host/placement_controller.h"
 
 #include <catch2/catch.hpp>
+#include <stdexcept>
 
 #include "keyvalue/memory_key_value_service.h"
 
@@ -120,6 +121,10 @@
     m_loop.Run();
   }
   int LookUp() {
+    if (m_failures > 0) {
+      --m_failures;
+      throw std::out_of_range("a look-up without a result");
+    }
     const MonotonicTime began = m_loop.Now();
     while (m_loop.Now() - began < kCostOfOneLookup) {
     }
@@ -134,6 +139,7 @@
   HostMetrics m_metrics;
   placement::ModelDemand m_demand;
   Duration m_time_planning{};
+  int m_failures = 0;  // Look-ups that throw.
   fleet::FleetStateFeed m_knowledge{
       m_loop,
       m_store,
@@ -188,3 +194,24 @@
   CHECK(leader.m_time_planning <
         (leader.m_loop.Now() - began) / placement::PlanPacer::kPauseFactor);
 }
+
+// Guards against a host that ends, with the requests of its callers, because a
+// plan failed (LOST, issue 37). The next plan works.
+TEST_CASE("A plan that fails does not end the host") {
+  Leader leader;
+  leader.RunUntil([&] { return leader.m_lease.valid(); }, seconds(3));
+  REQUIRE(leader.m_lease.valid());
+  leader.m_failures = 3;
+  leader.m_demand.RecordReport(HostId("relay"),
+                               {{.m_service = kService,
+                                 .m_model = Model(1),
+                                 .m_adapter = AdapterId("a1"),
+                                 .m_waiting = 1}},
+                               leader.m_loop.Now());
+  CHECK_NOTHROW(leader.m_controller.Plan());
+  CHECK(leader.m_failures < 3);
+  leader.RunUntil([&] { return leader.m_engines.m_adapters > 0; }, seconds(3));
+  CHECK(leader.m_engines.m_adapters == 1);
+  CHECK(leader.m_metrics.registry().ToPrometheusText().find(
+            "loft_failed_plans_total") != std::string::npos);
+}
