Split two functions of the planner, and spare a copy in buffered calls

No change of behavior: the caller looks the model up once, and the description of an idle engine is a function of its own.

--- a/Source/endpoint/buffered_call.cc
+++ b/Source/endpoint/buffered_call.cc
@@ -78,9 +78,9 @@
              }
              collector->m_answer.m_body.append(bytes);
              if (collector->m_buffer) {
-               // May end the call, which holds this function's captures.
-               const auto kept = collector;
-               kept->m_buffer->Resize(kept->m_answer.m_body.capacity());
+               // May end this call; nothing is used afterwards.
+               collector->m_buffer->Resize(
+                   collector->m_answer.m_body.capacity());
              }
            },
        .m_done =
--- a/Source/placement/engine_answers.cc
+++ b/Source/placement/engine_answers.cc
@@ -76,6 +76,20 @@
   }
 }
 
+void EnginePlanner::CloseOpenOrder(EngineLedger& ledger, MonotonicTime now) {
+  const OpenOrder order = *ledger.m_open;
+  ledger.m_open.reset();
+  if (order.m_adapter.empty()) {
+    return;
+  }
+  auto& held = ledger.m_adapters[order.m_model];
+  if (order.m_operation == fleet::OrderOperation::kLoad) {
+    held[order.m_adapter] = now;
+  } else {
+    held.erase(order.m_adapter);
+  }
+}
+
 void EnginePlanner::RecordHeldModel(const EndpointId& engine,
                                     EngineLedger& ledger,
                                     bool held,
--- a/Source/placement/engine_choice.cc
+++ b/Source/placement/engine_choice.cc
@@ -41,13 +41,10 @@
 std::optional<EnginePlanner::Choice> EnginePlanner::ChooseEngine(
     const PlanningView& view,
     const ModelId& model,
+    const fleet::ModelSpec& spec,
     MonotonicTime now,
     UnplacedModel& unplaced) {
   std::optional<Choice> best;
-  const auto spec = view.m_spec.m_models.find(model);
-  if (spec == view.m_spec.m_models.end()) {
-    return best;
-  }
   const EndpointId* cached_engine = nullptr;
   double soonest_cached = std::numeric_limits<double>::infinity();
   // A busy engine that has the model cached loads one model after another.
@@ -74,8 +71,7 @@
       continue;
     }
     const bool cached = entry.TierOf(model) != fleet::WeightTier::kStore;
-    const double load_seconds =
-        ToSeconds(LoadTime(spec->second, entry.TierOf(model)));
+    const double load_seconds = ToSeconds(LoadTime(spec, entry.TierOf(model)));
     if (ledger.Occupied()) {
       ++unplaced.m_occupied;
       if (cached) {
--- a/Source/placement/engine_planner.cc
+++ b/Source/placement/engine_planner.cc
@@ -247,20 +247,6 @@
   return LoadTime(model->second, order.m_tier);
 }
 
-void EnginePlanner::CloseOpenOrder(EngineLedger& ledger, MonotonicTime now) {
-  const OpenOrder order = *ledger.m_open;
-  ledger.m_open.reset();
-  if (order.m_adapter.empty()) {
-    return;
-  }
-  auto& held = ledger.m_adapters[order.m_model];
-  if (order.m_operation == fleet::OrderOperation::kLoad) {
-    held[order.m_adapter] = now;
-  } else {
-    held.erase(order.m_adapter);
-  }
-}
-
 int EnginePlanner::RunningAt(const PlanningView& view,
                              const fleet::EndpointEntry& entry) {
   int running = 0;
@@ -315,6 +301,10 @@
                                MonotonicTime now,
                                PlannedActions& actions) {
   const ModelId& model = demand.m_key.m_model;
+  const auto listed = view.m_spec.m_models.find(model);
+  if (listed == view.m_spec.m_models.end()) {
+    return;
+  }
   const Replicas replicas = CountReplicas(view, model);
   // Continues at engines that already have the model as their target.
   for (auto& [id, ledger] : m_ledgers) {
@@ -330,7 +320,8 @@
   if (replicas.m_present + replicas.m_pending <
       WantedReplicas(view, demand, replicas)) {
     UnplacedModel unplaced{.m_model = model, .m_waiting = demand.m_waiting};
-    if (const auto choice = ChooseEngine(view, model, now, unplaced)) {
+    if (const auto choice =
+            ChooseEngine(view, model, listed->second, now, unplaced)) {
       m_ledgers[choice->m_engine].SetTarget(model);
     } else {
       actions.m_unplaced.push_back(unplaced);
--- a/Source/placement/engine_planner.h
+++ b/Source/placement/engine_planner.h
@@ -135,6 +135,11 @@
   void PlanPreloads(const PlanningView& view,
                     MonotonicTime now,
                     PlannedActions& actions);
+  // Returns what the engine of `entry` holds and may evict.
+  IdleEngine DescribeIdleEngine(const PlanningView& view,
+                                const fleet::EndpointEntry& entry,
+                                const EngineLedger& ledger,
+                                MonotonicTime now) const;
   ResidencyView BuildResidencyView(const PlanningView& view, MonotonicTime now);
   // Adds the models that the engine of `ledger` holds or has cached.
   void AddModelStatus(const PlanningView& view,
@@ -202,6 +207,7 @@
                     PlannedActions& actions);
   std::optional<Choice> ChooseEngine(const PlanningView& view,
                                      const ModelId& model,
+                                     const fleet::ModelSpec& spec,
                                      MonotonicTime now,
                                      UnplacedModel& unplaced);
   std::optional<Choice> CostAt(const PlanningView& view,
--- a/Source/placement/engine_preload.cc
+++ b/Source/placement/engine_preload.cc
@@ -57,6 +57,36 @@
   }
 }
 
+IdleEngine EnginePlanner::DescribeIdleEngine(const PlanningView& view,
+                                             const fleet::EndpointEntry& entry,
+                                             const EngineLedger& ledger,
+                                             MonotonicTime now) const {
+  IdleEngine idle{
+      .m_entry = &entry,
+      .m_free_megabytes = view.m_spec.m_megabytes -
+                          UsedMegabytes(entry, ledger, view.m_spec, m_sizes)};
+  for (const auto& [model, adapters] : entry.m_models) {
+    if (!ledger.Holds(entry, model)) {
+      continue;
+    }
+    if (view.m_running(entry.m_id, model) == 0 &&
+        !m_waiting_models.contains(model)) {
+      idle.m_idle_models.push_back(
+          {.m_model = model,
+           .m_megabytes = m_sizes.MegabytesOf(model),
+           .m_configured = view.m_spec.m_models.contains(model)});
+    }
+    const auto spec = view.m_spec.m_models.find(model);
+    if (spec != view.m_spec.m_models.end() && spec->second.m_adapters > 0) {
+      idle.m_adapter_rate += view.m_demand.Rate(KeyOf(model), now);
+    }
+  }
+  std::stable_partition(
+      idle.m_idle_models.begin(), idle.m_idle_models.end(),
+      [](const IdleModel& model) { return !model.m_configured; });
+  return idle;
+}
+
 ResidencyView EnginePlanner::BuildResidencyView(const PlanningView& view,
                                                 MonotonicTime now) {
   ResidencyView residency{.m_spec = view.m_spec};
@@ -89,29 +119,7 @@
         !ledger.m_target.empty() || now < ledger.m_paused_until) {
       continue;
     }
-    IdleEngine idle{
-        .m_entry = &entry,
-        .m_free_megabytes = view.m_spec.m_megabytes -
-                            UsedMegabytes(entry, ledger, view.m_spec, m_sizes)};
-    for (const auto& [model, adapters] : entry.m_models) {
-      if (!ledger.Holds(entry, model)) {
-        continue;
-      }
-      if (view.m_running(id, model) == 0 && !m_waiting_models.contains(model)) {
-        idle.m_idle_models.push_back(
-            {.m_model = model,
-             .m_megabytes = m_sizes.MegabytesOf(model),
-             .m_configured = view.m_spec.m_models.contains(model)});
-      }
-      const auto spec = view.m_spec.m_models.find(model);
-      if (spec != view.m_spec.m_models.end() && spec->second.m_adapters > 0) {
-        idle.m_adapter_rate += view.m_demand.Rate(KeyOf(model), now);
-      }
-    }
-    std::stable_partition(
-        idle.m_idle_models.begin(), idle.m_idle_models.end(),
-        [](const IdleModel& model) { return !model.m_configured; });
-    residency.m_idle.push_back(std::move(idle));
+    residency.m_idle.push_back(DescribeIdleEngine(view, entry, ledger, now));
   }
   RefillStoreTokens(view.m_spec, now);
   const int usable =
--- a/Tests/base/buffer_budget_test.cc
+++ b/Tests/base/buffer_budget_test.cc
@@ -42,9 +42,9 @@
 // end to many requests at once used up the memory of the host (issue 37).
 TEST_CASE("Buffers that grow without end stay within the limit together") {
   BufferBudget budget(kLimit);
-  std::vector<std::unique_ptr<Answer>> answers;
-  for (int i = 0; i < 150; ++i) {
-    answers.push_back(std::make_unique<Answer>(budget, "faulty"));
+  std::vector<std::unique_ptr<Answer>> answers(150);
+  for (auto& answer : answers) {
+    answer = std::make_unique<Answer>(budget, "faulty");
   }
   for (int round = 0; round < 100; ++round) {
     for (const auto& answer : answers) {
@@ -63,9 +63,9 @@
   BufferBudget budget(kLimit);
   Answer sound(budget, "sound");
   sound.Grow(300);
-  std::vector<std::unique_ptr<Answer>> endless;
-  for (int i = 0; i < 40; ++i) {
-    endless.push_back(std::make_unique<Answer>(budget, "faulty"));
+  std::vector<std::unique_ptr<Answer>> endless(40);
+  for (auto& answer : endless) {
+    answer = std::make_unique<Answer>(budget, "faulty");
   }
   for (int round = 0; round < 50; ++round) {
     for (const auto& answer : endless) {
