Break off streams without a framing whose server is gone

Cause: an orderly end of the connection was the only evidence looked at, and the system of a killed process closes its connections in order.

Change: EndpointProbe, taken out of PromptGuard, asks the endpoint for its report 30 ms after the end of such a stream. If it refuses the connection, the stream is resumed where the route allows it, else broken off. No answer, the deadline or a planned stop complete it as before.

Why it works: a process that ended while it sent refuses connections at once; one that ended its stream by itself is still there.

--- a/Source/host/host_daemon.h
+++ b/Source/host/host_daemon.h
@@ -70,6 +70,7 @@
   Frontend m_frontend;
   FleetExchange m_exchange;
   PermitExchange m_permits;
+  EndpointProbe m_probe;
   PromptGuard m_prompts;
   membership::Registration m_registration;
   membership::PlacementLease m_placement_lease;
--- a/Source/host/prompt_guard.cc
+++ b/Source/host/prompt_guard.cc
@@ -14,11 +14,6 @@
 
 using admission::CrashingParts;
 
-// Delay within which all connections to an endpoint that has ended are closed.
-constexpr Duration kConfirmDelay = milliseconds(30);
-// An endpoint that has ended refuses connections at once; no answer can also
-// be due to the network.
-constexpr Duration kRefusalTime = milliseconds(250);
 // Delay that merges changes of records: a failure domain's endpoints end
 // together, and all hosts record that.
 constexpr Duration kReadDelay = milliseconds(200);
@@ -73,13 +68,13 @@
     EventLoop& loop,
     HostId host,
     keyvalue::KeyValueService& store,
-    fleet::EngineControl& engines,
+    EndpointProbe& probe,
     std::function<const std::map<std::string, keyvalue::KeyValue>&()> own_keys,
     std::function<void()> on_held)
     : m_loop(loop),
       m_host(std::move(host)),
       m_store(store),
-      m_engines(engines),
+      m_probe(probe),
       m_own_keys(std::move(own_keys)),
       m_on_held(std::move(on_held)) {}
 
@@ -192,30 +187,15 @@
     m_pending_ends[incarnation].m_depths.merge(end.m_depths);
     return;
   }
-  end.m_timer = m_loop.After(kConfirmDelay,
-                             [this, incarnation] { ConfirmEnd(incarnation); });
+  end.m_check = m_probe.Start(endpoint, [this, incarnation](bool gone) {
+    if (gone) {
+      RecordEnd(incarnation);
+    }
+    m_pending_ends.erase(incarnation);
+  });
   m_pending_ends.emplace(incarnation, std::move(end));
 }
 
-void PromptGuard::ConfirmEnd(const std::string& incarnation) {
-  const MonotonicTime asked_at = m_loop.Now();
-  m_engines.ReadReport(
-      m_pending_ends.at(incarnation).m_endpoint,
-      [this, incarnation, asked_at, alive = std::weak_ptr<int>(m_alive)](
-          const Result<fleet::EngineReport>& report) {
-        if (alive.expired()) {
-          return;
-        }
-        const bool refused = !report.ok() &&
-                             report.error().code() == ErrorCode::kUnavailable &&
-                             m_loop.Now() - asked_at < kRefusalTime;
-        if (refused) {
-          RecordEnd(incarnation);
-        }
-        m_pending_ends.erase(incarnation);
-      });
-}
-
 void PromptGuard::RecordEnd(const std::string& incarnation) {
   admission::EndpointEnd end{
       .m_incarnation = incarnation,
--- a/Source/host/prompt_guard.h
+++ b/Source/host/prompt_guard.h
@@ -17,6 +17,7 @@
 #include "admission/proven_parts.h"
 #include "base/event_loop.h"
 #include "fleet/protocols.h"
+#include "host/endpoint_probe.h"
 #include "keyvalue/key_value_service.h"
 
 namespace hickoryloft::host {
@@ -37,7 +38,7 @@
   PromptGuard(EventLoop& loop,
               HostId host,
               keyvalue::KeyValueService& store,
-              fleet::EngineControl& engines,
+              EndpointProbe& probe,
               std::function<const std::map<std::string, keyvalue::KeyValue>&()>
                   own_keys,
               std::function<void()> on_held);
@@ -74,7 +75,7 @@
   struct PendingEnd {
     endpoint::EndpointAddress m_endpoint;
     std::map<std::string, int> m_depths;  // By part.
-    std::unique_ptr<Timer> m_timer;
+    std::shared_ptr<EndpointProbe::Check> m_check;
   };
   struct Write {
     std::string m_key;
@@ -83,7 +84,6 @@
     int m_attempts = 0;
   };
 
-  void ConfirmEnd(const std::string& incarnation);
   void RecordEnd(const std::string& incarnation);
   void ReadRecords();
   void HoldCrashingParts();
@@ -101,7 +101,7 @@
   EventLoop& m_loop;
   HostId m_host;
   keyvalue::KeyValueService& m_store;
-  fleet::EngineControl& m_engines;
+  EndpointProbe& m_probe;
   std::function<const std::map<std::string, keyvalue::KeyValue>&()> m_own_keys;
   std::function<void()> m_on_held;
   admission::CrashingParts m_parts;
--- a/Source/host/request_context.h
+++ b/Source/host/request_context.h
@@ -13,6 +13,7 @@
 #include "endpoint/pooled_http_client.h"
 #include "fleet/fleet_state_feed.h"
 #include "fleet/protocols.h"
+#include "host/endpoint_probe.h"
 #include "host/host_metrics.h"
 #include "host/host_settings.h"
 #include "host/permit_exchange.h"
@@ -38,6 +39,7 @@
   placement::ReplicaMap& m_replicas;
   PermitExchange& m_permits;
   PromptGuard& m_prompts;
+  EndpointProbe& m_probe;
   RandomEngine& m_random;
   HostMetrics& m_metrics;
   BufferBudget& m_answers;  // Memory for answers and unread output.
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -125,6 +125,7 @@
   const MonotonicTime now = m_context.m_loop.Now();
   const fleet::CallerRequest& request = m_admitted.m_request;
   m_endpoint = entry.m_id;
+  m_address = {entry.m_id, entry.m_address, entry.m_port};
   m_endpoint_started_at_ms = entry.m_started_at_ms;
   m_phase = m_stream_started ? Phase::kStreaming : Phase::kSent;
   m_sent_at = now;
@@ -145,7 +146,7 @@
                      {"running", m_context.m_load.Total(m_endpoint)},
                      {"left_ms", ToMillis(m_deadline - now).count()}});
   endpoint::CallRequest call = m_context.m_protocol.EncodeCall(
-      request, {.m_endpoint = {entry.m_id, entry.m_address, entry.m_port},
+      request, {.m_endpoint = m_address,
                 .m_time_left = m_deadline - now,
                 .m_account = m_admitted.m_account,
                 .m_urgency = m_admitted.m_urgency,
@@ -287,18 +288,42 @@
     OnUnusableAnswer(outcome);
     return;
   }
+  if (m_stream_started && m_answer.m_head.m_ends_with_connection) {
+    m_end_check = m_context.m_probe.Start(
+        m_address, [this](bool gone) { FinishUnframedStream(gone); });
+    return;
+  }
   m_context.m_health.RecordSuccess(m_endpoint);
   if (m_answer.m_head.m_status / 100 == 2) {
     m_context.m_prompts.RecordProof(m_admitted.m_request.m_prompt);
   }
   if (m_stream_started) {
-    m_exchange->FinishAnswer();
-    Finish("answered", "");
+    FinishStream();
     return;
   }
   RelayWholeAnswer();
 }
 
+void RequestFlow::FinishUnframedStream(bool gone) {
+  m_end_check.reset();
+  if (gone) {
+    kLog.Info("endpoint is gone after its stream ended with its connection",
+              {{"id", m_admitted.m_request.m_id},
+               {"endpoint", m_endpoint.value()},
+               {"events", m_events.events()}});
+    OnUnusableAnswer(SendOutcome::kStreamBrokenOff);
+    return;
+  }
+  m_context.m_health.RecordSuccess(m_endpoint);
+  m_context.m_prompts.RecordProof(m_admitted.m_request.m_prompt);
+  FinishStream();
+}
+
+void RequestFlow::FinishStream() {
+  m_exchange->FinishAnswer();
+  Finish("answered", "");
+}
+
 void RequestFlow::OnUnusableAnswer(SendOutcome outcome) {
   AvoidEndpoint();
   if (outcome == SendOutcome::kStreamBrokenOff) {
--- a/Source/host/request_flow.h
+++ b/Source/host/request_flow.h
@@ -95,6 +95,11 @@
   void OnHead(const endpoint::AnswerHead& head);
   void OnBytes(std::string_view bytes);
   void OnDone();
+  // Finishes a stream that had neither a length nor chunks, and whose
+  // connection ended between two events. Only an endpoint that is `gone` tells
+  // that more events were to come.
+  void FinishUnframedStream(bool gone);
+  void FinishStream();
   // Handles an answer that is not relayed as it is. Precondition: `outcome` is
   // neither kComplete nor kNotExecuted.
   void OnUnusableAnswer(SendOutcome outcome);
@@ -138,10 +143,13 @@
   // The current send.
   std::unique_ptr<endpoint::Call> m_call;
   EndpointId m_endpoint;
+  endpoint::EndpointAddress m_address;
   std::int64_t m_endpoint_started_at_ms = 0;
   MonotonicTime m_sent_at;
   ReceivedAnswer m_answer;
   std::optional<BufferBudget::Buffer> m_buffer;
+  // Runs after the send if the end of its answer has to be confirmed.
+  std::shared_ptr<EndpointProbe::Check> m_end_check;
 
   // State of all sends.
   EndpointRequirements m_requirements;
--- a/Source/host/request_flow_end.cc
+++ b/Source/host/request_flow_end.cc
@@ -30,6 +30,10 @@
   if (finished()) {
     return;
   }
+  if (m_end_check) {
+    FinishUnframedStream(/*gone=*/false);
+    return;
+  }
   EndSend(SendEnd::kMayHaveRun);
   // An answer with Retry-After could be taken for "not run".
   Refuse("host_stops", not_run() ? std::optional(Duration{}) : std::nullopt);
@@ -41,6 +45,10 @@
 }
 
 void RequestFlow::OnDeadline() {
+  if (m_end_check) {
+    FinishUnframedStream(/*gone=*/false);
+    return;
+  }
   if (m_executions.sending()) {
     AvoidEndpoint();
   }
@@ -79,6 +87,7 @@
     return;
   }
   m_phase = Phase::kFinished;
+  m_end_check.reset();
   EndSend(SendEnd::kMayHaveRun);
   m_deadline_timer.reset();
   m_exchange->Watch(nullptr, nullptr);
--- a/Tests/process/jarro_stream_ends_test.py
+++ b/Tests/process/jarro_stream_ends_test.py
@@ -50,6 +50,38 @@
         self.assertEqual(reply.events(), ["t1"])
         self.assertFalse(reply.complete, reply)
 
+    def start_crashing_server(self):
+        """Its process ends after two events of a stream without a framing: its
+        system closes the connections in order, and refuses new ones."""
+        def respond(connection, request):
+            connection.sendall(stream_head(request) + event(1) + event(2))
+            server.crash()
+            return False
+        server = self.start_server("s1", respond)
+        return server
+
+    def test_unframed_stream_of_a_server_that_is_gone_is_cut(self):
+        """Guards against a begun stream that passes for complete because its
+        server ended between two events (ORDER, review/3)."""
+        self.start_crashing_server()
+        reply = self.chat()
+        self.assertEqual(reply.events(), ["t1", "t2"])
+        self.assertFalse(reply.complete, reply)
+
+    def test_unframed_stream_of_a_server_that_is_gone_is_resumed(self):
+        """Guards against the same where another server can go on."""
+        server = self.start_crashing_server()
+        resumed = self.start_server("s2", self.rest_of_stream)
+        for _ in range(20):
+            reply = self.chat("/letter/x")
+            self.assertTrue(reply.complete, reply)
+            self.assertEqual(reply.events(), [f"t{number}" for number in
+                                              range(1, LAST_EVENT + 1)])
+            if server.requests:
+                break
+        self.assertEqual(len(server.requests), 1)
+        self.assertEqual(resumed.requests[-1].headers["last-event-id"], "2")
+
     def test_framed_stream_that_ends_inside_an_event_is_cut(self):
         """Regression test (ORDER on swt-visits-grown): the length or the last
         chunk made a stream complete that ended inside an event."""
