Take a failed report of a server only for what it proves

Reading the diff: a server that answers the report request with any status but 200 counted as gone, so all its streams without a framing would have been broken off, and its prompts suspected.

Cause: EngineControl::ReadReport() failed with the same code for a refused connection and for an unexpected status.

The new case of process_jarro_stream_ends failed before (stream cut) and passes.

--- a/Source/fleet/protocols.h
+++ b/Source/fleet/protocols.h
@@ -59,6 +59,8 @@
   virtual void SendOrder(const endpoint::EndpointAddress& engine,
                          const EngineOrder& order,
                          std::function<void(OrderOutcome)> done) = 0;
+  // Fails with kUnavailable if the engine is not at its address: it refused the
+  // connection, or another instance answered.
   virtual void ReadReport(const endpoint::EndpointAddress& engine,
                           std::function<void(Result<EngineReport>)> done) = 0;
 };
--- a/Tests/process/jarro_stream_ends_test.py
+++ b/Tests/process/jarro_stream_ends_test.py
@@ -68,6 +68,14 @@
         self.assertEqual(reply.events(), ["t1", "t2"])
         self.assertFalse(reply.complete, reply)
 
+    def test_unframed_stream_of_a_server_without_reports_is_complete(self):
+        """Guards against taking any failed report for a server that is gone."""
+        server = self.start_server("s1", self.unframed(event(1), event(2)))
+        server.control_status = "404 Not Found"
+        reply = self.chat()
+        self.assertEqual(reply.events(), ["t1", "t2"])
+        self.assertTrue(reply.complete, reply)
+
     def test_unframed_stream_of_a_server_that_is_gone_is_resumed(self):
         """Guards against the same where another server can go on."""
         server = self.start_crashing_server()
--- a/Tests/process/scripted_server.py
+++ b/Tests/process/scripted_server.py
@@ -51,6 +51,7 @@
         self.service = service
         self.models = models
         self.respond = respond
+        self.control_status = "200 OK"  # Of reports and orders.
         self.requests = []
         self.kept = set()  # Connections that have carried a whole exchange.
         self._listener = socket.create_server(("127.0.0.1", 0))
@@ -108,8 +109,9 @@
         if request.target in ("/-/order", "/-/report"):
             body = json.dumps({"stage": "unified", "busy": False, "seq": 0,
                                "models": self.entry()["models"]}).encode()
-            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
-                               % len(body) + body)
+            connection.sendall(
+                f"HTTP/1.1 {self.control_status}\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
             return True
         self.requests.append(request)
         return self.respond(connection, request)
