--- a/Source/base/ids.h
+++ b/Source/base/ids.h
@@ -37,6 +37,7 @@
 
 using HostId = Name<struct HostTag>;
 using FailureDomainId = Name<struct FailureDomainTag>;
+using RegionId = Name<struct RegionTag>;
 using ClientAccountId = Name<struct ClientAccountTag>;
 using EndpointId = Name<struct EndpointTag>;
 using ModelId = Name<struct ModelTag>;
--- a/Source/base/json_reader.cc
+++ b/Source/base/json_reader.cc
@@ -139,6 +139,17 @@
   return value;
 }
 
+std::vector<std::string> JsonReader::Strings(const char* field) const {
+  std::vector<std::string> strings;
+  for (const nlohmann::json& element : Array(field)) {
+    if (!element.is_string()) {
+      Fail(field, "an array of strings");
+    }
+    strings.push_back(element.get<std::string>());
+  }
+  return strings;
+}
+
 JsonReader JsonReader::Element(const char* field, std::size_t index) const {
   return {Array(field).at(index),
           m_path + "." + field + "[" + std::to_string(index) + "]", m_code};
--- a/Source/base/json_reader.h
+++ b/Source/base/json_reader.h
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/error.h"
 #include "base/time.h"
@@ -37,6 +38,8 @@
   // Returns the array `field`; an empty one if it is absent.
   const nlohmann::json& Array(const char* field) const;
   JsonReader Element(const char* field, std::size_t index) const;
+  // Returns the array of strings `field`; an empty one if it is absent.
+  std::vector<std::string> Strings(const char* field) const;
 
  private:
   const nlohmann::json& Field(const char* field) const;
--- a/Source/fleet/caller_request.h
+++ b/Source/fleet/caller_request.h
@@ -58,6 +58,8 @@
   std::optional<Duration> m_retry_after;
   // The rate at which the endpoint takes requests from all hosts together.
   std::optional<double> m_requests_per_second;
+  // For how long the endpoint stays cold.
+  std::optional<Duration> m_cold_for;
   http::HeaderFields m_forwarded;  // Headers for the caller.
 };
 
--- a/Source/fleet/configuration.h
+++ b/Source/fleet/configuration.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -49,6 +50,8 @@
   bool m_open = false;      // Requests need no API key.
   bool m_resumable = false;
   std::vector<RouteTarget> m_targets;
+  // Regions that requests may be sent to; empty: all.
+  std::set<RegionId> m_homes;
 };
 
 struct ModelSpec {
@@ -85,6 +88,10 @@
   ServiceId m_id;
   std::string m_health_path;
   int m_max_connections = 0;  // To one endpoint, from all hosts.
+  // For how long an endpoint is cold after its start, and how many requests a
+  // second it takes meanwhile from all hosts; 0: any number.
+  Duration m_cold_start{};
+  double m_cold_requests_per_second = 0;
   std::optional<EngineSpec> m_engine;
 };
 
@@ -94,6 +101,8 @@
   double m_tokens_per_second = 0;  // 0: no limit.
   double m_burst_tokens = 0;
   double m_plain_tokens = 0;  // Charged for a request without a token count.
+  // Regions that the account's requests may be sent to; empty: all.
+  std::set<RegionId> m_homes;
   std::optional<int> m_priority;  // Overrides the route's priority.
 };
 
--- a/Source/fleet/endpoint_directory.cc
+++ b/Source/fleet/endpoint_directory.cc
@@ -20,6 +20,7 @@
   const auto leaving = m_leaving.find(id);
   entry.m_announced_leaving =
       leaving != m_leaving.end() && leaving->second == entry.m_started_at_ms;
+  entry.m_evacuation = EvacuationOf(entry.m_failure_domain);
   if (known == m_entries.end()) {
     AddToIndices(entry);
     m_entries.emplace(id, std::move(entry));
@@ -28,6 +29,12 @@
   RemoveFromIndices(known->second);
   AddToIndices(entry);
   const bool restarted = known->second.m_started_at_ms != entry.m_started_at_ms;
+  if (!restarted) {
+    entry.m_returning_until = known->second.m_returning_until;
+    if (!entry.m_cold_for) {
+      entry.m_cold_until = known->second.m_cold_until;
+    }
+  }
   known->second = std::move(entry);
   return restarted ? Change::kRestarted : Change::kUpdated;
 }
@@ -39,7 +46,7 @@
   if (known == m_entries.end()) {
     return Change::kNone;
   }
-  if (keep_until && known->second.AcceptsRequests()) {
+  if (keep_until && !known->second.IsLeaving()) {
     m_lapsed.try_emplace(id, Lapse{.m_until = *keep_until});
     return Change::kLapsed;
   }
@@ -158,6 +165,44 @@
   return true;
 }
 
+void EndpointDirectory::MarkCold(const EndpointId& id,
+                                 std::int64_t started_at_ms,
+                                 MonotonicTime until) {
+  const auto known = m_entries.find(id);
+  if (known != m_entries.end() &&
+      known->second.m_started_at_ms == started_at_ms) {
+    known->second.m_cold_until = until;
+  }
+}
+
+void EndpointDirectory::MarkReturning(const EndpointId& id,
+                                      MonotonicTime until) {
+  const auto known = m_entries.find(id);
+  if (known != m_entries.end()) {
+    known->second.m_returning_until = until;
+  }
+}
+
+std::vector<EndpointId> EndpointDirectory::SetEvacuations(
+    std::map<FailureDomainId, Evacuation> evacuations) {
+  m_evacuations = std::move(evacuations);
+  std::vector<EndpointId> changed;
+  for (auto& [id, entry] : m_entries) {
+    const Evacuation evacuation = EvacuationOf(entry.m_failure_domain);
+    if (std::exchange(entry.m_evacuation, evacuation) != evacuation) {
+      changed.push_back(id);
+    }
+  }
+  m_version += changed.empty() ? 0 : 1;
+  return changed;
+}
+
+Evacuation EndpointDirectory::EvacuationOf(
+    const FailureDomainId& domain) const {
+  const auto known = m_evacuations.find(domain);
+  return known == m_evacuations.end() ? Evacuation::kNone : known->second;
+}
+
 const EndpointEntry* EndpointDirectory::Find(const EndpointId& id) const {
   const auto known = m_entries.find(id);
   return known == m_entries.end() ? nullptr : &known->second;
--- a/Source/fleet/endpoint_directory.h
+++ b/Source/fleet/endpoint_directory.h
@@ -52,6 +52,18 @@
   // `started_at_ms` is leaving. Later registrations of this incarnation do not
   // undo it. Returns whether this was not recorded yet.
   bool MarkLeaving(const EndpointId& id, std::int64_t started_at_ms);
+  // Records that the incarnation of the endpoint says that it is cold until
+  // `until`.
+  void MarkCold(const EndpointId& id,
+                std::int64_t started_at_ms,
+                MonotonicTime until);
+  // Records that the endpoint's failure domain has been taken back and that the
+  // endpoint is taken for cold until `until`.
+  void MarkReturning(const EndpointId& id, MonotonicTime until);
+  // Replaces the failure domains that are emptied, for present endpoints and
+  // for those that register later. Returns the endpoints that it changes.
+  std::vector<EndpointId> SetEvacuations(
+      std::map<FailureDomainId, Evacuation> evacuations);
   // The endpoints recorded as leaving, with the start of their incarnation
   // (Unix time in milliseconds).
   const std::map<EndpointId, std::int64_t>& leaving() const {
@@ -92,6 +104,7 @@
     return {entry.m_started_at_ms, entry.m_number};
   }
 
+  Evacuation EvacuationOf(const FailureDomainId& domain) const;
   void RemoveEntry(const EndpointId& id, Absence absence);
   // Add an entry to the indices, and remove it from them.
   void AddToIndices(const EndpointEntry& entry);
@@ -106,6 +119,7 @@
   // back with an older copy of the service's data.
   std::map<EndpointId, RegistrationVersion> m_removed;
   std::map<EndpointId, std::int64_t> m_leaving;
+  std::map<FailureDomainId, Evacuation> m_evacuations;
   std::uint64_t m_version = 0;
 };
 
--- a/Source/fleet/endpoint_entry.h
+++ b/Source/fleet/endpoint_entry.h
@@ -3,6 +3,7 @@
 #ifndef SOURCE_FLEET_ENDPOINT_ENTRY_H_
 #define SOURCE_FLEET_ENDPOINT_ENTRY_H_
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -18,6 +19,13 @@
 
 enum class EndpointState { kReady, kDraining };
 
+// How far a failure domain has been emptied on an operator's request.
+enum class Evacuation {
+  kNone,
+  kEmptying,   // Gets no new models, and requests only as a last resort.
+  kEvacuated,  // Gets nothing.
+};
+
 // Where the weights of a model can be loaded from, fastest first.
 enum class WeightTier { kHostMemory, kDisk, kStore };
 
@@ -53,10 +61,35 @@
   // The endpoint announced in an answer that it is leaving. Its registration
   // may show this later or never.
   bool m_announced_leaving = false;
+  // Of the endpoint's failure domain.
+  Evacuation m_evacuation = Evacuation::kNone;
+  // For how long the endpoint stays cold, as of its registration; nothing if
+  // that does not tell.
+  std::optional<Duration> m_cold_for;
+  // The endpoint has said that it is cold until then.
+  MonotonicTime m_cold_until;
+  // The endpoint is taken for cold until then, since its failure domain has
+  // been taken back.
+  MonotonicTime m_returning_until;
+
+  bool IsLeaving() const {
+    return m_state == EndpointState::kDraining || m_announced_leaving;
+  }
 
   // Returns whether requests may be sent to the endpoint.
   bool AcceptsRequests() const {
-    return m_state == EndpointState::kReady && !m_announced_leaving;
+    return !IsLeaving() && m_evacuation != Evacuation::kEvacuated;
+  }
+
+  // Returns whether the endpoint may be ordered to load models.
+  bool AcceptsModels() const {
+    return !IsLeaving() && !m_remaining && m_evacuation == Evacuation::kNone;
+  }
+
+  // Returns whether the endpoint has started or returned so recently that it
+  // takes only a few requests a second.
+  bool IsCold(MonotonicTime now) const {
+    return now < std::max(m_cold_until, m_returning_until);
   }
 
   // Returns the fastest tier from which the endpoint can load `model`.
--- a/Source/fleet/fleet_state_feed.cc
+++ b/Source/fleet/fleet_state_feed.cc
@@ -101,6 +101,8 @@
 }
 
 void FleetStateFeed::ApplySnapshot(const keyvalue::ReadReply& reply) {
+  const auto not_before =
+      m_complete ? std::optional(m_current_as_of) : std::nullopt;
   RecordProof(reply.m_current_as_of);
   const bool restored =
       m_complete && EraOf(reply.m_revision) > EraOf(m_revision);
@@ -112,6 +114,7 @@
     m_recovered_at = m_loop.Now();
   }
   std::unordered_set<EndpointId> present;
+  std::set<FailureDomainId> evacuated;
   std::map<std::string, keyvalue::KeyValue> own_keys;
   for (const keyvalue::KeyValue& item : reply.m_items) {
     switch (m_decoder.Classify(item.m_key)) {
@@ -122,6 +125,9 @@
         present.insert(m_decoder.EndpointOf(item.m_key));
         ApplyEndpoint(item);
         break;
+      case ItemClass::kEvacuation:
+        evacuated.insert(BeginEvacuation(item, not_before, kFromWatch));
+        break;
       case ItemClass::kOther:
         own_keys.emplace(item.m_key, item);
         break;
@@ -134,6 +140,13 @@
     kLog.Info("endpoint removed", {{"endpoint", id.value()}});
     m_events.m_endpoint_changed(id);
   }
+  for (const FailureDomainId& domain : m_evacuations.RetainOnly(
+           evacuated, restored
+                          ? std::optional(m_loop.Now() + kReregistrationPeriod)
+                          : std::nullopt)) {
+    TakeBack(domain, kFromWatch);
+  }
+  UpdateEvacuations();
   m_own_keys = std::move(own_keys);
   m_revision = reply.m_revision;
   m_complete = m_complete || m_configuration != nullptr;
@@ -180,9 +193,10 @@
 }
 
 void FleetStateFeed::ApplyBatch(const keyvalue::WatchBatch& batch) {
+  const MonotonicTime not_before = m_current_as_of;
   RecordProof(batch.m_current_as_of);
   const Revision from = m_revision;
-  ApplyEvents(batch.m_events, batch.m_revision, kFromWatch);
+  ApplyEvents(batch.m_events, batch.m_revision, not_before, kFromWatch);
   if (m_events.m_batch_applied) {
     m_events.m_batch_applied(from, batch);
   }
@@ -195,7 +209,7 @@
   if (!m_watch || span.m_from > m_revision) {
     return;  // This host's watch or a later span has the changes.
   }
-  ApplyEvents(span.m_events, span.m_to, kFromHosts);
+  ApplyEvents(span.m_events, span.m_to, m_current_as_of, kFromHosts);
   if (span.m_read_from_service) {
     ResumeWatch("a change is too large to be forwarded between hosts");
   }
@@ -240,6 +254,7 @@
 void FleetStateFeed::ApplyEvents(
     const std::vector<keyvalue::WatchEvent>& events,
     Revision revision,
+    MonotonicTime not_before,
     const char* source) {
   bool own_keys_changed = false;
   for (const keyvalue::WatchEvent& event : events) {
@@ -249,7 +264,7 @@
     }
     own_keys_changed |=
         m_decoder.Classify(event.m_item.m_key) == ItemClass::kOther;
-    ApplyEvent(event, source);
+    ApplyEvent(event, not_before, source);
   }
   m_revision = std::max(m_revision, revision);
   if (own_keys_changed) {
@@ -258,6 +273,7 @@
 }
 
 void FleetStateFeed::ApplyEvent(const keyvalue::WatchEvent& event,
+                                MonotonicTime not_before,
                                 const char* source) {
   const keyvalue::KeyValue& item = event.m_item;
   switch (m_decoder.Classify(item.m_key)) {
@@ -285,6 +301,14 @@
       m_events.m_endpoint_changed(id);
       break;
     }
+    case ItemClass::kEvacuation:
+      if (event.m_deleted) {
+        EndEvacuation(item, source);
+      } else {
+        BeginEvacuation(item, not_before, source);
+      }
+      UpdateEvacuations();
+      break;
     case ItemClass::kOther:
       if (event.m_deleted) {
         m_own_keys.erase(item.m_key);
@@ -326,6 +350,7 @@
                   "the id of entry " + item.m_key + " must be printable text");
     }
     const bool draining = entry.m_state == EndpointState::kDraining;
+    entry.m_cold_until = m_loop.Now() + entry.m_cold_for.value_or(Duration{});
     const auto change = m_directory.Put(std::move(entry));
     if (change == EndpointDirectory::Change::kNone) {
       kLog.Info("outdated endpoint entry ignored",
@@ -408,6 +433,11 @@
               {{"endpoint", id.value()}});
     m_events.m_endpoint_changed(id);
   }
+  for (const FailureDomainId& domain :
+       m_evacuations.DropUnconfirmed(m_loop.Now())) {
+    TakeBack(domain, kFromWatch);
+  }
+  UpdateEvacuations();
 }
 
 }  // namespace hickoryloft::fleet
--- a/Source/fleet/fleet_state_feed.h
+++ b/Source/fleet/fleet_state_feed.h
@@ -15,6 +15,7 @@
 #include "fleet/change_log.h"
 #include "fleet/configuration_view.h"
 #include "fleet/endpoint_directory.h"
+#include "fleet/evacuations.h"
 #include "fleet/protocols.h"
 #include "keyvalue/key_value_service.h"
 
@@ -49,6 +50,16 @@
   // service itself.
   void SetMaxRelayedAge(Duration age) { m_max_relayed_age = age; }
 
+  // Sets the time after which no request may reach a failure domain that an
+  // operator has asked to empty.
+  void SetEvacuationBound(Duration bound) { m_evacuations.SetBound(bound); }
+
+  // Records that an endpoint said in an answer that it stays cold for `cold`.
+  void MarkCold(const EndpointId& id,
+                std::int64_t started_at_ms,
+                Duration cold) {
+    m_directory.MarkCold(id, started_at_ms, m_loop.Now() + cold);
+  }
   // Records that an endpoint announced in an answer, to this host or to another
   // one, that it is leaving. `source` is logged as the origin of the report.
   void MarkLeaving(const EndpointId& id,
@@ -80,6 +91,10 @@
     return m_configuration;
   }
   const EndpointDirectory& directory() const { return m_directory; }
+  // The failure domains that operators have asked to empty.
+  const std::map<FailureDomainId, Evacuation>& evacuations() const {
+    return m_evacuation_states;
+  }
   const std::map<std::string, keyvalue::KeyValue>& own_keys() const {
     return m_own_keys;
   }
@@ -94,16 +109,35 @@
   MonotonicTime current_as_of() const { return m_current_as_of; }
 
  private:
+  static constexpr Duration kDefaultEvacuationBound = seconds(5);
+
   void ReadAll();
   void ApplySnapshot(const keyvalue::ReadReply& reply);
   void BeginWatch(Revision revision);
   void ApplyBatch(const keyvalue::WatchBatch& batch);
   // Applies the events that are newer than the current revision, and advances
-  // it to `revision`. `source` is logged as their origin.
+  // it to `revision`. `not_before`: the changes were made after this time.
+  // `source` is logged as their origin.
   void ApplyEvents(const std::vector<keyvalue::WatchEvent>& events,
                    Revision revision,
+                   MonotonicTime not_before,
                    const char* source);
-  void ApplyEvent(const keyvalue::WatchEvent& event, const char* source);
+  void ApplyEvent(const keyvalue::WatchEvent& event,
+                  MonotonicTime not_before,
+                  const char* source);
+  // Applies a present request to empty a failure domain, made after
+  // `not_before`; nothing: any time ago. Returns the domain, or an empty name
+  // if the key names none.
+  FailureDomainId BeginEvacuation(const keyvalue::KeyValue& item,
+                                  std::optional<MonotonicTime> not_before,
+                                  const char* source);
+  void EndEvacuation(const keyvalue::KeyValue& item, const char* source);
+  // Lets the endpoints of `domain` be used again, as if they had just started.
+  // Precondition: the request to empty it has ended.
+  void TakeBack(const FailureDomainId& domain, const char* source);
+  std::uint64_t EndpointsIn(const FailureDomainId& domain) const;
+  // Applies the present state of each evacuation to the endpoints.
+  void UpdateEvacuations();
   void ResumeWatch(const std::string& reason);
   // Sets the wait of the watch's next call so that the copy grows no older than
   // a batch pause and a poll wait while the service works.
@@ -129,6 +163,8 @@
   Events m_events;
   std::shared_ptr<const ConfigurationView> m_configuration;
   EndpointDirectory m_directory;
+  Evacuations m_evacuations{kDefaultEvacuationBound};
+  std::map<FailureDomainId, Evacuation> m_evacuation_states;
   std::map<std::string, keyvalue::KeyValue> m_own_keys;
   // The newest version that the service was seen to have lost.
   std::int64_t m_lost_version = 0;
--- a/Source/fleet/protocols.h
+++ b/Source/fleet/protocols.h
@@ -18,7 +18,7 @@
 
 namespace hickoryloft::fleet {
 
-enum class ItemClass { kConfiguration, kEndpoint, kOther };
+enum class ItemClass { kConfiguration, kEndpoint, kEvacuation, kOther };
 
 // Decodes the values that the platform writes to its key-value service.
 // Implementations are stateless, so thread-safe.
@@ -29,6 +29,10 @@
   virtual ItemClass Classify(const std::string& key) const = 0;
   // Precondition: `key` is of class kEndpoint.
   virtual EndpointId EndpointOf(const std::string& key) const = 0;
+  // Returns the failure domain that an operator asks to empty. Precondition:
+  // `key` is of class kEvacuation. Throws Error(kProtocol) if the key names
+  // none.
+  virtual FailureDomainId EvacuatedDomainOf(const std::string& key) const = 0;
   // Both throw Error(kProtocol) that names the invalid field.
   virtual Configuration DecodeConfiguration(const std::string& value) const = 0;
   virtual EndpointEntry DecodeEndpoint(
--- a/Source/host/endpoint_finder.cc
+++ b/Source/host/endpoint_finder.cc
@@ -26,7 +26,7 @@
   const fleet::EndpointDirectory& directory = m_context.m_knowledge.directory();
   const auto visit_if_ready = [&](const fleet::EndpointEntry& entry) {
     if (entry.m_service == m_requirements.m_service &&
-        entry.AcceptsRequests()) {
+        entry.AcceptsRequests() && IsEligible(entry)) {
       visit(entry);
     }
   };
@@ -50,6 +50,30 @@
   }
 }
 
+bool EndpointFinder::IsEligible(const fleet::EndpointEntry& entry) const {
+  const auto allows = [&](const std::set<RegionId>& homes) {
+    return homes.empty() || homes.contains(m_context.m_settings.RegionOf(
+                                entry.m_failure_domain));
+  };
+  return entry.m_evacuation != fleet::Evacuation::kEvacuated &&
+         allows(m_requirements.m_route_homes) &&
+         allows(m_requirements.m_account_homes);
+}
+
+bool EndpointFinder::AllEvacuated() const {
+  if (m_context.m_knowledge.evacuations().empty()) {
+    return false;
+  }
+  const fleet::EndpointDirectory& directory = m_context.m_knowledge.directory();
+  const auto& endpoints = directory.EndpointsOf(m_requirements.m_service);
+  return !endpoints.empty() &&
+         std::all_of(endpoints.begin(), endpoints.end(),
+                     [&](const EndpointId& id) {
+                       return directory.Find(id)->m_evacuation ==
+                              fleet::Evacuation::kEvacuated;
+                     });
+}
+
 bool EndpointFinder::CanServe(const fleet::EndpointEntry& entry) const {
   const MonotonicTime now = m_context.m_loop.Now();
   return !m_context.m_health.InBackoff(entry.m_id, now) &&
@@ -77,7 +101,8 @@
          .m_failure_domain = entry.m_failure_domain,
          .m_slots = entry.m_slots,
          .m_running = m_context.m_load.Total(entry.m_id),
-         .m_avoided = m_context.m_health.Avoided(entry.m_id, now)});
+         .m_avoided = m_context.m_health.Avoided(entry.m_id, now) ||
+                      entry.m_evacuation == fleet::Evacuation::kEmptying});
     entries.push_back(&entry);
   });
   const int chosen =
@@ -96,6 +121,10 @@
       endpoints.begin(), endpoints.end(), [&](const EndpointId& id) {
         return directory.Find(id)->AcceptsRequests();
       });
+  const auto evacuated = std::count_if(
+      endpoints.begin(), endpoints.end(), [&](const EndpointId& id) {
+        return directory.Find(id)->m_evacuation != fleet::Evacuation::kNone;
+      });
   int holding = 0;
   int serving = 0;
   int with_room = 0;
@@ -114,7 +143,8 @@
          ", with room " + std::to_string(with_room) +
          (without_permit == 0
               ? ""
-              : ", without a permit " + std::to_string(without_permit));
+              : ", without a permit " + std::to_string(without_permit)) +
+         (evacuated == 0 ? "" : ", evacuated " + std::to_string(evacuated));
 }
 
 }  // namespace hickoryloft::host
--- a/Source/host/endpoint_finder.h
+++ b/Source/host/endpoint_finder.h
@@ -17,6 +17,9 @@
   ServiceId m_service;
   ModelId m_model;      // Empty for plain services.
   AdapterId m_adapter;  // Empty: the base model.
+  // The regions that the route and the account allow; empty: all.
+  std::set<RegionId> m_route_homes;
+  std::set<RegionId> m_account_homes;
   // Endpoints that the request has already been sent to.
   std::set<EndpointId> m_tried;
 };
@@ -34,6 +37,12 @@
   // that was tried is chosen only if no other one is available and it is not
   // being avoided.
   const fleet::EndpointEntry* Choose() const;
+  // Returns whether all endpoints of the service, of which there are some, are
+  // in evacuated failure domains.
+  bool AllEvacuated() const;
+  // Returns whether the endpoint may ever serve the request: it is in an
+  // allowed region and not in an evacuated failure domain.
+  bool IsEligible(const fleet::EndpointEntry& entry) const;
   // Returns counts of the service's endpoints by availability, for the log.
   std::string Describe() const;
 
--- a/Source/host/frontend.cc
+++ b/Source/host/frontend.cc
@@ -146,6 +146,7 @@
                : Rejection{401, "unknown_key", std::nullopt};
   }
   admitted.m_account = account->m_id;
+  admitted.m_account_homes = account->m_homes;
   admitted.m_urgency = account->m_priority.value_or(admitted.m_urgency);
   const fleet::CallerRequest& request = admitted.m_request;
   admitted.m_tokens = request.m_prompt_tokens && request.m_output_tokens
@@ -174,9 +175,16 @@
     return Rejection{503, "unknown_adapter", std::nullopt};
   }
   const fleet::EndpointDirectory& directory = m_context.m_knowledge.directory();
+  const EndpointRequirements requirements{
+      .m_service = admitted.m_service,
+      .m_route_homes = admitted.m_route->m_homes,
+      .m_account_homes = admitted.m_account_homes};
+  const EndpointFinder finder(m_context, requirements);
   const auto& holders = directory.EndpointsWithModel(request.m_model);
   if (std::any_of(holders.begin(), holders.end(), [&](const EndpointId& id) {
-        return directory.Find(id)->m_service == admitted.m_service;
+        const fleet::EndpointEntry& entry = *directory.Find(id);
+        return entry.m_service == admitted.m_service &&
+               finder.IsEligible(entry);
       })) {
     return std::nullopt;
   }
@@ -184,6 +192,9 @@
   Duration soonest = spec.m_load_from_store;
   for (const EndpointId& id : directory.EndpointsOf(admitted.m_service)) {
     const fleet::EndpointEntry& entry = *directory.Find(id);
+    if (!finder.IsEligible(entry)) {
+      continue;
+    }
     const fleet::WeightTier tier = entry.TierOf(request.m_model);
     if (tier == fleet::WeightTier::kDisk) {
       soonest = std::min(soonest, spec.m_load_from_disk);
--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -107,6 +107,7 @@
                }}),
       m_permits(loop,
                 m_settings.m_host,
+                m_knowledge,
                 m_exchange,
                 [this] { m_frontend.RetryWaiting(); }),
       m_probe(loop, platform.m_engines),
@@ -169,12 +170,19 @@
                         {"incarnation", m_incarnation}});
   platform.m_store.SetRestoredHandler(
       [this](Era era) { OnStoreRestored(era); });
+  ApplyEvacuationBound();
   m_knowledge.Start();
   m_registration.Start();
   m_tick_due = m_loop.Now() + kTickInterval;
   m_tick = m_loop.Every(kTickInterval, [this] { Tick(); });
 }
 
+void HostDaemon::ApplyEvacuationBound() {
+  if (m_settings.m_bounds.m_evacuation) {
+    m_knowledge.SetEvacuationBound(*m_settings.m_bounds.m_evacuation);
+  }
+}
+
 RequestContext HostDaemon::MakeContext() {
   return {
       .m_loop = m_loop,
@@ -208,6 +216,11 @@
           [this](const EndpointId& id, std::int64_t started_at_ms) {
             m_knowledge.MarkLeaving(id, started_at_ms, "answer");
           },
+      .m_on_endpoint_cold =
+          [this](const EndpointId& id, std::int64_t started_at_ms,
+                 Duration cold) {
+            m_knowledge.MarkCold(id, started_at_ms, cold);
+          },
       .m_on_report_due =
           [this] { m_exchange.ScheduleUrgentReport(FleetExchange::kAccounts); },
   };
@@ -270,7 +283,8 @@
       : m_exchange.relays_changes() ? membership::WatchRole::kRelay
                                     : membership::WatchRole::kLeaf,
       {.m_drain = m_settings.m_bounds.m_drain,
-       .m_key_withdrawal = m_settings.m_bounds.m_key_withdrawal});
+       .m_key_withdrawal = m_settings.m_bounds.m_key_withdrawal,
+       .m_evacuation = m_settings.m_bounds.m_evacuation});
   m_knowledge.SetBatchPause(pace.m_batch_pause);
   m_knowledge.SetPollWait(pace.m_quiet_wait);
   m_knowledge.SetMaxRelayedAge(pace.m_max_relayed_age);
@@ -390,6 +404,22 @@
       static_cast<double>(m_platform.m_answers.bytes()));
 }
 
+void HostDaemon::MeasureEvacuations() {
+  const auto& evacuations = m_knowledge.evacuations();
+  m_metrics.m_evacuated_domains.Set(static_cast<double>(evacuations.size()));
+  int running = 0;
+  if (!evacuations.empty()) {
+    for (const auto& [key, count] : m_load.own_model_levels()) {
+      const fleet::EndpointEntry* entry =
+          m_knowledge.directory().Find(key.first);
+      const bool evacuated =
+          entry != nullptr && entry->m_evacuation != fleet::Evacuation::kNone;
+      running += evacuated ? count : 0;
+    }
+  }
+  m_metrics.m_evacuated_requests.Set(running);
+}
+
 void HostDaemon::Tick() {
   const MonotonicTime now = m_loop.Now();
   m_metrics.m_loop_delay.Record(std::max(Duration{}, now - m_tick_due));
@@ -404,6 +434,7 @@
   m_metrics.m_holds_lease.Set(m_placement_lease.valid() ? 1 : 0);
   m_metrics.m_held_prompt_parts.Set(
       static_cast<double>(m_prompts.held_parts()));
+  MeasureEvacuations();
   m_frontend.RetryWaiting();
   m_demand.Expire(now);
   m_load.ExpireGroupLevels(now);
@@ -414,6 +445,7 @@
 
 void HostDaemon::Reload(const HostSettings& settings) {
   m_settings.m_bounds = settings.m_bounds;
+  ApplyEvacuationBound();
   kLog.Info("settings reloaded", {{"host", m_settings.m_host.value()}});
 }
 
--- a/Source/host/host_daemon.h
+++ b/Source/host/host_daemon.h
@@ -88,6 +88,7 @@
   bool m_stopping = false;
 
   RequestContext MakeContext();
+  void ApplyEvacuationBound();
   void OnConfiguration();
   void OnEndpoint(const EndpointId& id);
   void OnOwnKeys();
@@ -110,6 +111,7 @@
   // published last.
   void PublishPlacementState();
   bool AvoidedForPlacement(const EndpointId& id) const;
+  void MeasureEvacuations();
   void Tick();
   // Updates the gauges that are computed only when the metrics are read.
   void UpdateReadMetrics();
--- a/Source/host/host_metrics.cc
+++ b/Source/host/host_metrics.cc
@@ -49,6 +49,12 @@
           "loft_held_prompt_parts",
           "Prompt parts that crash endpoints; requests with them are "
           "rejected.")),
+      m_evacuated_domains(m_registry.GetGauge(
+          "loft_evacuated_domains",
+          "Failure domains that operators have asked to empty.")),
+      m_evacuated_requests(m_registry.GetGauge(
+          "loft_evacuated_requests",
+          "Requests of this host that still run in these failure domains.")),
       m_resident_bytes(
           m_registry.GetGauge("loft_resident_bytes", "Memory of the process.")),
       m_answer_bytes(m_registry.GetGauge(
--- a/Source/host/host_metrics.h
+++ b/Source/host/host_metrics.h
@@ -54,6 +54,8 @@
   metrics::Gauge& m_configuration_version;
   metrics::Gauge& m_holds_lease;
   metrics::Gauge& m_held_prompt_parts;
+  metrics::Gauge& m_evacuated_domains;
+  metrics::Gauge& m_evacuated_requests;
   metrics::Gauge& m_resident_bytes;
   metrics::Gauge& m_answer_bytes;
 };
--- a/Source/host/host_settings.cc
+++ b/Source/host/host_settings.cc
@@ -34,9 +34,14 @@
 
 std::string ToText(const HostSettings& settings) {
   const FleetBounds& bounds = settings.m_bounds;
+  nlohmann::ordered_json regions = nlohmann::ordered_json::object();
+  for (const auto& [domain, region] : settings.m_regions) {
+    regions[domain.value()] = region.value();
+  }
   const nlohmann::ordered_json json = {
       {"host", settings.m_host.value()},
       {"failure_domain", settings.m_failure_domain.value()},
+      {"regions", regions},
       {"capacity_cores", settings.m_capacity},
       {"memory_limit_bytes", settings.m_memory_limit_bytes},
       {"address", settings.m_address},
@@ -51,6 +56,10 @@
        {{"key_withdrawal_ms", ToMillis(bounds.m_key_withdrawal).count()},
         {"strict_withdrawal", bounds.m_strict_withdrawal},
         {"drain_ms", ToMillis(bounds.m_drain).count()},
+        {"evacuation_ms",
+         bounds.m_evacuation
+             ? nlohmann::ordered_json(ToMillis(*bounds.m_evacuation).count())
+             : nlohmann::ordered_json()},
         {"stop_grace_ms", ToMillis(bounds.m_stop_grace).count()},
         {"retry_ratio", bounds.m_retry_ratio},
         {"retry_window_ms", ToMillis(bounds.m_retry_window).count()},
--- a/Source/host/host_settings.h
+++ b/Source/host/host_settings.h
@@ -3,8 +3,11 @@
 #ifndef SOURCE_HOST_HOST_SETTINGS_H_
 #define SOURCE_HOST_HOST_SETTINGS_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
 
 #include "base/error.h"
@@ -29,6 +32,9 @@
   bool m_strict_withdrawal = true;
   // Time for which a leaving endpoint may still be sent requests.
   Duration m_drain = seconds(2);
+  // Time after which no request may reach a failure domain that an operator has
+  // asked to empty; nothing if the platform does not bound it.
+  std::optional<Duration> m_evacuation;
   // Time from SIGTERM to SIGKILL.
   Duration m_stop_grace = seconds(8);
   double m_retry_ratio = 0.2;  // Repeated sends per request of a window.
@@ -37,6 +43,15 @@
   // Minimum time between the orders of one placement leader and those of the
   // next.
   Duration m_placement_lease_gap = seconds(3);
+
+  // Returns how old a view of withdrawn keys and of evacuated failure domains
+  // may become; nothing: any age.
+  std::optional<Duration> ViewBound() const {
+    if (!m_strict_withdrawal) {
+      return m_evacuation;
+    }
+    return std::min(m_key_withdrawal, m_evacuation.value_or(m_key_withdrawal));
+  }
 };
 
 struct HostSettings {
@@ -47,6 +62,8 @@
 
   HostId m_host;
   FailureDomainId m_failure_domain;
+  // The region of each failure domain; may lack some.
+  std::map<FailureDomainId, RegionId> m_regions;
   double m_capacity = 0;  // Processor cores, for comparison with other hosts.
   // The platform ends a process that uses more memory.
   std::size_t m_memory_limit_bytes = kDefaultMemoryLimit;
@@ -61,6 +78,12 @@
   bool m_first_start = false;
   FleetBounds m_bounds;
 
+  // Returns the region of `domain`, or an empty name if it is unknown.
+  RegionId RegionOf(const FailureDomainId& domain) const {
+    const auto known = m_regions.find(domain);
+    return known == m_regions.end() ? RegionId() : known->second;
+  }
+
   std::size_t answer_bytes() const {
     return m_memory_limit_bytes / kAnswerShare;
   }
--- a/Source/host/permit_exchange.cc
+++ b/Source/host/permit_exchange.cc
@@ -1,5 +1,6 @@
 #include "host/permit_exchange.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -16,10 +17,12 @@
 
 PermitExchange::PermitExchange(EventLoop& loop,
                                HostId host,
+                               const fleet::FleetStateFeed& knowledge,
                                FleetExchange& exchange,
                                std::function<void()> on_permit)
     : m_loop(loop),
       m_host(std::move(host)),
+      m_knowledge(knowledge),
       m_exchange(exchange),
       m_on_permit(std::move(on_permit)) {
   exchange.SetOtherMessageHandler(
@@ -44,7 +47,22 @@
 }
 
 bool PermitExchange::MaySend(const fleet::EndpointEntry& entry) const {
-  return m_limits.MaySend(entry.m_id, entry.m_started_at_ms, m_loop.Now());
+  return !LimitOf(entry) || m_held.Holds(entry.m_id, m_loop.Now());
+}
+
+std::optional<double> PermitExchange::LimitOf(
+    const fleet::EndpointEntry& entry) const {
+  const auto named = m_limits.LimitOf(entry.m_id, entry.m_started_at_ms);
+  if (!entry.IsCold(m_loop.Now()) || !m_knowledge.configuration()) {
+    return named;
+  }
+  const fleet::ServiceSpec* service =
+      m_knowledge.configuration()->FindService(entry.m_service);
+  if (service == nullptr || service->m_cold_requests_per_second <= 0) {
+    return named;
+  }
+  return std::min(named.value_or(service->m_cold_requests_per_second),
+                  service->m_cold_requests_per_second);
 }
 
 HostId PermitExchange::IssuerOf(const EndpointId& endpoint) const {
@@ -57,8 +75,8 @@
 
 void PermitExchange::Ask(const fleet::EndpointEntry& entry, bool urgent) {
   const MonotonicTime now = m_loop.Now();
-  const auto limit = m_limits.LimitOf(entry.m_id, entry.m_started_at_ms);
-  if (!limit || !m_limits.BeginAsking(entry.m_id, urgent, now)) {
+  const auto limit = LimitOf(entry);
+  if (!limit || !m_held.BeginAsking(entry.m_id, urgent, now)) {
     return;
   }
   const HostId issuer = IssuerOf(entry.m_id);
@@ -95,7 +113,7 @@
 
 void PermitExchange::HandleReply(const EndpointId& endpoint,
                                  std::optional<Duration> wait) {
-  m_limits.RecordReply(endpoint, wait, m_loop.Now());
+  m_held.RecordReply(endpoint, wait, m_loop.Now());
   if (!wait) {
     m_on_permit();
   } else if (!m_ask_again) {
--- a/Source/host/readiness.cc
+++ b/Source/host/readiness.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-// Share of the bound on withdrawn keys that the view may reach in age before
+// Share of the bound on the view that it may reach in age before
 // requests with a key are refused. The rest covers a silent watch and the
 // transfer of the request to the endpoint.
 constexpr double kUsableAgeShare = 0.75;
@@ -44,19 +44,19 @@
 }
 
 bool Readiness::AgeBelow(double share) const {
-  return m_knowledge.Age() <
-         duration_cast<Duration>(m_settings.m_bounds.m_key_withdrawal * share);
+  const auto bound = m_settings.m_bounds.ViewBound();
+  return !bound || m_knowledge.Age() < duration_cast<Duration>(*bound * share);
 }
 
 bool Readiness::KeysCurrent() const {
-  return !m_settings.m_bounds.m_strict_withdrawal ||
-         (ConfigurationConfirmed() && AgeBelow(kUsableAgeShare));
+  return (!m_settings.m_bounds.m_strict_withdrawal ||
+          ConfigurationConfirmed()) &&
+         AgeBelow(kUsableAgeShare);
 }
 
 bool Readiness::Ready(bool stopping) {
-  const bool ready =
-      !stopping && m_knowledge.complete() && ConfigurationConfirmed() &&
-      (!m_settings.m_bounds.m_strict_withdrawal || AgeBelow(kReadyAgeShare));
+  const bool ready = !stopping && m_knowledge.complete() &&
+                     ConfigurationConfirmed() && AgeBelow(kReadyAgeShare);
   if (ready != m_was_ready) {
     m_was_ready = ready;
     kLog.Info(
--- a/Source/host/readiness.h
+++ b/Source/host/readiness.h
@@ -25,14 +25,15 @@
   // it has none.
   void RecordPeerConfiguration(std::int64_t version);
 
-  // Whether the host's keys are recent enough to admit requests with a key.
+  // Whether the host's view is recent enough to admit requests with a key: it
+  // lacks no withdrawal and no evacuation whose bound is over.
   bool KeysCurrent() const;
   // Whether the host accepts new connections. Logs a change.
   bool Ready(bool stopping);
 
  private:
   bool ConfigurationConfirmed() const;
-  // Whether the view's age is below `share` of the bound on withdrawn keys.
+  // Whether the view's age is below `share` of the bound on it.
   bool AgeBelow(double share) const;
 
   EventLoop& m_loop;
--- a/Source/host/request_context.h
+++ b/Source/host/request_context.h
@@ -57,6 +57,9 @@
   // given by the Unix time of its start.
   std::function<void(const EndpointId&, std::int64_t started_at_ms)>
       m_on_endpoint_leaving;
+  // An endpoint has said for how long it stays cold.
+  std::function<void(const EndpointId&, std::int64_t started_at_ms, Duration)>
+      m_on_endpoint_cold;
   // An account has used enough tokens that the other hosts need a report ahead
   // of the next regular one.
   std::function<void()> m_on_report_due;
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -31,6 +31,8 @@
 constexpr Duration kRefusedRetryAfter = milliseconds(500);
 // A held prompt part stays held while requests with it come.
 constexpr Duration kHeldRetryAfter = seconds(60);
+// A host hears within about this time that a failure domain was taken back.
+constexpr Duration kEvacuatedRetryAfter = seconds(1);
 
 const Logger kLog("request");
 
@@ -46,7 +48,9 @@
   const fleet::CallerRequest& request = m_admitted.m_request;
   m_requirements = {.m_service = m_admitted.m_service,
                     .m_model = request.m_model,
-                    .m_adapter = request.m_adapter};
+                    .m_adapter = request.m_adapter,
+                    .m_route_homes = m_admitted.m_route->m_homes,
+                    .m_account_homes = m_admitted.m_account_homes};
   m_deadline = m_admitted.deadline();
 }
 
@@ -94,12 +98,16 @@
   if (RejectHeldPrompt()) {
     return true;
   }
-  const fleet::EndpointEntry* entry =
-      EndpointFinder(m_context, m_requirements).Choose();
-  if (entry == nullptr) {
+  const EndpointFinder finder(m_context, m_requirements);
+  const fleet::EndpointEntry* entry = finder.Choose();
+  if (entry != nullptr) {
+    Send(*entry);
+    return true;
+  }
+  if (!finder.AllEvacuated()) {
     return false;
   }
-  Send(*entry);
+  Refuse("evacuated", kEvacuatedRetryAfter);
   return true;
 }
 
@@ -197,6 +205,10 @@
     m_context.m_permits.RecordAnswer(m_endpoint, m_endpoint_started_at_ms,
                                      m_answer.m_facts.m_requests_per_second);
   }
+  if (m_answer.m_facts.m_cold_for) {
+    m_context.m_on_endpoint_cold(m_endpoint, m_endpoint_started_at_ms,
+                                 *m_answer.m_facts.m_cold_for);
+  }
   if (m_answer.m_facts.m_leaving) {
     m_context.m_on_endpoint_leaving(m_endpoint, m_endpoint_started_at_ms);
   }
--- a/Source/host/request_flow.h
+++ b/Source/host/request_flow.h
@@ -33,8 +33,10 @@
     const fleet::Route* m_route = nullptr;  // Of m_configuration.
     ServiceId m_service;
     ClientAccountId m_account;  // Empty on open routes.
-    int m_urgency = 0;          // 0 is served first.
-    double m_tokens = 0;        // Charged to the account.
+    // Regions that the account allows; empty: all.
+    std::set<RegionId> m_account_homes;
+    int m_urgency = 0;    // 0 is served first.
+    double m_tokens = 0;  // Charged to the account.
 
     // An answer after this time is useless to the caller. Precondition: m_route
     // is set.
--- a/Source/membership/watch_intervals.cc
+++ b/Source/membership/watch_intervals.cc
@@ -64,16 +64,20 @@
 
 WatchIntervals WatchIntervalsFor(WatchRole role, const WatchBounds& bounds) {
   const RoleLimits& limits = LimitsOf(role);
-  return {.m_batch_pause = std::min(
-              {limits.m_max_pause,
-               Fraction(limits.m_drain_fraction, bounds.m_drain),
-               Fraction(limits.m_pause_fraction, bounds.m_key_withdrawal)}),
+  // A host may use neither a withdrawn key nor an evacuated failure domain, so
+  // the shorter bound sets how old its view may be.
+  const Duration view_bound =
+      std::min(bounds.m_key_withdrawal,
+               bounds.m_evacuation.value_or(bounds.m_key_withdrawal));
+  return {.m_batch_pause =
+              std::min({limits.m_max_pause,
+                        Fraction(limits.m_drain_fraction, bounds.m_drain),
+                        Fraction(limits.m_pause_fraction, view_bound)}),
           .m_quiet_wait = std::min(
-              limits.m_max_wait,
-              Fraction(limits.m_wait_fraction, bounds.m_key_withdrawal)),
+              limits.m_max_wait, Fraction(limits.m_wait_fraction, view_bound)),
           .m_max_relayed_age = std::min(
               {kMaxRelayedAge, Fraction(kRelayedDrainFraction, bounds.m_drain),
-               Fraction(kRelayedKeyFraction, bounds.m_key_withdrawal)})};
+               Fraction(kRelayedKeyFraction, view_bound)})};
 }
 
 }  // namespace hickoryloft::membership
--- a/Source/membership/watch_intervals.h
+++ b/Source/membership/watch_intervals.h
@@ -3,6 +3,8 @@
 #ifndef SOURCE_MEMBERSHIP_WATCH_INTERVALS_H_
 #define SOURCE_MEMBERSHIP_WATCH_INTERVALS_H_
 
+#include <optional>
+
 #include "base/time.h"
 
 namespace hickoryloft::membership {
@@ -18,6 +20,8 @@
 struct WatchBounds {
   Duration m_drain{};           // An endpoint is leaving.
   Duration m_key_withdrawal{};  // A caller's key was withdrawn.
+  // A failure domain is to be emptied; nothing: no bound.
+  std::optional<Duration> m_evacuation;
 };
 
 struct WatchIntervals {
--- a/Source/placement/engine_planner.cc
+++ b/Source/placement/engine_planner.cc
@@ -41,8 +41,7 @@
 }
 
 bool EnginePlanner::Usable(const fleet::EndpointEntry& entry) const {
-  return entry.m_service == m_service && entry.AcceptsRequests() &&
-         !entry.m_remaining;
+  return entry.m_service == m_service && entry.AcceptsModels();
 }
 
 PlannedActions EnginePlanner::Plan(const PlanningView& view,
@@ -91,12 +90,13 @@
                                    MonotonicTime now,
                                    PlannedActions& actions) {
   for (auto& [id, ledger] : m_ledgers) {
+    const fleet::EndpointEntry& entry = view.m_entries.at(id);
     if (ledger.m_open || ledger.m_report_requested ||
         now - ledger.m_reported_at < kRegistrationLag ||
-        now < ledger.m_paused_until) {
+        now < ledger.m_paused_until ||
+        entry.m_evacuation == fleet::Evacuation::kEvacuated) {
       continue;
     }
-    const fleet::EndpointEntry& entry = view.m_entries.at(id);
     const bool unregistered = std::any_of(
         ledger.m_reported_models.begin(), ledger.m_reported_models.end(),
         [&](const ModelId& model) { return !entry.m_models.contains(model); });
@@ -181,6 +181,8 @@
                                      MonotonicTime now,
                                      PlannedActions& actions) {
   OpenOrder& open = *ledger.m_open;
+  // Nothing is sent to an evacuated engine, an order or a question included.
+  const bool may_send = entry.m_evacuation != fleet::Evacuation::kEvacuated;
   if (open.m_phase == OrderPhase::kUnanswered &&
       open.m_operation == fleet::OrderOperation::kLoad &&
       !view.m_spec.m_models.contains(open.m_model)) {
@@ -192,7 +194,7 @@
     ledger.m_accepted_orders.reset();
   }
   if (open.m_phase == OrderPhase::kUnanswered) {
-    if (now - open.m_since >= kResendDelay) {
+    if (may_send && now - open.m_since >= kResendDelay) {
       open.m_phase = OrderPhase::kSending;
       open.m_since = now;
       open.m_resent = true;
@@ -230,7 +232,7 @@
     ledger.m_open.reset();
     return;
   }
-  if (now >= open.m_ask_at && !ledger.m_report_requested) {
+  if (may_send && now >= open.m_ask_at && !ledger.m_report_requested) {
     ledger.m_report_requested = true;
     open.m_ask_at = now + kReportInterval;
     actions.m_reports.push_back(entry.m_id);
--- a/StandIns/jarro_main.cc
+++ b/StandIns/jarro_main.cc
@@ -82,6 +82,10 @@
            const auto item = nlohmann::json::parse(body);
            self.m_store.Put(item.value("key", ""), item.value("value", ""));
          }},
+        {"remove",
+         [](auto& self, const auto& body) {
+           self.m_store.Remove(nlohmann::json::parse(body).value("key", ""));
+         }},
         {"remove-entry",
          [](auto& self, const auto& body) {
            self.m_store.Remove("servers/" +
@@ -111,6 +115,8 @@
         {"babble", ForAll([](auto& s) { s.SendEndlessBodies(); })},
         {"trickle", ForAll([](auto& s) { s.TrickleStreams(); })},
         {"crash-engine-1", For({0}, [](auto& s) { s.Crash(); })},
+        {"move-second-servers", For({1, 3}, [](auto& s) { s.MoveTo("z0"); })},
+        {"cold-ledgers", For({2, 3}, [](auto& s) { s.TurnCold(seconds(5)); })},
         {"leave-ledger-1", For({2}, [](auto& s) { s.AnnounceLeaving(); })},
         {"limit-ledger-1", For({2}, [](auto& s) { s.NameLimit(1); })},
         {"limit-ledgers", For({2, 3}, [](auto& s) { s.NameLimit(5); })},
--- a/StandIns/jarro_server.h
+++ b/StandIns/jarro_server.h
@@ -18,6 +18,8 @@
 struct JarroServerSettings {
   std::string m_id;
   std::string m_service;
+  std::string m_zone = "z1";
+  Duration m_cold_for{};
   std::set<std::string> m_models;   // Loaded initially.
   std::set<std::string> m_on_disk;  // Models with a copy on disk.
   double m_memory_megabytes = 200000;
@@ -33,6 +35,16 @@
 
   // Writes the server's registration, with `state`, to the store.
   void Register(const std::string& state);
+  // Registers the server in another zone.
+  void MoveTo(const std::string& zone) {
+    m_settings.m_zone = zone;
+    Register("ready");
+  }
+  // Registers the server as cold for `time`.
+  void TurnCold(Duration time) {
+    m_settings.m_cold_for = time;
+    Register("ready");
+  }
   // Aborts the next stream that gets past `events` events; never if negative.
   void AbortStreamAfter(int events) { m_abort_after_events = events; }
   // Refuses new connections and closes idle ones, as after a crash. The
--- a/Tests/admission/endpoint_limits_test.cc
+++ b/Tests/admission/endpoint_limits_test.cc
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <deque>
 
+#include "admission/held_permits.h"
 #include "admission/permit_issuer.h"
 
 using namespace hickoryloft;
@@ -21,60 +22,64 @@
 // lost at times.
 struct Host {
   EndpointLimits m_limits;
+  HeldPermits m_held;
   // When the reply to the last request arrives, and what it says.
   std::optional<MonotonicTime> m_reply_at;
   std::optional<Duration> m_wait;
+
+  bool MaySend(std::int64_t started_at_ms, MonotonicTime now) const {
+    return !m_limits.LimitOf(kEndpoint, started_at_ms) ||
+           m_held.Holds(kEndpoint, now);
+  }
 };
 
 }  // namespace
 
 TEST_CASE("A limit lasts until an answer does not name it") {
-  EndpointLimits limits;
-  CHECK(limits.MaySend(kEndpoint, kStart, kNow));
-  CHECK(limits.Record(kEndpoint, kStart, 1.0));
-  CHECK_FALSE(limits.Record(kEndpoint, kStart, 1.0));
-  CHECK(limits.Record(kEndpoint, kStart, 2.0));
-  CHECK(limits.LimitOf(kEndpoint, kStart) == 2.0);
-  CHECK_FALSE(limits.MaySend(kEndpoint, kStart, kNow + seconds(3600)));
-  CHECK(limits.Record(kEndpoint, kStart, std::nullopt));
-  CHECK(limits.MaySend(kEndpoint, kStart, kNow));
-  CHECK_FALSE(limits.Record(kEndpoint, kStart, std::nullopt));
+  Host host;
+  CHECK(host.MaySend(kStart, kNow));
+  CHECK(host.m_limits.Record(kEndpoint, kStart, 1.0));
+  CHECK_FALSE(host.m_limits.Record(kEndpoint, kStart, 1.0));
+  CHECK(host.m_limits.Record(kEndpoint, kStart, 2.0));
+  CHECK(host.m_limits.LimitOf(kEndpoint, kStart) == 2.0);
+  CHECK_FALSE(host.MaySend(kStart, kNow + seconds(3600)));
+  CHECK(host.m_limits.Record(kEndpoint, kStart, std::nullopt));
+  CHECK(host.MaySend(kStart, kNow));
+  CHECK_FALSE(host.m_limits.Record(kEndpoint, kStart, std::nullopt));
 }
 
 TEST_CASE("A restarted endpoint has no limit until it names one") {
-  EndpointLimits limits;
-  limits.Record(kEndpoint, kStart, 1.0);
-  CHECK(limits.MaySend(kEndpoint, kStart + 1, kNow));
-  limits.Record(kEndpoint, kStart + 1, 3.0);
-  CHECK_FALSE(limits.MaySend(kEndpoint, kStart + 1, kNow));
+  Host host;
+  host.m_limits.Record(kEndpoint, kStart, 1.0);
+  CHECK(host.MaySend(kStart + 1, kNow));
+  host.m_limits.Record(kEndpoint, kStart + 1, 3.0);
+  CHECK_FALSE(host.MaySend(kStart + 1, kNow));
   // A late answer of the earlier incarnation.
-  limits.Record(kEndpoint, kStart, std::nullopt);
-  CHECK_FALSE(limits.MaySend(kEndpoint, kStart + 1, kNow));
+  host.m_limits.Record(kEndpoint, kStart, std::nullopt);
+  CHECK_FALSE(host.MaySend(kStart + 1, kNow));
 }
 
 TEST_CASE("A permit is good for one request, and not for long") {
-  EndpointLimits limits;
-  limits.Record(kEndpoint, kStart, 1.0);
-  limits.RecordReply(kEndpoint, std::nullopt, kNow);
-  CHECK(limits.MaySend(kEndpoint, kStart, kNow));
-  CHECK_FALSE(limits.BeginAsking(kEndpoint, /*urgent=*/true, kNow));
-  CHECK_FALSE(limits.MaySend(kEndpoint, kStart,
-                             kNow + EndpointLimits::kPermitLifetime));
-  limits.UsePermit(kEndpoint);
-  CHECK_FALSE(limits.MaySend(kEndpoint, kStart, kNow));
+  Host host;
+  host.m_limits.Record(kEndpoint, kStart, 1.0);
+  CHECK(host.m_held.BeginAsking(kEndpoint, /*urgent=*/true, kNow));
+  host.m_held.RecordReply(kEndpoint, std::nullopt, kNow);
+  CHECK(host.MaySend(kStart, kNow));
+  CHECK_FALSE(host.m_held.BeginAsking(kEndpoint, /*urgent=*/true, kNow));
+  CHECK_FALSE(host.MaySend(kStart, kNow + HeldPermits::kPermitLifetime));
+  host.m_held.Use(kEndpoint);
+  CHECK_FALSE(host.MaySend(kStart, kNow));
 }
 
 TEST_CASE("A host asks again after the stated wait, or if no reply comes") {
-  EndpointLimits limits;
-  limits.Record(kEndpoint, kStart, 1.0);
-  CHECK(limits.BeginAsking(kEndpoint, true, kNow));
-  CHECK_FALSE(limits.BeginAsking(kEndpoint, true, kNow + milliseconds(10)));
-  CHECK(limits.BeginAsking(kEndpoint, true,
-                           kNow + EndpointLimits::kReplyTimeout));
-  limits.RecordReply(kEndpoint, milliseconds(700), kNow);
-  CHECK_FALSE(limits.BeginAsking(kEndpoint, true, kNow + milliseconds(699)));
-  CHECK_FALSE(limits.BeginAsking(kEndpoint, false, kNow + milliseconds(700)));
-  CHECK(limits.BeginAsking(kEndpoint, true, kNow + milliseconds(700)));
+  HeldPermits held;
+  CHECK(held.BeginAsking(kEndpoint, true, kNow));
+  CHECK_FALSE(held.BeginAsking(kEndpoint, true, kNow + milliseconds(10)));
+  CHECK(held.BeginAsking(kEndpoint, true, kNow + HeldPermits::kReplyTimeout));
+  held.RecordReply(kEndpoint, milliseconds(700), kNow);
+  CHECK_FALSE(held.BeginAsking(kEndpoint, true, kNow + milliseconds(699)));
+  CHECK_FALSE(held.BeginAsking(kEndpoint, false, kNow + milliseconds(700)));
+  CHECK(held.BeginAsking(kEndpoint, true, kNow + milliseconds(700)));
 }
 
 // Guards against hosts that each hold to a limit that is meant for all of them
@@ -100,13 +105,13 @@
         Host& host = fleet[i];
         if (host.m_reply_at && *host.m_reply_at <= now) {
           host.m_reply_at.reset();
-          host.m_limits.RecordReply(kEndpoint, host.m_wait, now);
+          host.m_held.RecordReply(kEndpoint, host.m_wait, now);
         }
-        if (host.m_limits.MaySend(kEndpoint, kStart, now)) {
-          host.m_limits.UsePermit(kEndpoint);
+        if (host.MaySend(kStart, now)) {
+          host.m_held.Use(kEndpoint);
           sends.push_back(now);
           ++all;
-        } else if (host.m_limits.BeginAsking(kEndpoint, true, now)) {
+        } else if (host.m_held.BeginAsking(kEndpoint, true, now)) {
           // Half of the hosts learn a second late of a change of the members.
           const bool late = i % 2 == 0 && step < 600;
           PermitIssuer& asked =
--- a/Tests/fleet/relayed_host.h
+++ b/Tests/fleet/relayed_host.h
@@ -14,6 +14,9 @@
   ItemClass Classify(const std::string& key) const override {
     return key == "config" ? ItemClass::kConfiguration : ItemClass::kOther;
   }
+  FailureDomainId EvacuatedDomainOf(const std::string& key) const override {
+    return FailureDomainId(key);
+  }
   EndpointId EndpointOf(const std::string& key) const override {
     return EndpointId(key);
   }
--- a/Tests/host/placement_controller_test.cc
+++ b/Tests/host/placement_controller_test.cc
@@ -33,6 +33,9 @@
   EndpointId EndpointOf(const std::string& key) const override {
     return EndpointId(key);
   }
+  FailureDomainId EvacuatedDomainOf(const std::string& key) const override {
+    return FailureDomainId(key);
+  }
   fleet::Configuration DecodeConfiguration(
       const std::string& /*value*/) const override {
     fleet::ServiceSpec service{.m_id = kService};
--- a/Tests/jarro/fleet_decoder_test.cc
+++ b/Tests/jarro/fleet_decoder_test.cc
@@ -187,3 +187,39 @@
   REQUIRE(report.m_arriving_adapters.size() == 1);
   CHECK(report.m_arriving_adapters[0].second.value() == "a2");
 }
+
+TEST_CASE("An operator's request to empty a zone is decoded") {
+  const FleetDecoder decoder;
+  CHECK(decoder.Classify("op/evacuate/rec-a") == fleet::ItemClass::kEvacuation);
+  CHECK(decoder.Classify("op/evacuated") == fleet::ItemClass::kOther);
+  CHECK(decoder.EvacuatedDomainOf("op/evacuate/rec-a").value() == "rec-a");
+  const auto* key =
+      GENERATE("op/evacuate/", "op/evacuate/a/b", "op/evacuate/a\nb");
+  CHECK_THROWS_AS(decoder.EvacuatedDomainOf(key), Error);
+}
+
+TEST_CASE("Cold servers and home regions are decoded") {
+  json entry = json::parse(kValidEntry);
+  CHECK_FALSE(Decode(entry.dump()).m_cold_for);
+  entry["coldRemainingMs"] = 2500;
+  CHECK(Decode(entry.dump()).m_cold_for == milliseconds(2500));
+  entry["coldRemainingMs"] = "long";
+  CHECK_THROWS_AS(Decode(entry.dump()), Error);
+
+  json configuration = Configuration();
+  configuration["services"][0]["coldStartS"] = 3.0;
+  configuration["services"][0]["coldPerS"] = 14.0;
+  configuration["routes"][0]["allowedRegions"] = {"r1", "r2"};
+  configuration["tenants"][0]["allowedRegions"] = {"r2"};
+  const fleet::Configuration decoded =
+      FleetDecoder().DecodeConfiguration(configuration.dump());
+  const fleet::ServiceSpec& service = decoded.m_services.at(ServiceId("s"));
+  CHECK(service.m_cold_start == seconds(3));
+  CHECK(service.m_cold_requests_per_second == 14);
+  CHECK(decoded.m_routes[0].m_homes.size() == 2);
+  CHECK(decoded.m_routes[1].m_homes.empty());
+  CHECK(decoded.m_accounts[0].m_homes.contains(RegionId("r2")));
+  configuration["tenants"][0]["allowedRegions"] = {7};
+  CHECK_THROWS_AS(FleetDecoder().DecodeConfiguration(configuration.dump()),
+                  Error);
+}
--- a/Tests/jarro/settings_test.cc
+++ b/Tests/jarro/settings_test.cc
@@ -78,3 +78,17 @@
   CHECK_THROWS_AS(ParseHostSettings("{"), Error);
   CHECK_THROWS_AS(ReadSettingsFile("/does/not/exist"), Error);
 }
+
+TEST_CASE("The bound on evacuations and the regions are optional") {
+  json text = ValidSettings();
+  const host::HostSettings without = ParseHostSettings(text.dump());
+  CHECK_FALSE(without.m_bounds.m_evacuation);
+  CHECK(without.RegionOf(FailureDomainId("z1")).empty());
+  text["bounds"]["evacuateMs"] = 4000;
+  text["zones"] = {{"z1", "west"}};
+  const host::HostSettings with = ParseHostSettings(text.dump());
+  CHECK(with.m_bounds.ViewBound() == seconds(4));
+  CHECK(with.RegionOf(FailureDomainId("z1")).value() == "west");
+  text["zones"] = {{"z1", 7}};
+  CHECK_THAT(ParseErrorMessage(text), Catch::Contains("zones.z1"));
+}
--- a/Tests/membership/watch_intervals_test.cc
+++ b/Tests/membership/watch_intervals_test.cc
@@ -68,3 +68,20 @@
             kRelayDelay <
         WatchIntervalsFor(WatchRole::kLeaf, bounds).m_max_relayed_age);
 }
+
+TEST_CASE("A bound on evacuations shortens the intervals where it is shorter") {
+  const WatchBounds without{.m_drain = seconds(4),
+                            .m_key_withdrawal = seconds(20)};
+  WatchBounds with = without;
+  with.m_evacuation = seconds(3);
+  for (const WatchRole role :
+       {WatchRole::kLeader, WatchRole::kRelay, WatchRole::kLeaf}) {
+    const WatchIntervals intervals = WatchIntervalsFor(role, with);
+    CHECK(intervals.MaxViewAge() < FromSeconds(kReadyFraction * 3));
+    CHECK(intervals.m_max_relayed_age <= FromSeconds(0.5 * 3));
+    with.m_evacuation = seconds(30);
+    CHECK(WatchIntervalsFor(role, with).MaxViewAge() ==
+          WatchIntervalsFor(role, without).MaxViewAge());
+    with.m_evacuation = seconds(3);
+  }
+}
--- a/Tests/placement/engine_planner_test.cc
+++ b/Tests/placement/engine_planner_test.cc
@@ -324,3 +324,41 @@
   }
   CHECK(world.m_orders.size() == 1);
 }
+
+// Load: a failure domain with the only replicas of busy models is emptied.
+TEST_CASE("Models that only an emptied domain holds are loaded elsewhere") {
+  PlannerWorld world(2, 2, std::make_unique<FullResidency>());
+  RandomEngine random(1);
+  world.Hold(0, {0});
+  world.m_arrivals[{kService, Model(0), AdapterId()}] = 1;
+  world.m_entries[Engine(0)].m_evacuation = fleet::Evacuation::kEmptying;
+  for (int step = 0; step < 20; ++step) {
+    world.Step(milliseconds(500), 0, random);
+  }
+  CHECK(world.m_engines[Engine(1)].m_models.contains(Model(0)));
+  for (const PlannedOrder& order : world.m_orders) {
+    CHECK(order.m_engine == Engine(1));
+  }
+}
+
+TEST_CASE("Nothing is sent to an evacuated engine with an open order") {
+  PlannerWorld world(1, 1);
+  world.AddDemand(0, 1);
+  PlannedActions actions = world.Plan();
+  world.Report(Engine(0));
+  actions = world.Plan();
+  REQUIRE(actions.m_orders.size() == 1);
+  const auto outcome =
+      GENERATE(OrderOutcome::kUnknown, OrderOutcome::kAccepted);
+  world.m_planner.HandleOutcome(Engine(0), outcome, world.m_now);
+  world.m_entries[Engine(0)].m_evacuation = fleet::Evacuation::kEvacuated;
+  for (int step = 0; step < 20; ++step) {
+    world.m_now += seconds(1);
+    actions = world.Plan();
+    CHECK(actions.m_orders.empty());
+    CHECK(actions.m_reports.empty());
+  }
+  world.m_entries[Engine(0)].m_evacuation = fleet::Evacuation::kNone;
+  actions = world.Plan();
+  CHECK(actions.m_orders.size() + actions.m_reports.size() == 1);
+}
