--- a/Source/placement/engine_answers.cc
+++ b/Source/placement/engine_answers.cc
@@ -131,26 +131,7 @@
     // next order needs another report.
     return;
   }
-  ledger.m_least_accepted_orders = facts.m_accepted_orders;
-  ledger.m_accepted_orders = facts.m_accepted_orders;
-  ledger.m_reported_at = now;
-  ledger.m_reported_models.clear();
-  for (const auto& listed : facts.m_models) {
-    const ModelId& model = listed.first;
-    const std::unordered_set<AdapterId>& adapters = listed.second;
-    ledger.m_reported_models.insert(model);
-    ledger.m_absent_models.erase(model);
-    auto& held = ledger.m_adapters[model];
-    std::erase_if(
-        held, [&](const auto& one) { return !adapters.contains(one.first); });
-    for (const AdapterId& adapter : adapters) {
-      held.try_emplace(adapter, now);
-    }
-  }
-  // Adapters in transfer occupy slots like loaded ones.
-  for (const auto& [model, adapter] : facts.m_arriving_adapters) {
-    ledger.m_adapters[model].try_emplace(adapter, now);
-  }
+  ledger.ApplyReport(facts, now);
   if (!ledger.m_open && facts.m_busy) {
     // The engine is executing an order of an earlier leader; the report does
     // not list the model that this order loads.
--- a/Source/placement/engine_ledger.cc
+++ b/Source/placement/engine_ledger.cc
@@ -29,6 +29,29 @@
   return known == m_megabytes.end() ? m_engine_megabytes : known->second;
 }
 
+void EngineLedger::ApplyReport(const fleet::EngineReport& report,
+                               MonotonicTime now) {
+  m_least_accepted_orders = report.m_accepted_orders;
+  m_accepted_orders = report.m_accepted_orders;
+  m_reported_at = now;
+  m_reported_models.clear();
+  for (const auto& [model, adapters] : report.m_models) {
+    m_reported_models.insert(model);
+    m_absent_models.erase(model);
+    auto& held = m_adapters[model];
+    for (auto at = held.begin(); at != held.end();) {
+      at = adapters.contains(at->first) ? std::next(at) : held.erase(at);
+    }
+    for (const AdapterId& adapter : adapters) {
+      held.try_emplace(adapter, now);
+    }
+  }
+  // Adapters in transfer occupy slots like loaded ones.
+  for (const auto& [model, adapter] : report.m_arriving_adapters) {
+    m_adapters[model].try_emplace(adapter, now);
+  }
+}
+
 int EngineLedger::AdapterCount() const {
   std::size_t count = 0;
   for (const auto& [model, adapters] : m_adapters) {
--- a/Source/placement/engine_ledger.h
+++ b/Source/placement/engine_ledger.h
@@ -84,6 +84,9 @@
     return entry.m_models.contains(model) && !m_absent_models.contains(model);
   }
 
+  // Takes over the counts, models and adapters of a report. Precondition: the
+  // report is not outdated.
+  void ApplyReport(const fleet::EngineReport& report, MonotonicTime now);
   // Records that the engine has accepted one more order.
   void CountAcceptedOrder() {
     m_least_accepted_orders =
--- a/Source/placement/engine_planner.h
+++ b/Source/placement/engine_planner.h
@@ -179,6 +179,11 @@
                         EngineLedger& ledger,
                         MonotonicTime now,
                         PlannedActions& actions);
+  // Sends an unanswered order again, with the same number.
+  static void ResendOpenOrder(const fleet::EndpointEntry& entry,
+                              EngineLedger& ledger,
+                              MonotonicTime now,
+                              PlannedActions& actions);
   // Records that the engine reported the open order's model as held or not
   // held; the registration may be outdated.
   void RecordHeldModel(const EndpointId& engine,
--- a/StandIns/jarro_main.cc
+++ b/StandIns/jarro_main.cc
@@ -48,9 +48,12 @@
         answer["servers"].push_back(server->Record());
       }
       answer["holder"] = m_store.ValueOf("hickoryloft/placement-holder");
-    } else if (const auto known = Commands().find(command);
-               known != Commands().end()) {
-      known->second(*this, exchange->request().m_body);
+    }
+    for (const Commands* commands : {&StoreCommands(), &ServerCommands()}) {
+      if (const auto known = commands->find(command);
+          known != commands->end()) {
+        known->second(*this, exchange->request().m_body);
+      }
     }
     exchange->Answer(200, {{"Content-Type", "application/json"}},
                      answer.dump());
@@ -59,10 +62,13 @@
  private:
   using Command = std::function<void(Platform&, const std::string& body)>;
 
-  // The commands of tests; each is a path below /control/.
-  static const std::map<std::string, Command>& Commands() {
+  using Commands = std::map<std::string, Command>;
+
+  // The commands of tests to the store and to the servers; each is a path below
+  // /control/.
+  static const Commands& StoreCommands() {
     using Mode = JarroStore::Mode;
-    static const std::map<std::string, Command> kCommands = {
+    static const Commands kCommands = {
         {"config",
          [](auto& self, const auto& body) {
            self.m_store.Put("op/config", body);
@@ -106,7 +112,11 @@
                                          .at("items")
                                          .template get<std::size_t>());
          }},
-        {"compact", [](auto& self, const auto&) { self.m_store.Compact(); }},
+        {"compact", [](auto& self, const auto&) { self.m_store.Compact(); }}};
+    return kCommands;
+  }
+  static const Commands& ServerCommands() {
+    static const Commands kCommands = {
         {"break-streams", ForAll([](auto& s) { s.AbortStreamAfter(4); })},
         {"slow-streams",
          ForAll([](auto& s) { s.SetEventInterval(milliseconds(700)); })},
