--- a/Source/placement/engine_answers.cc
+++ b/Source/placement/engine_answers.cc
@@ -1,5 +1,5 @@
-// EnginePlanner: processing of engines' answers and reports and of new
-// configurations, and accessors.
+// EnginePlanner: processing of engines' answers and reports, of unanswered
+// orders and of new configurations, and accessors.
 
 #include <algorithm>
 
@@ -79,6 +79,23 @@
   }
 }
 
+void EnginePlanner::ResendOpenOrder(const fleet::EndpointEntry& entry,
+                                    EngineLedger& ledger,
+                                    MonotonicTime now,
+                                    PlannedActions& actions) {
+  OpenOrder& open = *ledger.m_open;
+  open.m_phase = OrderPhase::kSending;
+  open.m_since = now;
+  open.m_resent = true;
+  actions.m_orders.push_back(
+      {.m_engine = entry.m_id,
+       .m_order = {.m_operation = open.m_operation,
+                   .m_model = open.m_model,
+                   .m_adapter = open.m_adapter,
+                   .m_expected_orders = *ledger.m_accepted_orders},
+       .m_reason = "resent, the previous copy was not answered"});
+}
+
 void EnginePlanner::CloseOpenOrder(EngineLedger& ledger, MonotonicTime now) {
   const OpenOrder order = *ledger.m_open;
   ledger.m_open.reset();
--- a/Source/placement/engine_planner.cc
+++ b/Source/placement/engine_planner.cc
@@ -175,23 +175,6 @@
   }
 }
 
-void EnginePlanner::ResendOpenOrder(const fleet::EndpointEntry& entry,
-                                    EngineLedger& ledger,
-                                    MonotonicTime now,
-                                    PlannedActions& actions) {
-  OpenOrder& open = *ledger.m_open;
-  open.m_phase = OrderPhase::kSending;
-  open.m_since = now;
-  open.m_resent = true;
-  actions.m_orders.push_back(
-      {.m_engine = entry.m_id,
-       .m_order = {.m_operation = open.m_operation,
-                   .m_model = open.m_model,
-                   .m_adapter = open.m_adapter,
-                   .m_expected_orders = *ledger.m_accepted_orders},
-       .m_reason = "resent, the previous copy was not answered"});
-}
-
 void EnginePlanner::AdvanceOpenOrder(const PlanningView& view,
                                      const fleet::EndpointEntry& entry,
                                      EngineLedger& ledger,
--- a/Tests/process/jarro_harness.py
+++ b/Tests/process/jarro_harness.py
@@ -106,6 +106,7 @@
         return {
             "bootstrap": index < self.first_hosts,
             "node": f"edge-{index}", "ip": address, "zone": f"z{index % 2}",
+            "zones": {"z0": "west", "z1": "east"},
             "listen": {"front": f"{address}:{self.ports['front']}",
                        "ready": f"{address}:{self.ports['ready']}"},
             "portRange": [self.ports["peer"],
