--- a/Tests/fleet/evacuations_test.cc
+++ b/Tests/fleet/evacuations_test.cc
@@ -1,6 +1,7 @@
-// Requests of operators to empty failure domains, as hosts hear of them: from
-// their own watch, from a relay, late, twice, after a restart, and after the
-// service was restored from an older copy.
+// Requests of operators to empty failure domains (evacuations.cc), as hosts
+// hear of them (fleet_state_evacuations.cc): from their own watch, from a
+// relay, late, twice, after a restart, and after the service was restored from
+// an older copy.
 
 #include "fleet/evacuations.h"
 
