Refuse at once what no endpoint of its service may be sent

Cause: a request whose route and account share no region, or have no endpoint in it, waited until its deadline; the rule of evacuations and homes stood in the host, where no test without network reached it. Change: routing::ReachOf decides it, for evacuations and homes alike.

--- a/Source/host/endpoint_finder.cc
+++ b/Source/host/endpoint_finder.cc
@@ -50,28 +50,30 @@
   }
 }
 
+routing::EndpointPlace EndpointFinder::PlaceOf(
+    const fleet::EndpointEntry& entry) const {
+  return {.m_region = m_context.m_settings.RegionOf(entry.m_failure_domain),
+          .m_evacuated = entry.m_evacuation == fleet::Evacuation::kEvacuated};
+}
+
 bool EndpointFinder::IsEligible(const fleet::EndpointEntry& entry) const {
-  const auto allows = [&](const std::set<RegionId>& homes) {
-    return homes.empty() || homes.contains(m_context.m_settings.RegionOf(
-                                entry.m_failure_domain));
-  };
-  return entry.m_evacuation != fleet::Evacuation::kEvacuated &&
-         allows(m_requirements.m_route_homes) &&
-         allows(m_requirements.m_account_homes);
+  const routing::EndpointPlace place = PlaceOf(entry);
+  return !place.m_evacuated && m_requirements.m_homes.Allow(place.m_region);
 }
 
-bool EndpointFinder::AllEvacuated() const {
-  if (m_context.m_knowledge.evacuations().empty()) {
-    return false;
+routing::ServiceReach EndpointFinder::Reach() const {
+  // Waiting requests ask often, so the usual case must not look at every
+  // endpoint.
+  if (m_context.m_knowledge.evacuations().empty() &&
+      m_requirements.m_homes.AllowAll()) {
+    return routing::ServiceReach::kReachable;
   }
   const fleet::EndpointDirectory& directory = m_context.m_knowledge.directory();
-  const auto& endpoints = directory.EndpointsOf(m_requirements.m_service);
-  return !endpoints.empty() &&
-         std::all_of(endpoints.begin(), endpoints.end(),
-                     [&](const EndpointId& id) {
-                       return directory.Find(id)->m_evacuation ==
-                              fleet::Evacuation::kEvacuated;
-                     });
+  std::vector<routing::EndpointPlace> places;
+  for (const EndpointId& id : directory.EndpointsOf(m_requirements.m_service)) {
+    places.push_back(PlaceOf(*directory.Find(id)));
+  }
+  return routing::ReachOf(places, m_requirements.m_homes);
 }
 
 bool EndpointFinder::CanServe(const fleet::EndpointEntry& entry) const {
--- a/Source/host/endpoint_finder.h
+++ b/Source/host/endpoint_finder.h
@@ -9,6 +9,7 @@
 
 #include "fleet/endpoint_entry.h"
 #include "host/request_context.h"
+#include "routing/service_reach.h"
 
 namespace hickoryloft::host {
 
@@ -17,9 +18,7 @@
   ServiceId m_service;
   ModelId m_model;      // Empty for plain services.
   AdapterId m_adapter;  // Empty: the base model.
-  // The regions that the route and the account allow; empty: all.
-  std::set<RegionId> m_route_homes;
-  std::set<RegionId> m_account_homes;
+  routing::HomeRegions m_homes;
   // Endpoints that the request has already been sent to.
   std::set<EndpointId> m_tried;
 };
@@ -37,9 +36,8 @@
   // that was tried is chosen only if no other one is available and it is not
   // being avoided.
   const fleet::EndpointEntry* Choose() const;
-  // Returns whether all endpoints of the service, of which there are some, are
-  // in evacuated failure domains.
-  bool AllEvacuated() const;
+  // Returns whether the request can be sent to any endpoint of the service.
+  routing::ServiceReach Reach() const;
   // Returns whether the endpoint may ever serve the request: it is in an
   // allowed region and not in an evacuated failure domain.
   bool IsEligible(const fleet::EndpointEntry& entry) const;
@@ -47,6 +45,7 @@
   std::string Describe() const;
 
  private:
+  routing::EndpointPlace PlaceOf(const fleet::EndpointEntry& entry) const;
   // Calls `visit` for each endpoint of the service that accepts requests and
   // may hold the model.
   void ForEachReadyEndpoint(
--- a/Source/host/frontend.cc
+++ b/Source/host/frontend.cc
@@ -177,8 +177,8 @@
   const fleet::EndpointDirectory& directory = m_context.m_knowledge.directory();
   const EndpointRequirements requirements{
       .m_service = admitted.m_service,
-      .m_route_homes = admitted.m_route->m_homes,
-      .m_account_homes = admitted.m_account_homes};
+      .m_homes = {.m_route = admitted.m_route->m_homes,
+                  .m_account = admitted.m_account_homes}};
   const EndpointFinder finder(m_context, requirements);
   const auto& holders = directory.EndpointsWithModel(request.m_model);
   if (std::any_of(holders.begin(), holders.end(), [&](const EndpointId& id) {
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -49,8 +49,8 @@
   m_requirements = {.m_service = m_admitted.m_service,
                     .m_model = request.m_model,
                     .m_adapter = request.m_adapter,
-                    .m_route_homes = m_admitted.m_route->m_homes,
-                    .m_account_homes = m_admitted.m_account_homes};
+                    .m_homes = {.m_route = m_admitted.m_route->m_homes,
+                                .m_account = m_admitted.m_account_homes}};
   m_deadline = m_admitted.deadline();
 }
 
@@ -104,10 +104,21 @@
     Send(*entry);
     return true;
   }
-  if (!finder.AllEvacuated()) {
-    return false;
+  return RejectUnreachable(finder.Reach());
+}
+
+bool RequestFlow::RejectUnreachable(routing::ServiceReach reach) {
+  switch (reach) {
+    case routing::ServiceReach::kReachable:
+    case routing::ServiceReach::kUnregistered:
+      return false;
+    case routing::ServiceReach::kEvacuated:
+      Refuse("evacuated", kEvacuatedRetryAfter);
+      break;
+    case routing::ServiceReach::kNotAtHome:
+      Refuse("no_endpoint_at_home", std::nullopt);
+      break;
   }
-  Refuse("evacuated", kEvacuatedRetryAfter);
   return true;
 }
 
--- a/Source/host/request_flow.h
+++ b/Source/host/request_flow.h
@@ -93,6 +93,9 @@
   bool Dispatch();
   // Ends the request if a part of its prompt is held. Returns whether it did.
   bool RejectHeldPrompt();
+  // Ends the request if it can be sent to no endpoint of its service. Returns
+  // whether it did.
+  bool RejectUnreachable(routing::ServiceReach reach);
   void Send(const fleet::EndpointEntry& entry);
   void OnHead(const endpoint::AnswerHead& head);
   void OnBytes(std::string_view bytes);
--- a/Tests/process/jarro_homes_test.py
+++ b/Tests/process/jarro_homes_test.py
@@ -1,6 +1,7 @@
 """Regions that routes and client accounts allow: loft-host processes in two
 regions with the stand-in of the platform."""
 
+import time
 import unittest
 
 import harness
@@ -47,8 +48,11 @@
         """Nothing is sent where the route's home is not the account's."""
         self.configure(route_homes=[EAST], account_homes=[WEST])
         before = self.runs_at_ledgers()
-        reply = self.fleet.post("/look/x", headers={"Deadline-Ms": "500"})
+        began = time.monotonic()
+        reply = self.fleet.post("/look/x")
         self.assertEqual(reply.status, 503)
+        self.assertIn("no_endpoint_at_home", reply.body)
+        self.assertLess(time.monotonic() - began, 1)
         self.assertEqual(self.runs_at_ledgers(), before)
 
     def test_homes_with_all_regions_change_nothing(self):
