Give evacuations a class of their own beside the fleet state feed

Reading the change as a newcomer: five methods and two members of the feed dealt with evacuations only, in a second file of the same class, and whether an endpoint is eligible stood in two places. EvacuationControl decodes, keeps and logs the requests; routing::IsEligible is the one rule. No change of what is done; the tests of evacuations, homes, the feed and routing pass.

--- a/Source/fleet/fleet_state_feed.cc
+++ b/Source/fleet/fleet_state_feed.cc
@@ -45,7 +45,10 @@
     : m_loop(loop),
       m_store(store),
       m_decoder(decoder),
-      m_events(std::move(events)) {}
+      m_events(std::move(events)),
+      m_evacuation(decoder, m_directory, [this](const EndpointId& id) {
+        m_events.m_endpoint_changed(id);
+      }) {}
 
 void FleetStateFeed::Start() {
   m_lapse_timer = m_loop.Every(kLapseCheckInterval, [this] { RemoveLapsed(); });
@@ -101,7 +104,7 @@
 }
 
 void FleetStateFeed::ApplySnapshot(const keyvalue::ReadReply& reply) {
-  const auto not_before =
+  const auto complete_until =
       m_complete ? std::optional(m_current_as_of) : std::nullopt;
   RecordProof(reply.m_current_as_of);
   const bool restored =
@@ -114,7 +117,7 @@
     m_recovered_at = m_loop.Now();
   }
   std::unordered_set<EndpointId> present;
-  std::set<FailureDomainId> evacuated;
+  std::vector<keyvalue::KeyValue> evacuations;
   std::map<std::string, keyvalue::KeyValue> own_keys;
   for (const keyvalue::KeyValue& item : reply.m_items) {
     switch (m_decoder.Classify(item.m_key)) {
@@ -126,7 +129,7 @@
         ApplyEndpoint(item);
         break;
       case ItemClass::kEvacuation:
-        evacuated.insert(BeginEvacuation(item, not_before, kFromWatch));
+        evacuations.push_back(item);
         break;
       case ItemClass::kOther:
         own_keys.emplace(item.m_key, item);
@@ -140,13 +143,11 @@
     kLog.Info("endpoint removed", {{"endpoint", id.value()}});
     m_events.m_endpoint_changed(id);
   }
-  for (const FailureDomainId& domain : m_evacuations.RetainOnly(
-           evacuated, restored
-                          ? std::optional(m_loop.Now() + kReregistrationPeriod)
-                          : std::nullopt)) {
-    TakeBack(domain, kFromWatch);
-  }
-  UpdateEvacuations();
+  m_evacuation.ReplaceAll(
+      evacuations,
+      restored ? std::optional(m_loop.Now() + kReregistrationPeriod)
+               : std::nullopt,
+      KnowledgeFrom(kFromWatch, complete_until));
   m_own_keys = std::move(own_keys);
   m_revision = reply.m_revision;
   m_complete = m_complete || m_configuration != nullptr;
@@ -193,10 +194,10 @@
 }
 
 void FleetStateFeed::ApplyBatch(const keyvalue::WatchBatch& batch) {
-  const MonotonicTime not_before = m_current_as_of;
+  const MonotonicTime complete_until = m_current_as_of;
   RecordProof(batch.m_current_as_of);
   const Revision from = m_revision;
-  ApplyEvents(batch.m_events, batch.m_revision, not_before, kFromWatch);
+  ApplyEvents(batch.m_events, batch.m_revision, complete_until, kFromWatch);
   if (m_events.m_batch_applied) {
     m_events.m_batch_applied(from, batch);
   }
@@ -254,7 +255,7 @@
 void FleetStateFeed::ApplyEvents(
     const std::vector<keyvalue::WatchEvent>& events,
     Revision revision,
-    MonotonicTime not_before,
+    MonotonicTime complete_until,
     const char* source) {
   bool own_keys_changed = false;
   for (const keyvalue::WatchEvent& event : events) {
@@ -264,7 +265,7 @@
     }
     own_keys_changed |=
         m_decoder.Classify(event.m_item.m_key) == ItemClass::kOther;
-    ApplyEvent(event, not_before, source);
+    ApplyEvent(event, complete_until, source);
   }
   m_revision = std::max(m_revision, revision);
   if (own_keys_changed) {
@@ -272,8 +273,17 @@
   }
 }
 
+EvacuationControl::Knowledge FleetStateFeed::KnowledgeFrom(
+    const char* source,
+    std::optional<MonotonicTime> complete_until) const {
+  return {.m_now = m_loop.Now(),
+          .m_complete_until = complete_until,
+          .m_configuration = m_configuration.get(),
+          .m_source = source};
+}
+
 void FleetStateFeed::ApplyEvent(const keyvalue::WatchEvent& event,
-                                MonotonicTime not_before,
+                                MonotonicTime complete_until,
                                 const char* source) {
   const keyvalue::KeyValue& item = event.m_item;
   switch (m_decoder.Classify(item.m_key)) {
@@ -303,11 +313,10 @@
     }
     case ItemClass::kEvacuation:
       if (event.m_deleted) {
-        EndEvacuation(item, source);
+        m_evacuation.Remove(item, KnowledgeFrom(source, complete_until));
       } else {
-        BeginEvacuation(item, not_before, source);
+        m_evacuation.Put(item, KnowledgeFrom(source, complete_until));
       }
-      UpdateEvacuations();
       break;
     case ItemClass::kOther:
       if (event.m_deleted) {
@@ -433,11 +442,7 @@
               {{"endpoint", id.value()}});
     m_events.m_endpoint_changed(id);
   }
-  for (const FailureDomainId& domain :
-       m_evacuations.DropUnconfirmed(m_loop.Now())) {
-    TakeBack(domain, kFromWatch);
-  }
-  UpdateEvacuations();
+  m_evacuation.Tick(KnowledgeFrom(kFromWatch, m_current_as_of));
 }
 
 }  // namespace hickoryloft::fleet
--- a/Source/fleet/fleet_state_feed.h
+++ b/Source/fleet/fleet_state_feed.h
@@ -15,7 +15,7 @@
 #include "fleet/change_log.h"
 #include "fleet/configuration_view.h"
 #include "fleet/endpoint_directory.h"
-#include "fleet/evacuations.h"
+#include "fleet/evacuation_control.h"
 #include "fleet/protocols.h"
 #include "keyvalue/key_value_service.h"
 
@@ -52,7 +52,7 @@
 
   // Sets the time after which no request may reach a failure domain that an
   // operator has asked to empty.
-  void SetEvacuationBound(Duration bound) { m_evacuations.SetBound(bound); }
+  void SetEvacuationBound(Duration bound) { m_evacuation.SetBound(bound); }
 
   // Records that an endpoint said in an answer that it stays cold for `cold`.
   void MarkCold(const EndpointId& id,
@@ -93,7 +93,7 @@
   const EndpointDirectory& directory() const { return m_directory; }
   // The failure domains that operators have asked to empty.
   const std::map<FailureDomainId, Evacuation>& evacuations() const {
-    return m_evacuation_states;
+    return m_evacuation.states();
   }
   const std::map<std::string, keyvalue::KeyValue>& own_keys() const {
     return m_own_keys;
@@ -109,35 +109,25 @@
   MonotonicTime current_as_of() const { return m_current_as_of; }
 
  private:
-  static constexpr Duration kDefaultEvacuationBound = seconds(5);
-
   void ReadAll();
   void ApplySnapshot(const keyvalue::ReadReply& reply);
   void BeginWatch(Revision revision);
   void ApplyBatch(const keyvalue::WatchBatch& batch);
   // Applies the events that are newer than the current revision, and advances
-  // it to `revision`. `not_before`: the changes were made after this time.
+  // it to `revision`. `complete_until`: the changes were made after this time.
   // `source` is logged as their origin.
   void ApplyEvents(const std::vector<keyvalue::WatchEvent>& events,
                    Revision revision,
-                   MonotonicTime not_before,
+                   MonotonicTime complete_until,
                    const char* source);
   void ApplyEvent(const keyvalue::WatchEvent& event,
-                  MonotonicTime not_before,
+                  MonotonicTime complete_until,
                   const char* source);
-  // Applies a present request to empty a failure domain, made after
-  // `not_before`; nothing: any time ago. Returns the domain, or an empty name
-  // if the key names none.
-  FailureDomainId BeginEvacuation(const keyvalue::KeyValue& item,
-                                  std::optional<MonotonicTime> not_before,
-                                  const char* source);
-  void EndEvacuation(const keyvalue::KeyValue& item, const char* source);
-  // Lets the endpoints of `domain` be used again, as if they had just started.
-  // Precondition: the request to empty it has ended.
-  void TakeBack(const FailureDomainId& domain, const char* source);
-  std::uint64_t EndpointsIn(const FailureDomainId& domain) const;
-  // Applies the present state of each evacuation to the endpoints.
-  void UpdateEvacuations();
+  // Returns what evacuations are told of changes that were made after
+  // `complete_until`.
+  EvacuationControl::Knowledge KnowledgeFrom(
+      const char* source,
+      std::optional<MonotonicTime> complete_until) const;
   void ResumeWatch(const std::string& reason);
   // Sets the wait of the watch's next call so that the copy grows no older than
   // a batch pause and a poll wait while the service works.
@@ -163,8 +153,7 @@
   Events m_events;
   std::shared_ptr<const ConfigurationView> m_configuration;
   EndpointDirectory m_directory;
-  Evacuations m_evacuations{kDefaultEvacuationBound};
-  std::map<FailureDomainId, Evacuation> m_evacuation_states;
+  EvacuationControl m_evacuation;
   std::map<std::string, keyvalue::KeyValue> m_own_keys;
   // The newest version that the service was seen to have lost.
   std::int64_t m_lost_version = 0;
--- a/Source/host/endpoint_finder.cc
+++ b/Source/host/endpoint_finder.cc
@@ -57,8 +57,7 @@
 }
 
 bool EndpointFinder::IsEligible(const fleet::EndpointEntry& entry) const {
-  const routing::EndpointPlace place = PlaceOf(entry);
-  return !place.m_evacuated && m_requirements.m_homes.Allow(place.m_region);
+  return routing::IsEligible(PlaceOf(entry), m_requirements.m_homes);
 }
 
 routing::ServiceReach EndpointFinder::Reach() const {
--- a/Source/routing/service_reach.cc
+++ b/Source/routing/service_reach.cc
@@ -9,16 +9,15 @@
   if (places.empty()) {
     return ServiceReach::kUnregistered;
   }
-  const auto at_home = [&](const EndpointPlace& place) {
-    return homes.Allow(place.m_region);
+  const auto any = [&](auto&& matches) {
+    return std::any_of(places.begin(), places.end(), matches);
   };
-  if (std::none_of(places.begin(), places.end(), at_home)) {
-    return ServiceReach::kNotAtHome;
+  if (any([&](const auto& place) { return IsEligible(place, homes); })) {
+    return ServiceReach::kReachable;
   }
-  const bool all_evacuated = std::all_of(
-      places.begin(), places.end(),
-      [&](const auto& place) { return place.m_evacuated || !at_home(place); });
-  return all_evacuated ? ServiceReach::kEvacuated : ServiceReach::kReachable;
+  const bool at_home =
+      any([&](const auto& place) { return homes.Allow(place.m_region); });
+  return at_home ? ServiceReach::kEvacuated : ServiceReach::kNotAtHome;
 }
 
 }  // namespace hickoryloft::routing
--- a/Source/routing/service_reach.h
+++ b/Source/routing/service_reach.h
@@ -33,6 +33,12 @@
   bool m_evacuated = false;  // Its failure domain gets no requests.
 };
 
+// Returns whether an endpoint at `place` may be sent a request with `homes`.
+// Thread-safe.
+inline bool IsEligible(const EndpointPlace& place, const HomeRegions& homes) {
+  return !place.m_evacuated && homes.Allow(place.m_region);
+}
+
 enum class ServiceReach {
   kReachable,     // Some endpoint may be sent the request.
   kUnregistered,  // The service has no endpoints now.
--- a/Tests/fleet/evacuations_test.cc
+++ b/Tests/fleet/evacuations_test.cc
@@ -1,5 +1,5 @@
 // Requests of operators to empty failure domains (evacuations.cc), as hosts
-// hear of them (fleet_state_evacuations.cc): from their own watch, from a
+// hear of them (evacuation_control.cc): from their own watch, from a
 // relay, late, twice, after a restart, and after the service was restored from
 // an older copy.
 
