Log on which connection an endpoint refused a request

An answer with another request's id was dropped without a line.

The line about a refusal has the endpoint's address, the connection's number and its number of earlier calls now; a dropped answer has a line of its own, at most 64 bytes of the id that it names. No decision changes.

--- a/Source/base/log_fields.h
+++ b/Source/base/log_fields.h
@@ -25,6 +25,7 @@
     {"all_models_in_use",
      "engines on which no model can be evicted because all are in use"},
     {"answer_events", "number of complete stream events in the answer"},
+    {"answered_id", "id of the request that an answer names"},
     {"asked_for_ms",
      "milliseconds since this host's own calls to the key-value service began"},
     {"away_ms", "milliseconds since the last answer of the key-value service"},
@@ -32,8 +33,13 @@
     {"claim", "name of a claim of the coordinator"},
     {"configuration",
      "version of the configuration that applies to the request"},
+    {"connection",
+     "number of a connection to an endpoint, unique within one run of a host's "
+     "process"},
     {"count", "number of log lines that were dropped"},
     {"deadline_ms", "milliseconds that the caller allows for the request"},
+    {"earlier_calls",
+     "number of calls that a connection carried before the current one"},
     {"endpoint", "id of an endpoint"},
     {"endpoints",
      "number of endpoints, or the state of a service's endpoints with respect "
--- a/Source/endpoint/client_connection.cc
+++ b/Source/endpoint/client_connection.cc
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <utility>
 
+#include "base/log.h"
 #include "base/socket_address.h"
 #include "base/socket_options.h"
 
@@ -23,6 +24,10 @@
 // An idle connection is no longer used this long before the endpoint closes it,
 // so that a request is not sent while the endpoint is closing.
 constexpr Duration kKeepAliveMargin = milliseconds(700);
+// A faulty endpoint may send an id of any length.
+constexpr std::size_t kMaxLoggedIdLength = 64;
+
+const Logger kLog("endpoint");
 
 constexpr std::string_view MethodName(HttpMethod method) {
   switch (method) {
@@ -70,9 +75,11 @@
 
 ClientConnection::ClientConnection(EventLoop& loop,
                                    EndpointAddress endpoint,
+                                   std::uint64_t number,
                                    OwnerEvents owner)
     : m_loop(loop),
       m_endpoint(std::move(endpoint)),
+      m_number(number),
       m_owner(std::move(owner)),
       m_timer(event_new(loop.base(), -1, 0, &OnTimer, this)),
       m_parser(
@@ -108,10 +115,10 @@
   m_request = std::move(request);
   m_events = std::move(events);
   m_running = true;
-  m_reused = m_buffer != nullptr;
   m_skip_response = false;
   m_echo_error.reset();
   if (m_buffer != nullptr) {
+    ++m_earlier_calls;
     m_parser.Reset();
     WriteRequest();
     return;
@@ -210,11 +217,20 @@
   m_skip_response = false;
   if (!echo.m_name.empty()) {
     const std::string* value = http::FindHeader(head.m_headers, echo.m_name);
-    if (value == nullptr && (m_reused || head.m_status / 100 == 2)) {
+    if (value == nullptr && (m_earlier_calls > 0 || head.m_status / 100 == 2)) {
       m_echo_error =
           MakeError(ErrorCode::kProtocol, "the answer echoes no request id");
     }
     m_skip_response = value != nullptr && *value != echo.m_value;
+    if (m_skip_response) {
+      kLog.Warn("skipping an answer to another request",
+                {{"id", echo.m_value},
+                 {"answered_id", value->substr(0, kMaxLoggedIdLength)},
+                 {"endpoint", m_endpoint.m_id.value()},
+                 {"status", head.m_status},
+                 {"connection", m_number},
+                 {"earlier_calls", m_earlier_calls}});
+    }
   }
   m_reusable = m_reusable && head.m_keep_alive && !m_skip_response;
   m_idle_until = m_loop.Now() + KeepAliveTimeout(head.m_headers);
@@ -223,7 +239,9 @@
         AnswerHead{.m_status = head.m_status,
                    .m_headers = std::move(head.m_headers),
                    .m_content_length = head.m_content_length,
-                   .m_ends_with_connection = EndsWithConnection(head)});
+                   .m_ends_with_connection = EndsWithConnection(head),
+                   .m_connection = m_number,
+                   .m_earlier_calls = m_earlier_calls});
   }
 }
 
--- a/Source/endpoint/client_connection.h
+++ b/Source/endpoint/client_connection.h
@@ -3,6 +3,7 @@
 #ifndef SOURCE_ENDPOINT_CLIENT_CONNECTION_H_
 #define SOURCE_ENDPOINT_CLIENT_CONNECTION_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -28,8 +29,10 @@
     std::function<void(const std::shared_ptr<ClientConnection>&)> m_closed;
   };
 
+  // `number` names the connection in logs.
   ClientConnection(EventLoop& loop,
                    EndpointAddress endpoint,
+                   std::uint64_t number,
                    OwnerEvents owner);
   ~ClientConnection();
   ClientConnection(const ClientConnection&) = delete;
@@ -65,13 +68,14 @@
 
   EventLoop& m_loop;
   EndpointAddress m_endpoint;
+  std::uint64_t m_number;
   OwnerEvents m_owner;
   bufferevent* m_buffer = nullptr;
   event* m_timer;
   bool m_connected = false;
   bool m_running = false;
-  // Whether the connection has carried a call before the current one.
-  bool m_reused = false;
+  // Number of calls that the connection has carried before the current one.
+  std::uint64_t m_earlier_calls = 0;
   bool m_reusable = true;
   // Whether the current response belongs to another call.
   bool m_skip_response = false;
--- a/Source/endpoint/http_client.h
+++ b/Source/endpoint/http_client.h
@@ -55,6 +55,10 @@
   // The body has neither a length nor chunks. Its end is the end of the
   // connection, which does not prove that the body is complete.
   bool m_ends_with_connection = false;
+  // Names the connection within this process, for logs.
+  std::uint64_t m_connection = 0;
+  // Number of calls that the connection carried before this one.
+  std::uint64_t m_earlier_calls = 0;
 };
 
 // Events of a call, in this order: m_head, any number of m_bytes, m_done; or
--- a/Source/endpoint/pooled_http_client.cc
+++ b/Source/endpoint/pooled_http_client.cc
@@ -99,7 +99,7 @@
   }
   ++m_opened;
   auto connection = std::make_shared<ClientConnection>(
-      m_loop, request.m_endpoint,
+      m_loop, request.m_endpoint, m_opened,
       ClientConnection::OwnerEvents{
           .m_idle =
               [this](const ConnectionPointer& idle_connection) {
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -374,6 +374,10 @@
   kLog.Info("endpoint rejected the request without executing it",
             {{"id", request.m_id},
              {"endpoint", m_endpoint.value()},
+             {"address", m_address.m_address},
+             {"port", m_address.m_port},
+             {"connection", m_answer.m_head.m_connection},
+             {"earlier_calls", m_answer.m_head.m_earlier_calls},
              {"status", status},
              {"model", request.m_model.value()}});
   if (!request.m_model.empty()) {
