Carry no request twice on one connection to an endpoint

What callers saw: a request that is not idempotent ran although it had been refused with 503 (REFUSED), or ran twice (TWICE).

An endpoint that comes back at its address under another id refuses with 421, registers, and gets the second send on the old connection.

The guard belongs to what it is about: a connection remembers the ids that it has carried, and the pool gives no call a connection that has carried its id. So no answer to an earlier send can arrive where the answer to a later one is due, whoever sends. The request flow's own set is gone.

Weighed: closing a connection after each refusal costs a connection for every request that a full endpoint turns away, and servers cap connections; this costs one only when a request goes back to the same address.

--- a/Source/endpoint/client_connection.cc
+++ b/Source/endpoint/client_connection.cc
@@ -4,9 +4,11 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
+#include "base/hashing.h"
 #include "base/log.h"
 #include "base/socket_address.h"
 #include "base/socket_options.h"
@@ -24,6 +26,9 @@
 // An idle connection is no longer used this long before the endpoint closes it,
 // so that a request is not sent while the endpoint is closing.
 constexpr Duration kKeepAliveMargin = milliseconds(700);
+// Limit on the calls with an id that one connection carries, because it
+// remembers all of their ids.
+constexpr std::size_t kMaxCarriedIds = 1000;
 // A faulty endpoint may send an id of any length.
 constexpr std::size_t kMaxLoggedIdLength = 64;
 
@@ -103,7 +108,13 @@
 }
 
 bool ClientConnection::usable(MonotonicTime now) const {
-  return m_buffer != nullptr && m_reusable && !m_running && now < m_idle_until;
+  return m_buffer != nullptr && m_reusable && !m_running &&
+         now < m_idle_until && m_carried_ids.size() < kMaxCarriedIds;
+}
+
+bool ClientConnection::MayCarry(const std::string& id) const {
+  return id.empty() || std::find(m_carried_ids.begin(), m_carried_ids.end(),
+                                 StableHash(id)) == m_carried_ids.end();
 }
 
 void ClientConnection::ArmTimer(Duration delay) {
@@ -117,6 +128,9 @@
   m_running = true;
   m_skip_response = false;
   m_echo_error.reset();
+  if (!m_request->m_echo.m_value.empty()) {
+    m_carried_ids.push_back(StableHash(m_request->m_echo.m_value));
+  }
   if (m_buffer != nullptr) {
     ++m_earlier_calls;
     m_parser.Reset();
--- a/Source/endpoint/client_connection.h
+++ b/Source/endpoint/client_connection.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/event_loop.h"
 #include "endpoint/http_client.h"
@@ -48,7 +49,12 @@
   void Resume();
 
   const EndpointAddress& endpoint() const { return m_endpoint; }
+  // Whether an idle connection can carry another call.
   bool usable(MonotonicTime now) const;
+  // Whether the connection can carry a call whose answer echoes `id`; empty:
+  // none. After an earlier call with the same id, an extra answer to that call
+  // could not be told from the answer to the new one.
+  bool MayCarry(const std::string& id) const;
 
  private:
   static void OnReadable(bufferevent* buffer, void* self);
@@ -76,6 +82,7 @@
   bool m_running = false;
   // Number of calls that the connection has carried before the current one.
   std::uint64_t m_earlier_calls = 0;
+  std::vector<std::uint64_t> m_carried_ids;  // Hashes.
   bool m_reusable = true;
   // Whether the current response belongs to another call.
   bool m_skip_response = false;
--- a/Source/endpoint/http_client.h
+++ b/Source/endpoint/http_client.h
@@ -40,7 +40,8 @@
   bool m_fresh_connection = false;
   Duration m_idle_timeout = kDefaultIdleTimeout;
   std::optional<Duration> m_connect_timeout;  // Default: the client's.
-  // Name and value of a header field that the endpoint echoes. A response with
+  // Name and value of a header field that the endpoint echoes. The call gets a
+  // connection that has carried no call with this value. A response with
   // another value belongs to an earlier call and is skipped. A response without
   // the field fails the call with kProtocol if its status is 2xx or if the
   // connection has carried another call, to which it may belong. If the name is
--- a/Source/endpoint/pooled_http_client.cc
+++ b/Source/endpoint/pooled_http_client.cc
@@ -88,14 +88,10 @@
 PooledHttpClient::ConnectionPointer PooledHttpClient::Acquire(
     const CallRequest& request) {
   const auto idle = m_idle.find(PoolKey(request.m_endpoint));
-  while (!request.m_fresh_connection && idle != m_idle.end() &&
-         !idle->second.empty()) {
-    ConnectionPointer connection = idle->second.back();
-    idle->second.pop_back();
-    if (connection->usable(m_loop.Now())) {
+  if (!request.m_fresh_connection && idle != m_idle.end()) {
+    if (ConnectionPointer connection = TakeIdle(idle->second, request)) {
       return connection;
     }
-    m_connections.erase(connection);
   }
   ++m_opened;
   auto connection = std::make_shared<ClientConnection>(
@@ -111,6 +107,26 @@
   return connection;
 }
 
+PooledHttpClient::ConnectionPointer PooledHttpClient::TakeIdle(
+    std::vector<ConnectionPointer>& idle,
+    const CallRequest& request) {
+  std::erase_if(idle, [&](const ConnectionPointer& connection) {
+    return !connection->usable(m_loop.Now()) &&
+           m_connections.erase(connection) > 0;
+  });
+  // The one that was used last, so that the others can time out.
+  const auto found = std::find_if(
+      idle.rbegin(), idle.rend(), [&](const ConnectionPointer& connection) {
+        return connection->MayCarry(request.m_echo.m_value);
+      });
+  if (found == idle.rend()) {
+    return nullptr;
+  }
+  ConnectionPointer connection = *found;
+  idle.erase(std::next(found).base());
+  return connection;
+}
+
 void PooledHttpClient::ReturnToPool(const ConnectionPointer& connection) {
   auto& idle = m_idle[PoolKey(connection->endpoint())];
   if (idle.size() >= kMaxIdleConnections) {
--- a/Source/endpoint/pooled_http_client.h
+++ b/Source/endpoint/pooled_http_client.h
@@ -17,8 +17,9 @@
 
 namespace hickoryloft::endpoint {
 
-// Keeps up to kMaxIdleConnections idle connections per endpoint. Use on the
-// loop's thread only. Must outlive its calls.
+// Keeps up to kMaxIdleConnections idle connections per address. No connection
+// carries two calls whose answers echo the same id. Use on the loop's thread
+// only. Must outlive its calls.
 class PooledHttpClient : public HttpClient {
  public:
   static constexpr std::size_t kMaxIdleConnections = 256;
@@ -42,6 +43,10 @@
   using ConnectionPointer = std::shared_ptr<ClientConnection>;
 
   ConnectionPointer Acquire(const CallRequest& request);
+  // Takes a connection out of `idle` that can carry `request`, and drops those
+  // that can carry no more calls. Returns nullptr if there is none.
+  ConnectionPointer TakeIdle(std::vector<ConnectionPointer>& idle,
+                             const CallRequest& request);
   void ReturnToPool(const ConnectionPointer& connection);
   void Remove(const ConnectionPointer& connection);
 
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -171,8 +171,6 @@
                 .m_urgency = m_admitted.m_urgency,
                 .m_resume_after = m_events.last_id()});
   call.m_connect_timeout = kConnectTimeout;
-  // A copy of an earlier send's answer cannot arrive on a new connection.
-  call.m_fresh_connection = !m_sent_to.insert(m_endpoint).second;
   // m_deadline_timer ends the call. The idle timeout lies past the deadline,
   // because silence until then does not prove that the endpoint failed.
   call.m_idle_timeout = m_deadline - now + seconds(1);
--- a/Source/host/request_flow.h
+++ b/Source/host/request_flow.h
@@ -159,7 +159,6 @@
   // State of all sends.
   EndpointRequirements m_requirements;
   int m_sends = 0;
-  std::set<EndpointId> m_sent_to;
   ExecutionRecord m_executions;
   EventSplitter m_events;
   bool m_stream_started = false;
--- a/Tests/endpoint/cut_answer_test.cc
+++ b/Tests/endpoint/cut_answer_test.cc
@@ -122,14 +122,15 @@
 
 Outcome Run(EventLoop& loop,
             PooledHttpClient& client,
-            const CuttingEndpoint& endpoint) {
+            const CuttingEndpoint& endpoint,
+            const std::string& id = "r1") {
   Outcome outcome;
   const auto call = client.Start(
       {.m_endpoint = endpoint.Address(),
        .m_target = "/",
-       .m_headers = {{"Request-Id", "r1"}},
+       .m_headers = {{"Request-Id", id}},
        .m_body = "body",
-       .m_echo = {"Request-Id", "r1"}},
+       .m_echo = {"Request-Id", id}},
       {.m_head = [&](const AnswerHead& head) { outcome.m_head = head; },
        .m_bytes = [&](std::string_view bytes) { outcome.m_body += bytes; },
        .m_done =
@@ -165,8 +166,8 @@
   PooledHttpClient client(loop);
   if (kept) {
     endpoint.m_answer =
-        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nok";
-    REQUIRE(Run(loop, client, endpoint).m_done);
+        "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 2\r\n\r\nok";
+    REQUIRE(Run(loop, client, endpoint, "r0").m_done);
   }
   endpoint.m_answer = answer.substr(0, bytes);
   endpoint.m_ending = ending;
