Test copies of answers in random orders

A state test of the connections: random requests, refusals and copies of any earlier answer of the connection before the one that is due; each call gets its own answer. A connection names the endpoint of its current call in errors and logs.

--- a/Source/endpoint/client_connection.cc
+++ b/Source/endpoint/client_connection.cc
@@ -124,6 +124,8 @@
 
 void ClientConnection::Start(CallRequest request, CallEvents events) {
   m_request = std::move(request);
+  // The endpoint at an address may have changed.
+  m_endpoint = m_request->m_endpoint;
   m_events = std::move(events);
   m_running = true;
   m_skip_response = false;
--- a/Tests/endpoint/copied_refusal_test.cc
+++ b/Tests/endpoint/copied_refusal_test.cc
@@ -1,5 +1,6 @@
 // Copies of a refusal on connections that carry the refused request again.
 
+#include <rapidcheck.h>
 #include <catch2/catch.hpp>
 #include <string>
 
@@ -10,9 +11,10 @@
 
 namespace {
 
-std::string Refusal(const std::string& id) {
+std::string Refusal(const std::string& id, const std::string& body = "") {
   return "HTTP/1.1 503 Full\r\nRequest-Id: " + id +
-         "\r\nContent-Length: 0\r\n\r\n";
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
 }
 
 }  // namespace
@@ -31,6 +33,37 @@
   CHECK(second.m_body == "done");
 }
 
+// Regression test (REFUSED, TWICE) over random orders of requests, refusals and
+// copies of any earlier answer of the connection.
+TEST_CASE("A call gets its own answer or none, whatever is written before it") {
+  const bool holds = rc::check([] {
+    EventLoop loop;
+    ScriptedEndpoint endpoint(loop);
+    PooledHttpClient client(loop);
+    endpoint.m_extra_bytes = [](const std::vector<std::string>& earlier) {
+      std::string extra;
+      for (int copies = *rc::gen::inRange(0, 3); copies > 0 && !earlier.empty();
+           --copies) {
+        extra += *rc::gen::elementOf(earlier);
+      }
+      return extra;
+    };
+    const int calls = *rc::gen::inRange(1, 12);
+    for (int call = 0; call < calls; ++call) {
+      const std::string id = *rc::gen::element<std::string>("r1", "r2", "r3");
+      // The body tells which call an answer was written for.
+      const std::string body = std::to_string(call);
+      const bool refuses = *rc::gen::arbitrary<bool>();
+      endpoint.m_scripts = {refuses ? Refusal(id, body) : Answer(id, body)};
+      const Outcome outcome = Run(loop, client, endpoint, id);
+      RC_ASSERT(outcome.m_done);
+      RC_ASSERT(outcome.m_heads == 1);
+      RC_ASSERT(outcome.m_body == body);
+    }
+  });
+  CHECK(holds);
+}
+
 TEST_CASE("Other requests use the connection on which one was refused") {
   EventLoop loop;
   ScriptedEndpoint endpoint(loop);
--- a/Tests/endpoint/scripted_endpoint.h
+++ b/Tests/endpoint/scripted_endpoint.h
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -58,6 +59,9 @@
   std::deque<std::string> m_scripts;
   // Writes the last script of a connection once more ahead of the next one.
   bool m_copies_answers = false;
+  // Returns bytes to write ahead of the next script on a connection, given the
+  // earlier ones.
+  std::function<std::string(const std::vector<std::string>&)> m_extra_bytes;
 
  private:
   static void OnAccept(evconnlistener* /*listener*/,
@@ -81,18 +85,22 @@
     }
     const std::string script = endpoint->m_scripts.front();
     endpoint->m_scripts.pop_front();
-    std::string& last = endpoint->m_last_scripts[connection];
-    if (endpoint->m_copies_answers) {
-      bufferevent_write(connection, last.data(), last.size());
+    std::vector<std::string>& earlier = endpoint->m_earlier[connection];
+    std::string extra;
+    if (endpoint->m_copies_answers && !earlier.empty()) {
+      extra = earlier.back();
+    } else if (endpoint->m_extra_bytes) {
+      extra = endpoint->m_extra_bytes(earlier);
     }
-    last = script;
+    bufferevent_write(connection, extra.data(), extra.size());
+    earlier.push_back(script);
     bufferevent_write(connection, script.data(), script.size());
   }
 
   EventLoop& m_loop;
   evconnlistener* m_listener = nullptr;
   std::vector<bufferevent*> m_connections;
-  std::map<bufferevent*, std::string> m_last_scripts;
+  std::map<bufferevent*, std::vector<std::string>> m_earlier;
   std::uint16_t m_port = 0;
 };
 
