Relay no refusal that an endpoint has not proved

What callers saw: 408, 429 or 503 for a request that an endpoint had executed. By these statuses callers may take it for not run.

Cause: an endpoint's answer was relayed as it is unless it said that it had not executed the request, so a refusal without that mark became a promise that nobody had made. Such an answer now ends the send as one that may have run: another endpoint is asked if the request may be repeated, otherwise the caller gets 502 refusal_without_proof.

Evidence: the new process test failed before (408 instead of 502) and passes now.

--- a/Source/host/received_answer.cc
+++ b/Source/host/received_answer.cc
@@ -1,5 +1,6 @@
 #include "host/received_answer.h"
 
+#include <algorithm>
 #include <array>
 
 #include "base/log.h"
@@ -17,6 +18,12 @@
          !m_facts.m_encoded;
 }
 
+bool ReceivedAnswer::ReadsAsRefusal() const {
+  static constexpr std::array<int, 4> kRefusals = {408, 421, 429, 503};
+  return std::find(kRefusals.begin(), kRefusals.end(), m_head.m_status) !=
+         kRefusals.end();
+}
+
 bool ReceivedAnswer::EndsEarly(MonotonicTime now) const {
   return !m_first_event_at || now - *m_first_event_at < kProofTime;
 }
@@ -36,6 +43,9 @@
   if (stream_started) {
     return SendOutcome::kStreamNotContinued;
   }
+  if (ReadsAsRefusal()) {
+    return SendOutcome::kUnprovenRefusal;
+  }
   return m_head.m_status >= kFirstFailure ? SendOutcome::kFailed
                                           : SendOutcome::kComplete;
 }
@@ -85,10 +95,14 @@
 }
 
 const char* ToText(SendOutcome outcome) {
-  static constexpr std::array<const char*, 6> kNames = {
-      "complete",          "endpoint_failed",
-      "endpoint_refused",  "answer_not_the_endpoints",
-      "stream_broken_off", "stream_not_continued"};
+  static constexpr std::array<const char*, 7> kNames = {
+      "complete",
+      "endpoint_failed",
+      "endpoint_refused",
+      "refusal_without_proof",
+      "answer_not_the_endpoints",
+      "stream_broken_off",
+      "stream_not_continued"};
   return kNames.at(static_cast<std::size_t>(outcome));
 }
 
--- a/Source/host/received_answer.h
+++ b/Source/host/received_answer.h
@@ -16,6 +16,7 @@
   kComplete,            // The whole answer of the endpoint.
   kFailed,              // The endpoint's own failure, status 500 or above.
   kNotExecuted,         // The endpoint did not execute the request.
+  kUnprovenRefusal,     // A refusal that does not say that it did not execute.
   kNotTheEndpoints,     // A success that is not the endpoint's own answer.
   kStreamBrokenOff,     // A stream without its end.
   kStreamNotContinued,  // Does not continue the stream that was begun.
@@ -34,6 +35,9 @@
 
   // Whether the body is relayed event by event.
   bool RelaysEvents() const;
+  // Whether callers may take the status for a promise that the request has not
+  // been executed.
+  bool ReadsAsRefusal() const;
   // Whether the answer has not gone on for kProofTime.
   bool EndsEarly(MonotonicTime now) const;
   // Returns what the send came to. Precondition: the answer has ended, and
--- a/Tests/host/received_answer_test.cc
+++ b/Tests/host/received_answer_test.cc
@@ -77,3 +77,17 @@
     CHECK(answer.Judge(events, false) == SendOutcome::kNotTheEndpoints);
   }
 }
+
+// Regression test (REFUSED): a status that callers take for "not run" was
+// relayed although the endpoint had not said so.
+TEST_CASE("A refusal proves nothing unless the endpoint did not execute") {
+  const EventSplitter events;
+  for (const int status : {408, 421, 429, 503}) {
+    ReceivedAnswer answer{.m_head = {.m_status = status},
+                          .m_facts = {.m_signed = true}};
+    CHECK(answer.Judge(events, false) == SendOutcome::kUnprovenRefusal);
+    CHECK(answer.Judge(events, true) == SendOutcome::kStreamNotContinued);
+    answer.m_facts.m_not_executed = true;
+    CHECK(answer.Judge(events, false) == SendOutcome::kNotExecuted);
+  }
+}
--- a/Tests/process/jarro_late_refusals_test.py
+++ b/Tests/process/jarro_late_refusals_test.py
@@ -19,6 +19,7 @@
         super().setUp()
         self.executed = []
         self.echo = True
+        self.status = ""  # Answers to requests that were executed.
         self.refusals = 0
         self.written_again = 0
         self.refused = {}  # The last refusal by connection.
@@ -36,6 +37,11 @@
     def respond(self, connection, request):
         """Refuses some requests, writes the refusal once more when the next
         request on the connection has begun to run, and then answers it."""
+        if self.status:
+            self.executed.append(request.id)
+            connection.sendall(head(request, self.status,
+                                    "Content-Length: 0"))
+            return True
         with self.lock:
             refuse = self.refusals > 0
             self.refusals -= refuse
@@ -82,6 +88,21 @@
         self.echo = False
         self.assert_honest(30, "/pay/x")
 
+    def test_refusal_of_an_executed_request(self):
+        """Regression test (REFUSED): an endpoint's refusal that does not say
+        that the request was not executed was relayed as a promise."""
+        for status in ("408 Timeout", "429 Busy", "503 Full"):
+            self.status = status
+
+            def ask():
+                """Whether a server of this test executed a request."""
+                self.executed.clear()
+                reply = self.fleet.post("/pay/x")
+                if self.executed:
+                    self.assertEqual(reply.status, 502, reply)
+                return self.executed
+            harness.wait_for(ask, 10, f"a request is answered with {status}")
+
     def test_refusal_on_an_idle_connection(self):
         for number in range(10):
             self.refusals = 1
