--- a/Source/endpoint/client_connection.cc
+++ b/Source/endpoint/client_connection.cc
@@ -233,7 +233,8 @@
   m_skip_response = false;
   if (!echo.m_name.empty()) {
     const std::string* value = http::FindHeader(head.m_headers, echo.m_name);
-    if (value == nullptr && (m_earlier_calls > 0 || head.m_status / 100 == 2)) {
+    if (value == nullptr && !m_request->m_echo_optional &&
+        (m_earlier_calls > 0 || head.m_status / 100 == 2)) {
       m_echo_error =
           MakeError(ErrorCode::kProtocol, "the answer echoes no request id");
     }
--- a/Source/endpoint/http_client.h
+++ b/Source/endpoint/http_client.h
@@ -47,6 +47,8 @@
   // connection has carried another call, to which it may belong. If the name is
   // empty, responses are not matched.
   HeaderField m_echo;
+  // If true, a response without the field is taken for the call's own.
+  bool m_echo_optional = false;
 };
 
 struct AnswerHead {
--- a/Tests/endpoint/answer_matching_test.cc
+++ b/Tests/endpoint/answer_matching_test.cc
@@ -14,19 +14,19 @@
   ScriptedEndpoint endpoint(loop);
   PooledHttpClient client(loop);
   SECTION("both copies in one write") {
-    endpoint.m_scripts = {Answer("r1", "one") + Answer("r1", "one"),
-                          Answer("r2", "two")};
+    endpoint.m_scripts = {Success("r1", "one") + Success("r1", "one"),
+                          Success("r2", "two")};
     CHECK(Run(loop, client, endpoint, "r1").m_body == "one");
   }
   SECTION("the second copy while the connection is idle") {
-    endpoint.m_scripts = {Answer("r1", "one"), Answer("r2", "two")};
+    endpoint.m_scripts = {Success("r1", "one"), Success("r2", "two")};
     CHECK(Run(loop, client, endpoint, "r1").m_body == "one");
-    endpoint.SendUnsolicited(Answer("r1", "one"));
+    endpoint.SendUnsolicited(Success("r1", "one"));
     RunBriefly(loop);
   }
   SECTION("the second copy where the next response is expected") {
-    endpoint.m_scripts = {Answer("r1", "one"),
-                          Answer("r1", "one") + Answer("r2", "two")};
+    endpoint.m_scripts = {Success("r1", "one"),
+                          Success("r1", "one") + Success("r2", "two")};
     CHECK(Run(loop, client, endpoint, "r1").m_body == "one");
   }
   const Outcome second = Run(loop, client, endpoint, "r2");
@@ -40,8 +40,8 @@
   EventLoop loop;
   ScriptedEndpoint endpoint(loop);
   PooledHttpClient client(loop);
-  endpoint.m_scripts = {Answer("other", "x") + Answer("r1", "one"),
-                        Answer("r2", "two")};
+  endpoint.m_scripts = {Success("other", "x") + Success("r1", "one"),
+                        Success("r2", "two")};
   CHECK(Run(loop, client, endpoint, "r1").m_body == "one");
   CHECK(Run(loop, client, endpoint, "r2").m_body == "two");
   CHECK(endpoint.connections() == 2);
@@ -51,7 +51,7 @@
   EventLoop loop;
   ScriptedEndpoint endpoint(loop);
   PooledHttpClient client(loop);
-  endpoint.m_scripts = {Answer("other", "x")};
+  endpoint.m_scripts = {Success("other", "x")};
   const Outcome outcome = Run(loop, client, endpoint, "r1");
   CHECK(outcome.m_heads == 0);
   CHECK(outcome.m_body.empty());
@@ -88,7 +88,7 @@
   EventLoop loop;
   ScriptedEndpoint endpoint(loop);
   PooledHttpClient client(loop);
-  endpoint.m_scripts = {Answer("r1", "one") + "garbage", Answer("r2", "two")};
+  endpoint.m_scripts = {Success("r1", "one") + "garbage", Success("r2", "two")};
   CHECK(Run(loop, client, endpoint, "r1").m_body == "one");
   CHECK(Run(loop, client, endpoint, "r2").m_body == "two");
   CHECK(endpoint.connections() == 2);
@@ -123,8 +123,8 @@
   EventLoop loop;
   ScriptedEndpoint endpoint(loop);
   PooledHttpClient client(loop);
-  endpoint.m_scripts = {refusal, refusal + Answer("r2", "two"),
-                        Answer("r3", "three")};
+  endpoint.m_scripts = {refusal, refusal + Success("r2", "two"),
+                        Success("r3", "three")};
   const Outcome first = Run(loop, client, endpoint, "r1");
   CHECK(first.m_done);
   CHECK(first.m_heads == 1);
--- a/Tests/endpoint/copied_refusal_test.cc
+++ b/Tests/endpoint/copied_refusal_test.cc
@@ -26,7 +26,7 @@
   ScriptedEndpoint endpoint(loop);
   PooledHttpClient client(loop);
   endpoint.m_copies_answers = true;
-  endpoint.m_scripts = {Refusal("r1"), Answer("r1", "done")};
+  endpoint.m_scripts = {Refusal("r1"), Success("r1", "done")};
   CHECK(Run(loop, client, endpoint, "r1").m_done);
   const Outcome second = Run(loop, client, endpoint, "r1");
   CHECK(second.m_heads == 1);
@@ -54,7 +54,7 @@
       // The body tells which call an answer was written for.
       const std::string body = std::to_string(call);
       const bool refuses = *rc::gen::arbitrary<bool>();
-      endpoint.m_scripts = {refuses ? Refusal(id, body) : Answer(id, body)};
+      endpoint.m_scripts = {refuses ? Refusal(id, body) : Success(id, body)};
       const Outcome outcome = Run(loop, client, endpoint, id);
       RC_ASSERT(outcome.m_done);
       RC_ASSERT(outcome.m_heads == 1);
@@ -68,8 +68,8 @@
   EventLoop loop;
   ScriptedEndpoint endpoint(loop);
   PooledHttpClient client(loop);
-  endpoint.m_scripts = {Refusal("r1"), Answer("r2", "two"), Answer("r1", "one"),
-                        Answer("r3", "three")};
+  endpoint.m_scripts = {Refusal("r1"), Success("r2", "two"),
+                        Success("r1", "one"), Success("r3", "three")};
   Run(loop, client, endpoint, "r1");
   CHECK(Run(loop, client, endpoint, "r2").m_body == "two");
   CHECK(endpoint.connections() == 1);
--- a/Tests/endpoint/scripted_endpoint.h
+++ b/Tests/endpoint/scripted_endpoint.h
@@ -104,7 +104,7 @@
   std::uint16_t m_port = 0;
 };
 
-inline std::string Answer(const std::string& id, const std::string& body) {
+inline std::string Success(const std::string& id, const std::string& body) {
   return "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
          "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
          body;
