--- a/Source/base/log_fields.h
+++ b/Source/base/log_fields.h
@@ -89,8 +89,10 @@
     {"paused",
      "number of engines that temporarily receive no orders after failures"},
     {"port", "port number"},
-    {"prompt_part", "id of a part of a prompt"},
-    {"prompt_parts", "ids of the parts of prompts, without each last one"},
+    {"prompt_part", "id of a part of a prompt, or fingerprint of a request"},
+    {"prompt_parts",
+     "ids of the parts of prompts, without each last one, and fingerprints of "
+     "requests"},
     {"reason", "reason for a decision or a failure"},
     {"removed", "whether a document was removed"},
     {"request", "id of a request or a document"},
--- a/Source/host/prompt_guard.cc
+++ b/Source/host/prompt_guard.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "admission/request_fingerprint.h"
 #include "base/log.h"
 #include "host/crash_records.h"
 
@@ -56,12 +57,14 @@
 
 }  // namespace
 
-std::string DescribeSharedParts(const std::vector<fleet::PromptPart>& prompt) {
+std::string DescribeParts(const fleet::CallerRequest& request,
+                          const ClientAccountId& account) {
   std::string ids;
-  ForEachSharedPart(prompt, [&](const std::string& part, int) {
-    ids += (ids.empty() ? "" : ",") + part;
-  });
-  return ids;
+  ForEachSharedPart(request.m_prompt,
+                    [&](const std::string& part, int) { ids += part + ","; });
+  return ids + admission::FingerprintOf(account.value(),
+                                        request.m_host + request.m_target,
+                                        request.m_body);
 }
 
 PromptGuard::PromptGuard(
--- a/Source/host/prompt_guard.h
+++ b/Source/host/prompt_guard.h
@@ -22,9 +22,11 @@
 
 namespace hickoryloft::host {
 
-// Returns the ids of the parts of `prompt` except the last, for the log.
-// Thread-safe.
-std::string DescribeSharedParts(const std::vector<fleet::PromptPart>& prompt);
+// Returns the ids, for the log, of what a request has in common with others:
+// the parts of its prompt, except the last, which belongs to one request or
+// session, and its fingerprint. `account` is empty on open routes. Thread-safe.
+std::string DescribeParts(const fleet::CallerRequest& request,
+                          const ClientAccountId& account);
 
 // Records the ends of endpoints in the key-value service, and reads from there
 // those that other hosts recorded, so that all hosts hold the same parts and
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -394,14 +394,14 @@
   const bool refused =
       !may_have_run && m_context.m_loop.Now() - m_sent_at < kConnectTimeout;
   AvoidEndpoint(refused);
-  kLog.Warn(
-      "send failed",
-      {{"id", m_admitted.m_request.m_id},
-       {"endpoint", m_endpoint.value()},
-       {"may_have_run", may_have_run ? 1 : 0},
-       {"events", m_events.events()},
-       {"prompt_parts", DescribeSharedParts(m_admitted.m_request.m_prompt)},
-       {"reason", error.what()}});
+  kLog.Warn("send failed",
+            {{"id", m_admitted.m_request.m_id},
+             {"endpoint", m_endpoint.value()},
+             {"may_have_run", may_have_run ? 1 : 0},
+             {"events", m_events.events()},
+             {"prompt_parts",
+              DescribeParts(m_admitted.m_request, m_admitted.m_account)},
+             {"reason", error.what()}});
   if (error.code() == ErrorCode::kOutcomeUnknown) {
     ReportEarlyEnd();
   }
