--- a/Tests/process/jarro_crashing_parts_test.py
+++ b/Tests/process/jarro_crashing_parts_test.py
@@ -6,16 +6,11 @@
 
 import harness
 import jarro_harness
-from scripted_server import ScriptedServer, chunk, event, stream_head
+from crashing_servers import CrashingServers
 
 MODEL = "m5"  # No stand-in holds it.
 CRASHING_PART = "bad0"
 FIRST_PART = "f00d"
-SERVERS = 10
-RESTART_S = 0.6
-TIME_TO_CRASH_S = 0.05
-STREAM_EVENTS = 4
-EVENT_INTERVAL_S = 0.02
 # The rule: later than the bound after the fifth crash, at most three requests
 # with the part reach servers.
 CRASHES_OF_RULE = 5
@@ -23,68 +18,14 @@
 ALLOWED_LATER = 3
 
 
-class CrashingServers:
-    """Model servers that crash when they begin to answer the part, and come
-    back empty-handed under another id."""
-
-    def __init__(self, fleet):
-        self.fleet = fleet
-        self.arrivals = []  # Times of requests with the part.
-        self.crashes = []
-        self.stopped = False
-        self._lock = threading.Lock()
-        self._servers = {}
-        self._started = 0
-        for _ in range(SERVERS):
-            self.start()
-
-    def start(self):
-        with self._lock:
-            if self.stopped:
-                return
-            self._started += 1
-            name = f"s{self._started}"
-            server = ScriptedServer(name, "llm", [MODEL],
-                                    lambda c, r: self.respond(name, c, r))
-            self._servers[name] = server
-        server.register(self.fleet)
-
-    def respond(self, name, connection, request):
-        if CRASHING_PART in request.headers.get("prompt-prefix", "").lower():
-            self.arrivals.append(time.monotonic())
-            time.sleep(TIME_TO_CRASH_S)
-            self.crash(name)
-            return False
-        connection.sendall(stream_head(request, "Transfer-Encoding: chunked"))
-        for number in range(1, STREAM_EVENTS + 1):
-            connection.sendall(chunk(event(number)))
-            time.sleep(EVENT_INTERVAL_S)
-        connection.sendall(chunk(b""))
-        return True
-
-    def crash(self, name):
-        with self._lock:
-            server = self._servers.pop(name, None)
-        if server is None:
-            return  # Crashed by another request.
-        self.crashes.append(time.monotonic())
-        server.crash()
-
-        def restart():
-            if self.stopped:
-                return
-            self.fleet.control("remove-entry", {"id": name})
-            self.start()
-        timer = threading.Timer(RESTART_S, restart)
-        timer.daemon = True
-        timer.start()
-
-    def close(self):
-        with self._lock:
-            self.stopped = True
-            servers = list(self._servers.values())
-        for server in servers:
-            server.close()
+def has_crashing_part(request):
+    return CRASHING_PART in request.headers.get("prompt-prefix", "").lower()
+
+
+def start_servers(test):
+    servers = CrashingServers(test.fleet, "llm", [MODEL], has_crashing_part)
+    test.addCleanup(servers.close)
+    return servers
 
 
 class CrashingParts(jarro_harness.JarroTest):
@@ -92,8 +33,7 @@
 
     def setUp(self):
         super().setUp()
-        self.servers = CrashingServers(self.fleet)
-        self.addCleanup(self.servers.close)
+        self.servers = start_servers(self)
         self.sound = []  # (time, Reply)
         self.held = []   # Replies to requests with the part.
         self.number = 0
@@ -171,8 +111,7 @@
 
     def test_sound_parts_are_not_held(self):
         """Servers that crash for another reason must not cost a part."""
-        servers = CrashingServers(self.fleet)
-        self.addCleanup(servers.close)
+        servers = start_servers(self)
         replies = []
 
         def ask(turn):
@@ -185,7 +124,7 @@
             threads.append(threading.Thread(target=ask, args=[turn]))
             threads[-1].start()
             if turn % 8 == 7:
-                servers.crash(sorted(servers._servers)[0])
+                servers.crash(servers.names()[0])
             time.sleep(0.1)
         for thread in threads:
             thread.join()
--- a/Tests/process/scripted_server.py
+++ b/Tests/process/scripted_server.py
@@ -10,9 +10,10 @@
 
 
 class Request:
-    def __init__(self, target, headers):
+    def __init__(self, target, headers, body):
         self.target = target
         self.headers = headers
+        self.body = body
 
     @property
     def id(self):
@@ -128,10 +129,13 @@
         first, *fields = text.decode().split("\r\n")
         headers = {name.lower(): value for name, value in
                    (field.split(": ", 1) for field in fields)}
-        missing = int(headers.get("content-length", 0)) - len(body)
-        while missing > 0:
-            missing -= len(connection.recv(missing)) or missing
-        return Request(first.split(" ")[1], headers)
+        length = int(headers.get("content-length", 0))
+        while len(body) < length:
+            piece = connection.recv(length - len(body))
+            if not piece:
+                break
+            body += piece
+        return Request(first.split(" ")[1], headers, body)
 
 
 def reset(connection):
