Reject the repeats of a request that crashes endpoints

Cause: what hosts record at the end of an endpoint were parts of prompts. A request as a whole, which its caller repeats under another id, had no name, so no host knew that a repeat had crashed servers elsewhere. The class is that of the crashing prompt parts: evidence that only the whole fleet has, about something that callers choose.

One mechanism, one more kind of key: the request's fingerprint (account, host, target and body) is recorded with the parts. Ends that all had one request in use do not count against the parts of its prompt, ends that a held request explains do not count against other requests, and requests with equal evidence are held together until one is proved sound. PromptGuard is CrashGuard now. Records an end hold 128 parts instead of 64.

Ruled out: the hosts' own repeats as the main cause (requests that are not idempotent arrive as often); ends for other reasons (each end in the record had a request of this caller on this route).

--- a/Source/admission/crashing_parts.cc
+++ b/Source/admission/crashing_parts.cc
@@ -1,8 +1,11 @@
 #include "admission/crashing_parts.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
+#include "admission/request_fingerprint.h"
+
 namespace hickoryloft::admission {
 
 void CrashingParts::SetRecords(CrashRecords records, MonotonicTime now) {
@@ -53,8 +56,13 @@
 }
 
 bool CrashingParts::Suffices(const Evidence& evidence) {
-  return evidence.m_incarnations.size() >= kMinEnds &&
-         evidence.m_last - evidence.m_first >= kMinSpread;
+  const Duration spread = evidence.m_last - evidence.m_first;
+  if (evidence.m_fingerprint) {
+    return evidence.m_incarnations.size() >= kMinRequestEnds &&
+           spread >= kMinRequestSpread;
+  }
+  return evidence.m_incarnations.size() >= kMinEnds && spread >= kMinSpread &&
+         !evidence.m_one_request;
 }
 
 void CrashingParts::Count() {
@@ -71,26 +79,25 @@
       m_held.insert(part);
     }
   }
-  std::set<std::string> explained;
-  for (const EndpointEnd& end : m_records.m_ends) {
-    if (std::any_of(end.m_parts.begin(), end.m_parts.end(),
-                    [&](const PartInUse& part) { return Held(part.m_id); })) {
-      explained.insert(end.m_incarnation);
-    }
-  }
+  const std::set<std::string> by_parts = Explained(/*fingerprints=*/false);
+  const std::set<std::string> by_requests = Explained(/*fingerprints=*/true);
   m_evidence.clear();
   for (const EndpointEnd& end : m_records.m_ends) {
-    if (explained.contains(end.m_incarnation)) {
+    if (by_parts.contains(end.m_incarnation)) {
       continue;
     }
     for (const PartInUse& part : end.m_parts) {
-      if (SoundSince(part.m_id, end.m_revision)) {
+      const bool fingerprint = IsFingerprint(part.m_id);
+      if (SoundSince(part.m_id, end.m_revision) ||
+          (fingerprint && by_requests.contains(end.m_incarnation))) {
         continue;
       }
       Evidence& evidence =
           m_evidence
-              .try_emplace(part.m_id,
-                           Evidence{.m_first = end.m_at, .m_last = end.m_at})
+              .try_emplace(part.m_id, Evidence{.m_fingerprint = fingerprint,
+                                               .m_first = end.m_at,
+                                               .m_last = end.m_at,
+                                               .m_depth = part.m_depth})
               .first->second;
       evidence.m_incarnations.insert(end.m_incarnation);
       evidence.m_seen_by.insert(end.m_seen_by);
@@ -99,6 +106,46 @@
       evidence.m_depth = std::max(evidence.m_depth, part.m_depth);
     }
   }
+  MarkSingleRequests();
+}
+
+std::set<std::string> CrashingParts::Explained(bool fingerprints) const {
+  std::set<std::string> explained;
+  for (const EndpointEnd& end : m_records.m_ends) {
+    if (std::any_of(end.m_parts.begin(), end.m_parts.end(),
+                    [&](const PartInUse& part) {
+                      return IsFingerprint(part.m_id) == fingerprints &&
+                             Held(part.m_id);
+                    })) {
+      explained.insert(end.m_incarnation);
+    }
+  }
+  return explained;
+}
+
+void CrashingParts::MarkSingleRequests() {
+  std::map<std::string, std::set<std::string>> ends_of_requests;
+  for (const EndpointEnd& end : m_records.m_ends) {
+    for (const PartInUse& part : end.m_parts) {
+      if (IsFingerprint(part.m_id)) {
+        ends_of_requests[part.m_id].insert(end.m_incarnation);
+      }
+    }
+  }
+  // Few are left in any fleet.
+  std::erase_if(ends_of_requests, [](const auto& request) {
+    return request.second.size() < kMinEnds;
+  });
+  for (auto& [part, evidence] : m_evidence) {
+    evidence.m_one_request =
+        !evidence.m_fingerprint &&
+        std::any_of(ends_of_requests.begin(), ends_of_requests.end(),
+                    [&ends = evidence.m_incarnations](const auto& request) {
+                      return std::includes(request.second.begin(),
+                                           request.second.end(), ends.begin(),
+                                           ends.end());
+                    });
+  }
 }
 
 std::vector<CrashingParts::Finding> CrashingParts::FindCrashing(
@@ -109,35 +156,24 @@
       findings.push_back(found.m_finding);
     }
   }
-  // Each part that is found explains all of its ends, so its evidence is gone
-  // afterwards. The bound holds for any records, also of another version.
+  // What is found explains all of its ends, so its evidence is gone afterwards.
+  // The bound holds for any records, also of another version.
   for (std::size_t left = m_evidence.size(); left > 0; --left) {
-    const std::pair<const std::string, Evidence>* worst = nullptr;
-    for (const auto& entry : m_evidence) {
-      const auto reached = m_reached.find(entry.first);
-      if (reached == m_reached.end() || now - reached->second < kSettleTime) {
-        continue;
-      }
-      // Parts that stand later in prompts are shared by fewer requests.
-      const auto rank = [](const Evidence& evidence) {
-        return std::pair(evidence.m_depth, evidence.m_incarnations.size());
-      };
-      if (worst == nullptr || rank(entry.second) > rank(worst->second)) {
-        worst = &entry;
-      }
-    }
-    if (worst == nullptr) {
+    const std::vector<std::string> worst = WorstSettled(now);
+    if (worst.empty()) {
       return findings;
     }
-    findings.push_back({.m_part = worst->first,
-                        .m_ends = worst->second.m_incarnations.size(),
-                        .m_seen_by = worst->second.m_seen_by});
     Revision newest = 0;
     for (const EndpointEnd& end : m_records.m_ends) {
       newest = std::max(newest, end.m_revision);
     }
-    m_found[worst->first] = {.m_finding = findings.back(),
-                             .m_revision = newest};
+    for (const std::string& part : worst) {
+      const Evidence& evidence = m_evidence.at(part);
+      findings.push_back({.m_part = part,
+                          .m_ends = evidence.m_incarnations.size(),
+                          .m_seen_by = evidence.m_seen_by});
+      m_found[part] = {.m_finding = findings.back(), .m_revision = newest};
+    }
     Count();
     std::erase_if(m_reached, [&](const auto& reached) {
       const auto evidence = m_evidence.find(reached.first);
@@ -147,6 +183,32 @@
   return findings;
 }
 
+std::vector<std::string> CrashingParts::WorstSettled(MonotonicTime now) const {
+  // Prompt parts come before requests, which may only have used the part. Parts
+  // that stand later in prompts are shared by fewer requests.
+  using Rank = std::pair<int, std::size_t>;
+  std::optional<Rank> highest;
+  std::vector<std::string> worst;
+  for (const auto& [part, since] : m_reached) {
+    const auto entry = m_evidence.find(part);
+    if (now - since < kSettleTime || entry == m_evidence.end()) {
+      continue;
+    }
+    const Evidence& evidence = entry->second;
+    const Rank rank(evidence.m_fingerprint ? -1 : evidence.m_depth,
+                    evidence.m_incarnations.size());
+    if (!highest || rank > *highest) {
+      highest = rank;
+      worst.clear();
+    }
+    // Requests that were in use at the same ends cannot be told apart.
+    if (worst.empty() || (rank == *highest && evidence.m_fingerprint)) {
+      worst.push_back(part);
+    }
+  }
+  return worst;
+}
+
 std::size_t CrashingParts::Ends(const std::string& part) const {
   const auto evidence = m_evidence.find(part);
   return evidence == m_evidence.end() ? 0
--- a/Source/admission/crashing_parts.h
+++ b/Source/admission/crashing_parts.h
@@ -1,5 +1,5 @@
-// Finds the prompt parts that crash endpoints, from the ends of endpoints that
-// all hosts recorded.
+// Finds the prompt parts and the requests that crash endpoints, from the ends
+// of endpoints that all hosts recorded.
 
 #ifndef SOURCE_ADMISSION_CRASHING_PARTS_H_
 #define SOURCE_ADMISSION_CRASHING_PARTS_H_
@@ -16,10 +16,12 @@
 
 namespace hickoryloft::admission {
 
-// A part of a prompt whose answer had just begun when the endpoint ended.
+// What a request may have in common with others that crashed endpoints: a part
+// of its prompt, or its fingerprint, which its repeats share.
 struct PartInUse {
   std::string m_id;
-  int m_depth = 0;  // Position in the prompt, from 0.
+  // Position in the prompt, from 0.
+  int m_depth = 0;
 };
 
 // The end of an endpoint as one host recorded it.
@@ -42,17 +44,24 @@
 
 // A part is held once several endpoints have ended with it in use and none has
 // completed an answer with it since. An end that a held part explains is not
-// counted against other parts. Hosts with equal records hold the same parts.
-// Not thread-safe; the times passed in must not decrease.
+// counted against other parts, and one that a held request explains is not
+// counted against other requests. Ends that all had one request in use do not
+// count against the parts of its prompt. Hosts with equal records hold the same
+// parts. Not thread-safe; the times passed in must not decrease.
 class CrashingParts {
  public:
-  // Ends of endpoints after which a part is held.
+  // Ends of endpoints after which a prompt part is held.
   static constexpr std::size_t kMinEnds = 4;
+  // Ends after which a request is held. Fewer, because few requests are in use
+  // at the ends of several endpoints by chance.
+  static constexpr std::size_t kMinRequestEnds = 3;
   // Ends after which a part is suspected.
   static constexpr std::size_t kSuspectEnds = 2;
   // Least time between the first and the last of these ends. The endpoints of
-  // a failure domain may all end at the same moment for another reason.
+  // a failure domain may all end at the same moment for another reason. The
+  // repeats of one request follow each other faster.
   static constexpr Duration kMinSpread = seconds(1);
+  static constexpr Duration kMinRequestSpread = milliseconds(100);
   // Time that the records of the other hosts, and proofs that a part is sound,
   // are given to arrive before a part is held.
   static constexpr Duration kSettleTime = milliseconds(500);
@@ -81,6 +90,9 @@
  private:
   struct Evidence {
     std::set<std::string> m_incarnations;
+    bool m_fingerprint = false;
+    // Whether one request was in use at all of these ends.
+    bool m_one_request = false;
     std::set<HostId> m_seen_by;
     std::chrono::milliseconds m_first{};
     std::chrono::milliseconds m_last{};
@@ -93,6 +105,14 @@
     bool m_lost = false;      // To be recorded again.
   };
 
+  // Returns the incarnations that ended with a held part in use, of the kind
+  // given by `fingerprints`.
+  std::set<std::string> Explained(bool fingerprints) const;
+  // Marks the prompt parts whose ends all had one request in use.
+  void MarkSingleRequests();
+  // Returns the parts with most evidence that have settled: one prompt part, or
+  // all requests whose evidence is equal.
+  std::vector<std::string> WorstSettled(MonotonicTime now) const;
   // Returns whether `part` was proved sound after `revision`.
   bool SoundSince(const std::string& part, Revision revision) const;
   // Returns whether a record says that `part` is held, and no later proof
--- a/Source/base/log_fields.h
+++ b/Source/base/log_fields.h
@@ -45,8 +45,8 @@
      "number of endpoints, or the state of a service's endpoints with respect "
      "to the request's model"},
     {"ends",
-     "number of endpoints that ended while a prompt with the part was starting "
-     "to be answered"},
+     "number of endpoints that ended while they answered requests with the "
+     "part"},
     {"engine", "id of an endpoint that serves models"},
     {"engines", "number of usable engines that have not loaded the model"},
     {"entry", "name of an entry"},
--- a/Source/host/prompt_guard.cc
+++ b/Source/host/crash_guard.cc
@@ -1,5 +1,6 @@
-#include "host/prompt_guard.h"
+#include "host/crash_guard.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <set>
@@ -14,6 +15,7 @@
 namespace {
 
 using admission::CrashingParts;
+using admission::PartInUse;
 
 // Delay that merges changes of records: a failure domain's endpoints end
 // together, and all hosts record that.
@@ -39,12 +41,12 @@
 
 const Logger kLog("prompts");
 
-// Calls `visit` with each part but the last, and its position.
-template <typename Visit>
-void ForEachSharedPart(const PromptGuard::Prompt& prompt, Visit visit) {
-  for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
-    visit(prompt[i].m_id, static_cast<int>(i));
-  }
+// Whether an answer that has come this far proves that a part crashes no
+// endpoints.
+bool Proves(AnswerProgress progress, const std::string& part) {
+  return progress == AnswerProgress::kComplete ||
+         (progress == AnswerProgress::kGoesOn &&
+          !admission::IsFingerprint(part));
 }
 
 std::string JoinNames(const std::set<HostId>& hosts) {
@@ -57,17 +59,30 @@
 
 }  // namespace
 
-std::string DescribeParts(const fleet::CallerRequest& request,
-                          const ClientAccountId& account) {
+std::vector<PartInUse> PartsOf(const fleet::CallerRequest& request,
+                               const ClientAccountId& account) {
+  std::vector<PartInUse> parts;
+  for (std::size_t i = 0; i + 1 < request.m_prompt.size(); ++i) {
+    if (IsValidPart(request.m_prompt[i].m_id)) {
+      parts.push_back(
+          {.m_id = request.m_prompt[i].m_id, .m_depth = static_cast<int>(i)});
+    }
+  }
+  parts.push_back({.m_id = admission::FingerprintOf(
+                       account.value(), request.m_host + request.m_target,
+                       request.m_body)});
+  return parts;
+}
+
+std::string Describe(const std::vector<PartInUse>& parts) {
   std::string ids;
-  ForEachSharedPart(request.m_prompt,
-                    [&](const std::string& part, int) { ids += part + ","; });
-  return ids + admission::FingerprintOf(account.value(),
-                                        request.m_host + request.m_target,
-                                        request.m_body);
+  for (const PartInUse& part : parts) {
+    ids += (ids.empty() ? "" : ",") + part.m_id;
+  }
+  return ids;
 }
 
-PromptGuard::PromptGuard(
+CrashGuard::CrashGuard(
     EventLoop& loop,
     HostId host,
     keyvalue::KeyValueService& store,
@@ -81,34 +96,27 @@
       m_own_keys(std::move(own_keys)),
       m_on_held(std::move(on_held)) {}
 
-std::optional<std::string> PromptGuard::HeldPart(const Prompt& prompt) const {
-  std::optional<std::string> held;
-  if (m_parts.held().empty()) {
-    return held;
-  }
-  ForEachSharedPart(prompt, [&](const std::string& part, int) {
-    if (!held && m_parts.Held(part)) {
-      held = part;
-    }
-  });
-  return held;
+std::optional<std::string> CrashGuard::HeldPart(const Parts& parts) const {
+  const auto held = std::find_if(
+      parts.begin(), parts.end(),
+      [this](const PartInUse& part) { return m_parts.Held(part.m_id); });
+  return held == parts.end() ? std::nullopt : std::optional(held->m_id);
 }
 
-bool PromptGuard::Suspects(const Prompt& prompt) const {
-  bool suspects = false;
-  ForEachSharedPart(prompt, [&](const std::string& part, int) {
-    suspects = suspects || m_parts.Held(part) ||
-               m_parts.Ends(part) >= CrashingParts::kSuspectEnds;
+bool CrashGuard::Suspects(const Parts& parts, AnswerProgress progress) const {
+  return std::any_of(parts.begin(), parts.end(), [&](const PartInUse& part) {
+    return !Proves(progress, part.m_id) &&
+           (m_parts.Held(part.m_id) ||
+            m_parts.Ends(part.m_id) >= CrashingParts::kSuspectEnds);
   });
-  return suspects;
 }
 
-bool PromptGuard::TakeTrial(const std::string& part) {
+bool CrashGuard::TakeTrial(const std::string& part) {
   return m_trials.erase(part) > 0;
 }
 
-void PromptGuard::ClaimTrial(const std::string& part,
-                             const keyvalue::KeyValue& record) {
+void CrashGuard::ClaimTrial(const std::string& part,
+                            const keyvalue::KeyValue& record) {
   const std::size_t trials = DecodeTrials(record);
   const auto since = m_held_since.find(part);
   if (since == m_held_since.end() || trials >= kTrialDelays.size() ||
@@ -129,7 +137,7 @@
       });
 }
 
-void PromptGuard::RecordRejection(const std::string& part) {
+void CrashGuard::RecordRejection(const std::string& part) {
   const auto item = m_own_keys().find(HeldKey(part));
   if (item == m_own_keys().end()) {
     return;
@@ -149,28 +157,36 @@
       });
 }
 
-void PromptGuard::RecordProof(const Prompt& prompt) {
+void CrashGuard::RecordProof(const Parts& parts, AnswerProgress progress) {
   const MonotonicTime now = m_loop.Now();
-  ForEachSharedPart(prompt, [&](const std::string& part, int) {
+  for (const PartInUse& in_use : parts) {
+    const std::string& part = in_use.m_id;
+    if (!Proves(progress, part)) {
+      continue;
+    }
     m_proven.Record(part, now);
     if (!m_parts.Held(part) && m_parts.Ends(part) == 0) {
-      return;
+      continue;
     }
     MonotonicTime& written_at = m_written_at[SoundKey(part)];
     if (now - written_at < kProofInterval) {
-      return;
+      continue;
     }
     written_at = now;
-    kLog.Info("prompt part does not crash endpoints", {{"prompt_part", part}});
+    kLog.Info(admission::IsFingerprint(part)
+                  ? "request does not crash endpoints"
+                  : "prompt part does not crash endpoints",
+              {{"prompt_part", part}});
     Put({.m_key = SoundKey(part),
          .m_value = m_host.value(),
          .m_ttl = kEvidenceTtl});
-  });
+  }
 }
 
-void PromptGuard::RecordEarlyEnd(const endpoint::EndpointAddress& endpoint,
-                                 std::int64_t started_at_ms,
-                                 const Prompt& prompt) {
+void CrashGuard::RecordEarlyEnd(const endpoint::EndpointAddress& endpoint,
+                                std::int64_t started_at_ms,
+                                const Parts& parts,
+                                AnswerProgress progress) {
   const std::string incarnation =
       endpoint.m_id.value() + "." + std::to_string(started_at_ms);
   const bool pending = m_pending_ends.contains(incarnation);
@@ -178,11 +194,12 @@
     return;
   }
   PendingEnd end{.m_endpoint = endpoint};
-  ForEachSharedPart(prompt, [&](const std::string& part, int depth) {
-    if (IsValidPart(part) && !m_proven.Proven(part, m_loop.Now())) {
-      end.m_depths[part] = depth;
+  for (const PartInUse& part : parts) {
+    if (!Proves(progress, part.m_id) &&
+        !m_proven.Proven(part.m_id, m_loop.Now())) {
+      end.m_depths[part.m_id] = part.m_depth;
     }
-  });
+  }
   if (end.m_depths.empty()) {
     return;
   }
@@ -199,7 +216,7 @@
   m_pending_ends.emplace(incarnation, std::move(end));
 }
 
-void PromptGuard::RecordEnd(const std::string& incarnation) {
+void CrashGuard::RecordEnd(const std::string& incarnation) {
   admission::EndpointEnd end{
       .m_incarnation = incarnation,
       .m_at = duration_cast<milliseconds>(
@@ -213,14 +230,14 @@
     }
   }
   kLog.Info(
-      "endpoint ended while prompts began to be answered",
+      "endpoint ended while it answered requests",
       {{"endpoint", pending.m_endpoint.m_id.value()}, {"prompt_parts", names}});
   Put({.m_key = EndKey(m_host, TakeEndSlot()),
        .m_value = EncodeEnd(end),
        .m_ttl = kEvidenceTtl});
 }
 
-std::size_t PromptGuard::TakeEndSlot() {
+std::size_t CrashGuard::TakeEndSlot() {
   if (!m_next_slot) {
     // Records of an earlier run of this host are overwritten oldest first.
     m_next_slot = 0;
@@ -236,12 +253,12 @@
   return slot;
 }
 
-Revision PromptGuard::RevisionOf(const std::string& key) const {
+Revision CrashGuard::RevisionOf(const std::string& key) const {
   const auto item = m_own_keys().find(key);
   return item == m_own_keys().end() ? 0 : item->second.m_mod_revision;
 }
 
-void PromptGuard::ApplyOwnKeys() {
+void CrashGuard::ApplyOwnKeys() {
   if (!std::exchange(m_has_read, true)) {
     ReadRecords();
   } else if (!m_read_timer) {
@@ -252,7 +269,7 @@
   }
 }
 
-void PromptGuard::ReadRecords() {
+void CrashGuard::ReadRecords() {
   const auto version = VersionOfCrashRecords(m_own_keys());
   if (version == std::exchange(m_records_version, version)) {
     return;
@@ -276,10 +293,12 @@
   HoldCrashingParts();
 }
 
-void PromptGuard::HoldCrashingParts() {
+void CrashGuard::HoldCrashingParts() {
   for (const CrashingParts::Finding& finding :
        m_parts.FindCrashing(m_loop.Now())) {
-    kLog.Warn("prompt part crashes endpoints; rejecting requests with it",
+    kLog.Warn(admission::IsFingerprint(finding.m_part)
+                  ? "request crashes endpoints; rejecting its repeats"
+                  : "prompt part crashes endpoints; rejecting requests with it",
               {{"prompt_part", finding.m_part},
                {"ends", static_cast<std::uint64_t>(finding.m_ends)},
                {"seen_by", JoinNames(finding.m_seen_by)},
@@ -298,7 +317,7 @@
   }
 }
 
-void PromptGuard::Put(const Write& write) {
+void CrashGuard::Put(const Write& write) {
   m_store.GrantLease(write.m_ttl,
                      [this, write, alive = std::weak_ptr<int>(m_alive)](
                          const Result<keyvalue::LeaseReply>& reply) {
@@ -313,7 +332,7 @@
                      });
 }
 
-void PromptGuard::Swap(const Write& write, keyvalue::LeaseId lease) {
+void CrashGuard::Swap(const Write& write, keyvalue::LeaseId lease) {
   m_store.Swap({.m_key = write.m_key,
                 .m_expected_revision = RevisionOf(write.m_key),
                 .m_value = write.m_value,
@@ -327,8 +346,8 @@
                });
 }
 
-void PromptGuard::PutLater(Write write, const Error& error) {
-  kLog.Warn("cannot write a record about a prompt part",
+void CrashGuard::PutLater(Write write, const Error& error) {
+  kLog.Warn("cannot write a record about crashing requests",
             {{"key", write.m_key}, {"reason", error.what()}});
   if (++write.m_attempts >= kMaxAttempts ||
       m_failed_writes.size() >= kMaxFailedWrites) {
--- a/Source/host/prompt_guard.h
+++ b/Source/host/crash_guard.h
@@ -1,7 +1,8 @@
-// Keeps prompts with a part that crashes endpoints away from them.
+// Keeps requests that crash endpoints, because of a part of their prompt or as
+// a whole, away from them.
 
-#ifndef SOURCE_HOST_PROMPT_GUARD_H_
-#define SOURCE_HOST_PROMPT_GUARD_H_
+#ifndef SOURCE_HOST_CRASH_GUARD_H_
+#define SOURCE_HOST_CRASH_GUARD_H_
 
 #include <cstdint>
 #include <functional>
@@ -22,54 +23,64 @@
 
 namespace hickoryloft::host {
 
-// Returns the ids, for the log, of what a request has in common with others:
-// the parts of its prompt, except the last, which belongs to one request or
-// session, and its fingerprint. `account` is empty on open routes. Thread-safe.
-std::string DescribeParts(const fleet::CallerRequest& request,
-                          const ClientAccountId& account);
+// Returns what a request has in common with others: the parts of its prompt,
+// except the last, which belongs to one request or session, and its
+// fingerprint. `account` is empty on open routes. Thread-safe.
+std::vector<admission::PartInUse> PartsOf(const fleet::CallerRequest& request,
+                                          const ClientAccountId& account);
+// Returns the ids of `parts`, for the log. Thread-safe.
+std::string Describe(const std::vector<admission::PartInUse>& parts);
+
+// How far an answer has come.
+enum class AnswerProgress {
+  kJustBegun,  // Too short to prove anything.
+  kGoesOn,     // Proves that the parts of the prompt crash no endpoints.
+  kComplete,   // Proves the same of the whole request.
+};
 
 // Records the ends of endpoints in the key-value service, and reads from there
 // those that other hosts recorded, so that all hosts hold the same parts and
 // keep holding them over restarts. Use on the loop's thread only.
-class PromptGuard {
+class CrashGuard {
  public:
-  using Prompt = std::vector<fleet::PromptPart>;
+  using Parts = std::vector<admission::PartInUse>;
 
   // `own_keys` returns the system's own keys in the key-value service.
   // `on_held` is called when a part has become held.
-  PromptGuard(EventLoop& loop,
-              HostId host,
-              keyvalue::KeyValueService& store,
-              EndpointProbe& probe,
-              std::function<const std::map<std::string, keyvalue::KeyValue>&()>
-                  own_keys,
-              std::function<void()> on_held);
-
-  // Returns the part of `prompt` that is held; nothing if there is none. The
-  // last part belongs to one request or session and is never held.
-  std::optional<std::string> HeldPart(const Prompt& prompt) const;
+  CrashGuard(EventLoop& loop,
+             HostId host,
+             keyvalue::KeyValueService& store,
+             EndpointProbe& probe,
+             std::function<const std::map<std::string, keyvalue::KeyValue>&()>
+                 own_keys,
+             std::function<void()> on_held);
+
+  // Returns one of `parts` that is held; nothing if there is none.
+  std::optional<std::string> HeldPart(const Parts& parts) const;
   // Records that a request was rejected because of `part`, so that the part
   // stays held.
   void RecordRejection(const std::string& part);
   // Returns whether this host may let one request with the held part through,
   // which uses up the right.
   bool TakeTrial(const std::string& part);
-  // Returns whether endpoints have ended with a part of `prompt` in use that
-  // was not proved sound since.
-  bool Suspects(const Prompt& prompt) const;
-
-  // Records that an endpoint went on answering `prompt`.
-  void RecordProof(const Prompt& prompt);
-  // Records that the connection to `endpoint` ended when it had just begun to
-  // answer `prompt`, if it had begun. Whether the endpoint has ended is checked
-  // first.
+  // Returns whether a send that ended at `progress` makes one of `parts`
+  // suspect: endpoints have ended with it in use, and it was not proved sound
+  // since.
+  bool Suspects(const Parts& parts, AnswerProgress progress) const;
+
+  // Records the proof that an answer gives by its progress.
+  void RecordProof(const Parts& parts, AnswerProgress progress);
+  // Records that the connection to `endpoint` ended before the answer did.
+  // Whether the endpoint has ended is checked first.
   void RecordEarlyEnd(const endpoint::EndpointAddress& endpoint,
                       std::int64_t started_at_ms,
-                      const Prompt& prompt);
+                      const Parts& parts,
+                      AnswerProgress progress);
 
   // The system's own keys have changed.
   void ApplyOwnKeys();
 
+  // Number of held prompt parts and requests.
   std::size_t held_parts() const { return m_parts.held().size(); }
 
  private:
@@ -128,4 +139,4 @@
 
 }  // namespace hickoryloft::host
 
-#endif  // SOURCE_HOST_PROMPT_GUARD_H_
+#endif  // SOURCE_HOST_CRASH_GUARD_H_
--- a/Source/host/crash_records.h
+++ b/Source/host/crash_records.h
@@ -1,5 +1,5 @@
-// Encodes and decodes the key-value records about prompt parts that crash
-// endpoints.
+// Encodes and decodes the key-value records about prompt parts and requests
+// that crash endpoints.
 
 #ifndef SOURCE_HOST_CRASH_RECORDS_H_
 #define SOURCE_HOST_CRASH_RECORDS_H_
@@ -16,11 +16,12 @@
 // The ends that a host recorded, in a fixed number of slots, so that the
 // records stay few however many endpoints end.
 constexpr std::size_t kEndSlots = 8;
-constexpr std::size_t kMaxPartsPerEnd = 64;
+constexpr std::size_t kMaxPartsPerEnd = 128;
 
 // All functions are thread-safe.
 
-// Returns whether `part` can be a part of a key: callers choose the ids.
+// Returns whether `part` can be a part of a key: callers choose the ids of
+// prompt parts.
 bool IsValidPart(const std::string& part);
 
 std::string EndKey(const HostId& host, std::size_t slot);
--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -111,7 +111,7 @@
                 m_exchange,
                 [this] { m_frontend.RetryWaiting(); }),
       m_probe(loop, platform.m_engines),
-      m_prompts(
+      m_crash_guard(
           loop,
           m_settings.m_host,
           platform.m_store,
@@ -194,7 +194,7 @@
       .m_health = m_health,
       .m_replicas = m_replicas,
       .m_permits = m_permits,
-      .m_prompts = m_prompts,
+      .m_crash_guard = m_crash_guard,
       .m_probe = m_probe,
       .m_random = m_random,
       .m_metrics = m_metrics,
@@ -265,7 +265,7 @@
     });
   }
   FollowPlacementLeader();
-  m_prompts.ApplyOwnKeys();
+  m_crash_guard.ApplyOwnKeys();
 }
 
 void HostDaemon::OnStoreRestored(Era era) {
@@ -433,7 +433,7 @@
       static_cast<double>(m_callers.connections()));
   m_metrics.m_holds_lease.Set(m_placement_lease.valid() ? 1 : 0);
   m_metrics.m_held_prompt_parts.Set(
-      static_cast<double>(m_prompts.held_parts()));
+      static_cast<double>(m_crash_guard.held_parts()));
   MeasureEvacuations();
   m_frontend.RetryWaiting();
   m_demand.Expire(now);
--- a/Source/host/host_daemon.h
+++ b/Source/host/host_daemon.h
@@ -9,12 +9,12 @@
 #include <memory>
 #include <unordered_map>
 
+#include "host/crash_guard.h"
 #include "host/fleet_exchange.h"
 #include "host/frontend.h"
 #include "host/member_view.h"
 #include "host/permit_exchange.h"
 #include "host/placement_controller.h"
-#include "host/prompt_guard.h"
 #include "host/readiness.h"
 #include "http/server.h"
 #include "membership/placement_lease.h"
@@ -71,7 +71,7 @@
   FleetExchange m_exchange;
   PermitExchange m_permits;
   EndpointProbe m_probe;
-  PromptGuard m_prompts;
+  CrashGuard m_crash_guard;
   membership::Registration m_registration;
   membership::PlacementLease m_placement_lease;
   PlacementController m_placement_controller;
--- a/Source/host/host_metrics.cc
+++ b/Source/host/host_metrics.cc
@@ -47,7 +47,7 @@
                               "1 while this host may give orders to engines.")),
       m_held_prompt_parts(m_registry.GetGauge(
           "loft_held_prompt_parts",
-          "Prompt parts that crash endpoints; requests with them are "
+          "Prompt parts and requests that crash endpoints and are "
           "rejected.")),
       m_evacuated_domains(m_registry.GetGauge(
           "loft_evacuated_domains",
--- a/Source/host/request_context.h
+++ b/Source/host/request_context.h
@@ -13,11 +13,11 @@
 #include "endpoint/pooled_http_client.h"
 #include "fleet/fleet_state_feed.h"
 #include "fleet/protocols.h"
+#include "host/crash_guard.h"
 #include "host/endpoint_probe.h"
 #include "host/host_metrics.h"
 #include "host/host_settings.h"
 #include "host/permit_exchange.h"
-#include "host/prompt_guard.h"
 #include "placement/replica_map.h"
 #include "routing/endpoint_health.h"
 #include "routing/fleet_load.h"
@@ -38,7 +38,7 @@
   routing::EndpointHealth& m_health;
   placement::ReplicaMap& m_replicas;
   PermitExchange& m_permits;
-  PromptGuard& m_prompts;
+  CrashGuard& m_crash_guard;
   EndpointProbe& m_probe;
   RandomEngine& m_random;
   HostMetrics& m_metrics;
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <utility>
 
+#include "admission/request_fingerprint.h"
 #include "base/log.h"
 #include "host/endpoint_finder.h"
 #include "host/retry_after.h"
@@ -29,7 +30,7 @@
 constexpr std::size_t kMaxEventBytes = std::size_t{256} * 1024;
 // An endpoint that refused a request is likely to have capacity after this.
 constexpr Duration kRefusedRetryAfter = milliseconds(500);
-// A held prompt part stays held while requests with it come.
+// What is held stays held while such requests come.
 constexpr Duration kHeldRetryAfter = seconds(60);
 // A host hears within about this time that a failure domain was taken back.
 constexpr Duration kEvacuatedRetryAfter = seconds(1);
@@ -51,6 +52,7 @@
                     .m_adapter = request.m_adapter,
                     .m_homes = {.m_route = m_admitted.m_route->m_homes,
                                 .m_account = m_admitted.m_account_homes}};
+  m_parts = PartsOf(request, m_admitted.m_account);
   m_deadline = m_admitted.deadline();
 }
 
@@ -95,7 +97,7 @@
     Refuse("deadline_passed_waiting", std::nullopt);
     return true;
   }
-  if (RejectHeldPrompt()) {
+  if (RejectHeldPart()) {
     return true;
   }
   const EndpointFinder finder(m_context, m_requirements);
@@ -122,21 +124,21 @@
   return true;
 }
 
-bool RequestFlow::RejectHeldPrompt() {
-  const auto part = m_context.m_prompts.HeldPart(m_admitted.m_request.m_prompt);
+bool RequestFlow::RejectHeldPart() {
+  const auto part = m_context.m_crash_guard.HeldPart(m_parts);
   if (!part || m_is_trial) {
     return false;
   }
-  m_is_trial = m_context.m_prompts.TakeTrial(*part);
-  kLog.Info(m_is_trial
-                ? "letting a prompt with a held part through as a trial"
-                : "rejecting a prompt with a part that crashes endpoints",
+  m_is_trial = m_context.m_crash_guard.TakeTrial(*part);
+  kLog.Info(m_is_trial ? "letting a held request through as a trial"
+                       : "rejecting a request that crashes endpoints",
             {{"id", m_admitted.m_request.m_id}, {"prompt_part", *part}});
   if (m_is_trial) {
     return false;
   }
-  m_context.m_prompts.RecordRejection(*part);
-  Refuse("prompt_part_held", kHeldRetryAfter);
+  m_context.m_crash_guard.RecordRejection(*part);
+  Refuse(admission::IsFingerprint(*part) ? "request_held" : "prompt_part_held",
+         kHeldRetryAfter);
   return true;
 }
 
@@ -274,7 +276,7 @@
     m_answer.m_first_event_at = now;
   } else if (!m_prompt_proved && !m_answer.EndsEarly(now)) {
     m_prompt_proved = true;
-    m_context.m_prompts.RecordProof(m_admitted.m_request.m_prompt);
+    m_context.m_crash_guard.RecordProof(m_parts, AnswerProgress::kGoesOn);
   }
   if (!m_stream_started) {
     m_stream_started = true;
@@ -316,7 +318,7 @@
   }
   m_context.m_health.RecordSuccess(m_endpoint);
   if (m_answer.m_head.m_status / 100 == 2) {
-    m_context.m_prompts.RecordProof(m_admitted.m_request.m_prompt);
+    m_context.m_crash_guard.RecordProof(m_parts, AnswerProgress::kComplete);
   }
   if (m_stream_started) {
     FinishStream();
@@ -336,7 +338,7 @@
     return;
   }
   m_context.m_health.RecordSuccess(m_endpoint);
-  m_context.m_prompts.RecordProof(m_admitted.m_request.m_prompt);
+  m_context.m_crash_guard.RecordProof(m_parts, AnswerProgress::kComplete);
   FinishStream();
 }
 
@@ -394,14 +396,12 @@
   const bool refused =
       !may_have_run && m_context.m_loop.Now() - m_sent_at < kConnectTimeout;
   AvoidEndpoint(refused);
-  kLog.Warn("send failed",
-            {{"id", m_admitted.m_request.m_id},
-             {"endpoint", m_endpoint.value()},
-             {"may_have_run", may_have_run ? 1 : 0},
-             {"events", m_events.events()},
-             {"prompt_parts",
-              DescribeParts(m_admitted.m_request, m_admitted.m_account)},
-             {"reason", error.what()}});
+  kLog.Warn("send failed", {{"id", m_admitted.m_request.m_id},
+                            {"endpoint", m_endpoint.value()},
+                            {"may_have_run", may_have_run ? 1 : 0},
+                            {"events", m_events.events()},
+                            {"prompt_parts", Describe(m_parts)},
+                            {"reason", error.what()}});
   if (error.code() == ErrorCode::kOutcomeUnknown) {
     ReportEarlyEnd();
   }
@@ -411,14 +411,18 @@
 void RequestFlow::ReportEarlyEnd() {
   const fleet::EndpointEntry* entry =
       m_context.m_knowledge.directory().Find(m_endpoint);
-  if (m_answer.EndsEarly(m_context.m_loop.Now()) && entry != nullptr &&
-      entry->AcceptsRequests()) {
-    m_context.m_prompts.RecordEarlyEnd(
+  if (entry != nullptr && entry->AcceptsRequests()) {
+    m_context.m_crash_guard.RecordEarlyEnd(
         {entry->m_id, entry->m_address, entry->m_port},
-        m_endpoint_started_at_ms, m_admitted.m_request.m_prompt);
+        m_endpoint_started_at_ms, m_parts, Progress());
   }
 }
 
+AnswerProgress RequestFlow::Progress() const {
+  return m_answer.EndsEarly(m_context.m_loop.Now()) ? AnswerProgress::kJustBegun
+                                                    : AnswerProgress::kGoesOn;
+}
+
 void RequestFlow::AvoidEndpoint(bool refused) {
   const MonotonicTime now = m_context.m_loop.Now();
   const Duration pause =
@@ -439,10 +443,9 @@
 }
 
 void RequestFlow::RetryOrFinish(bool may_have_run, const std::string& reason) {
-  // A prompt that may have crashed this endpoint must not reach another one.
+  // What may have crashed this endpoint must not reach another one.
   const bool suspect =
-      may_have_run && m_answer.EndsEarly(m_context.m_loop.Now()) &&
-      m_context.m_prompts.Suspects(m_admitted.m_request.m_prompt);
+      may_have_run && m_context.m_crash_guard.Suspects(m_parts, Progress());
   const bool repeat = !suspect && (not_run() || MayRepeat());
   // A send without a connection put no load on an endpoint, so it is not
   // charged to the retry budget.
--- a/Source/host/request_flow.h
+++ b/Source/host/request_flow.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "base/buffer_budget.h"
 #include "fleet/caller_request.h"
@@ -91,8 +92,9 @@
   enum class Phase { kNew, kWaiting, kSent, kStreaming, kFinished };
 
   bool Dispatch();
-  // Ends the request if a part of its prompt is held. Returns whether it did.
-  bool RejectHeldPrompt();
+  // Ends the request if a part of its prompt, or the request itself, is held.
+  // Returns whether it did.
+  bool RejectHeldPart();
   // Ends the request if it can be sent to no endpoint of its service. Returns
   // whether it did.
   bool RejectUnreachable(routing::ServiceReach reach);
@@ -114,8 +116,9 @@
   void MeasureBuffer();
   // Ends the send, because all answers together need too much memory.
   void OnOverBudget(const BufferBudget::Excess& excess);
-  // Records that the endpoint may have ended because of the prompt.
+  // Records that the endpoint may have ended because of the request.
   void ReportEarlyEnd();
+  AnswerProgress Progress() const;
   // Records a failure of the current endpoint, which is then avoided for a
   // while. `refused`: it refused the connection.
   void AvoidEndpoint(bool refused = false);
@@ -158,11 +161,12 @@
 
   // State of all sends.
   EndpointRequirements m_requirements;
+  std::vector<admission::PartInUse> m_parts;
   int m_sends = 0;
   ExecutionRecord m_executions;
   EventSplitter m_events;
   bool m_stream_started = false;
-  // The request is let through although a part of its prompt is held.
+  // The request is let through although one of m_parts is held.
   bool m_is_trial = false;
   // Whether an answer has proved that the prompt does not crash endpoints.
   bool m_prompt_proved = false;
--- a/Tests/admission/crashing_parts_test.cc
+++ b/Tests/admission/crashing_parts_test.cc
@@ -2,6 +2,7 @@
 
 #include "admission/crashing_parts.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <random>
 #include <set>
@@ -9,6 +10,7 @@
 #include <vector>
 
 #include "admission/proven_parts.h"
+#include "admission/request_fingerprint.h"
 #include "base/history.h"
 
 using namespace hickoryloft;
@@ -139,7 +141,10 @@
   };
   for (int round = 0; round < 2000; ++round) {
     Fleet fleet;
-    const auto name = [&] { return std::string(1, "abcde"[draw(5)]); };
+    const auto name = [&] {
+      const std::string letter(1, "abcde"[draw(5)]);
+      return draw(3) == 0 ? FingerprintOf("", letter, "") : letter;
+    };
     for (int i = draw(30); i > 0; --i) {
       EndpointEnd end{.m_incarnation = "e" + std::to_string(draw(12)),
                       .m_seen_by = HostId("h"),
@@ -184,6 +189,102 @@
   CHECK(fleet.m_parts.Held("bad"));
 }
 
+// Regression test (BUDGET on jarro-ne): one request crashed two servers an
+// attempt, all that its service had, and came again at every host.
+TEST_CASE("A request is held after the third end with it in use") {
+  const std::string bad = FingerprintOf("shop", "/look/1", "bad");
+  Fleet fleet;
+  fleet.EndEndpoint("e1", {bad}, "h1");
+  fleet.Pass(milliseconds(80));
+  fleet.EndEndpoint("e2", {bad}, "h1");
+  fleet.Pass(milliseconds(130));
+  CHECK(fleet.SettleAndFind().empty());
+  CHECK(fleet.m_parts.Ends(bad) >= CrashingParts::kSuspectEnds);
+  fleet.EndEndpoint("e3", {bad}, "h2");
+  CHECK(fleet.SettleAndFind() == std::vector<std::string>{bad});
+  CHECK(fleet.m_parts.Held(bad));
+}
+
+TEST_CASE("Requests that were at each end with a crashing one are released") {
+  const std::string bad = FingerprintOf("shop", "/look/1", "bad");
+  const std::string other = FingerprintOf("bar", "/look/2", "sound");
+  const std::string once = FingerprintOf("bar", "/look/3", "sound");
+  Fleet fleet;
+  for (int i = 0; i < 3; ++i) {
+    fleet.EndEndpoint("e" + std::to_string(i), {bad}, "h1");
+    fleet.EndEndpoint("e" + std::to_string(i), {other}, "h2");
+    fleet.Pass(milliseconds(200));
+  }
+  fleet.EndEndpoint("e2", {once}, "h3");
+  // They cannot be told apart until one is proved sound.
+  CHECK(fleet.SettleAndFind().size() == 2);
+  CHECK(fleet.m_parts.Held(bad));
+  CHECK(fleet.m_parts.Held(other));
+  CHECK_FALSE(fleet.m_parts.Held(once));
+  fleet.Prove(other);
+  CHECK(fleet.m_parts.Held(bad));
+  CHECK_FALSE(fleet.m_parts.Held(other));
+  CHECK(fleet.SettleAndFind().empty());
+}
+
+TEST_CASE("Sound parts of a request that crashes endpoints are not held") {
+  const std::string bad = FingerprintOf("shop", "/chat/1", "bad");
+  Fleet fleet;
+  for (int i = 0; i < 8; ++i) {
+    fleet.EndEndpoint("e" + std::to_string(i), {"first", "rare", bad});
+    // Another request was there by chance.
+    fleet.EndEndpoint(
+        "e" + std::to_string(i),
+        {"first", FingerprintOf("shop", "/chat/2", std::to_string(i))}, "h2");
+    fleet.Pass(milliseconds(400));
+    fleet.SettleAndFind();
+  }
+  CHECK(fleet.m_parts.held() == std::set<std::string>{bad});
+}
+
+TEST_CASE("A crashing part is held although one request with it is held") {
+  Fleet fleet;
+  std::vector<std::string> found;
+  for (int i = 0; i < 6; ++i) {
+    fleet.EndEndpoint(
+        "e" + std::to_string(i),
+        {"first", "bad",
+         FingerprintOf("shop", "/chat/1", std::to_string(std::max(i, 2)))});
+    fleet.Pass(milliseconds(500));
+    fleet.Prove("first");
+    for (const std::string& part : fleet.SettleAndFind()) {
+      found.push_back(part);
+    }
+  }
+  CHECK(found.size() == 2);
+  CHECK(IsFingerprint(found.front()));
+  CHECK(fleet.m_parts.Held("bad"));
+  CHECK_FALSE(fleet.m_parts.Held("first"));
+}
+
+TEST_CASE("Endpoints that end at the same moment do not hold a request") {
+  const std::string popular = FingerprintOf("shop", "/look/1", "");
+  Fleet fleet;
+  for (int i = 0; i < 10; ++i) {
+    fleet.EndEndpoint("e" + std::to_string(i), {popular});
+    fleet.Pass(milliseconds(9));
+  }
+  CHECK(fleet.SettleAndFind().empty());
+}
+
+TEST_CASE("A request that was proved sound since is not held") {
+  const std::string sound = FingerprintOf("shop", "/look/1", "");
+  Fleet fleet;
+  for (int i = 0; i < 12; ++i) {
+    fleet.EndEndpoint("e" + std::to_string(i), {sound});
+    fleet.Pass(seconds(1));
+    if (i % 2 == 1) {
+      fleet.Prove(sound);
+    }
+    CHECK(fleet.SettleAndFind().empty());
+  }
+}
+
 TEST_CASE("The first part is not held although its proofs come late") {
   Fleet fleet;
   for (int i = 0; i < 4; ++i) {
