Take no answer without an id behind an earlier one

Found by the review of the fix for copied refusals: on a connection that had carried another call or an extra answer, an answer without an id was still believed in two cases: for orders and reports, and for a status other than 2xx when the extra answer came first on a new connection. Such an answer may be a copy. If the copy of a 202 stood for a 409, the ledger of the engine counted an order that it had not accepted.

An answer without an id now fails a call with an echo unless it is the first on its connection; the outcome of such an order is unknown and is settled by a report. Two new tests: an order on a kept connection (accepted before), and a refusal without an id behind an extra answer (delivered before, by the review's reading).

--- a/Source/endpoint/client_connection.cc
+++ b/Source/endpoint/client_connection.cc
@@ -233,13 +233,16 @@
   m_skip_response = false;
   if (!echo.m_name.empty()) {
     const std::string* value = http::FindHeader(head.m_headers, echo.m_name);
-    if (value == nullptr && !m_request->m_echo_optional &&
-        (m_earlier_calls > 0 || head.m_status / 100 == 2)) {
+    const bool may_be_extra = m_earlier_calls > 0 || m_skipped;
+    const bool needs_id =
+        head.m_status / 100 == 2 && !m_request->m_echo_optional;
+    if (value == nullptr && (may_be_extra || needs_id)) {
       m_echo_error =
           MakeError(ErrorCode::kProtocol, "the answer echoes no request id");
     }
     m_skip_response = value != nullptr && *value != echo.m_value;
     if (m_skip_response) {
+      m_skipped = true;
       kLog.Warn("skipping an answer to another request",
                 {{"id", echo.m_value},
                  {"answered_id", value->substr(0, kMaxLoggedIdLength)},
--- a/Source/endpoint/client_connection.h
+++ b/Source/endpoint/client_connection.h
@@ -86,6 +86,8 @@
   bool m_reusable = true;
   // Whether the current response belongs to another call.
   bool m_skip_response = false;
+  // Whether any response has belonged to another call.
+  bool m_skipped = false;
   MonotonicTime m_idle_until;
   std::optional<CallRequest> m_request;
   CallEvents m_events;
--- a/Source/endpoint/http_client.h
+++ b/Source/endpoint/http_client.h
@@ -43,11 +43,12 @@
   // Name and value of a header field that the endpoint echoes. The call gets a
   // connection that has carried no call with this value. A response with
   // another value belongs to an earlier call and is skipped. A response without
-  // the field fails the call with kProtocol if its status is 2xx or if the
-  // connection has carried another call, to which it may belong. If the name is
-  // empty, responses are not matched.
+  // the field fails the call with kProtocol if its status is 2xx, or if the
+  // connection has carried another call or response, so that it may be an extra
+  // one. If the name is empty, responses are not matched.
   HeaderField m_echo;
-  // If true, a response without the field is taken for the call's own.
+  // If true, a 2xx response needs no field either if it is the first on its
+  // connection.
   bool m_echo_optional = false;
 };
 
--- a/StandIns/jarro_server.cc
+++ b/StandIns/jarro_server.cc
@@ -62,11 +62,21 @@
       {"overloaded", m_memory_exceeded}, {"turned_away", m_rejected_requests}};
 }
 
+http::HeaderFields JarroServer::Echo(const Exchange& exchange,
+                                     http::HeaderFields headers) {
+  const std::string id = HeaderValue(exchange->request(), "Request-Id");
+  if (!id.empty()) {
+    headers.push_back({"Request-Id", id});
+  }
+  return headers;
+}
+
 void JarroServer::Handle(const Exchange& exchange) {
   const http::ServerRequest& request = exchange->request();
   const std::string expected = HeaderValue(request, "Expect-Instance");
   if (!expected.empty() && expected != m_settings.m_id) {
-    exchange->Answer(421, {{"Instance-Id", m_settings.m_id}}, "");
+    exchange->Answer(421, Echo(exchange, {{"Instance-Id", m_settings.m_id}}),
+                     "");
   } else if (request.m_target == "/-/order") {
     ExecuteOrder(exchange);
   } else if (request.m_target == "/-/report") {
@@ -82,14 +92,14 @@
   m_order_log.push_back(order);
   if (m_busy ||
       order.value("expected", m_accepted_orders) != m_accepted_orders) {
-    exchange->Answer(409, {}, "");
+    exchange->Answer(409, Echo(exchange), "");
     return;
   }
   ++m_accepted_orders;
   const std::string model = order.value("model", "");
   const std::string adapter = order.value("adapter", "");
   const bool load = order.value("operation", "") == "load";
-  exchange->Answer(202, {}, "");
+  exchange->Answer(202, Echo(exchange), "");
   if (!adapter.empty()) {
     if (load) {
       m_adapters[model].insert(adapter);
@@ -130,7 +140,7 @@
          {"adapters", found == m_adapters.end() ? std::set<std::string>()
                                                 : found->second}});
   }
-  exchange->Answer(200, {{"Content-Type", "application/json"}},
+  exchange->Answer(200, Echo(exchange, {{"Content-Type", "application/json"}}),
                    json{{"stage", "unified"},
                         {"models", models},
                         {"busy", m_busy},
@@ -148,7 +158,7 @@
       !m_adapters[name].contains(model.substr(model.find('/') + 1));
   if (m_settings.m_is_engine &&
       (!m_settings.m_models.contains(name) || adapter_missing)) {
-    exchange->Answer(421, {{"Not-Executed", "1"}}, "");
+    exchange->Answer(421, Echo(exchange, {{"Not-Executed", "1"}}), "");
     return;
   }
   if (const Duration retry_after = m_reject_until - m_loop.Now();
--- a/StandIns/jarro_server.h
+++ b/StandIns/jarro_server.h
@@ -82,6 +82,9 @@
   using Exchange = std::shared_ptr<http::ServerExchange>;
 
   void Handle(const Exchange& exchange);
+  // Adds the id of the request, if it has one.
+  static http::HeaderFields Echo(const Exchange& exchange,
+                                 http::HeaderFields headers = {});
   void ExecuteOrder(const Exchange& exchange);
   void SendReport(const Exchange& exchange);
   void ExecuteRequest(const Exchange& exchange);
--- a/Tests/endpoint/copied_refusal_test.cc
+++ b/Tests/endpoint/copied_refusal_test.cc
@@ -64,6 +64,18 @@
   CHECK(holds);
 }
 
+// Guards against the same (REFUSED) on a new connection.
+TEST_CASE("An answer without an id proves nothing behind an extra one") {
+  EventLoop loop;
+  ScriptedEndpoint endpoint(loop);
+  PooledHttpClient client(loop);
+  endpoint.m_scripts = {Refusal("other") +
+                        "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"};
+  const Outcome outcome = Run(loop, client, endpoint, "r1");
+  CHECK(outcome.m_heads == 0);
+  CHECK(outcome.m_failure == ErrorCode::kProtocol);
+}
+
 TEST_CASE("Other requests use the connection on which one was refused") {
   EventLoop loop;
   ScriptedEndpoint endpoint(loop);
--- a/Tests/jarro/engine_control_test.cc
+++ b/Tests/jarro/engine_control_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <optional>
+#include <string>
 
 #include "Tests/endpoint/scripted_endpoint.h"
 
@@ -9,25 +10,52 @@
 using namespace hickoryloft::endpoint;
 using namespace hickoryloft::jarro;
 
+namespace {
+
+constexpr char kRefusal[] =
+    "HTTP/1.1 503 Full\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n";
+constexpr char kAccepted[] =
+    "HTTP/1.1 202 Accepted\r\nRequest-Id: {id}\r\n"
+    "Content-Length: 0\r\n\r\n";
+constexpr char kAcceptedWithoutId[] =
+    "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+
+struct Fixture {
+  EventLoop m_loop;
+  ScriptedEndpoint m_engine{m_loop};
+  PooledHttpClient m_client{m_loop};
+  BufferBudget m_answers{std::size_t{1} << 20};
+  EngineControl m_control{m_loop, m_client, m_answers};
+
+  std::optional<fleet::OrderOutcome> SendOrder() {
+    std::optional<fleet::OrderOutcome> outcome;
+    m_control.SendOrder(m_engine.Address(), {}, [&](fleet::OrderOutcome order) {
+      outcome = order;
+      m_loop.Stop();
+    });
+    const auto limit = m_loop.After(kTestLimit, [&] { m_loop.Stop(); });
+    m_loop.Run();
+    return outcome;
+  }
+};
+
+}  // namespace
+
 // Regression test: the copy of an answer to a caller's request was taken for
 // the answer to an order, which the engine had accepted.
 TEST_CASE("An answer to a request does not answer an order") {
-  EventLoop loop;
-  ScriptedEndpoint engine(loop);
-  PooledHttpClient client(loop);
-  BufferBudget answers(std::size_t{1} << 20);
-  EngineControl control(loop, client, answers);
-  engine.m_copies_answers = true;
-  engine.m_scripts = {
-      "HTTP/1.1 503 Full\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n",
-      "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"};
-  Run(loop, client, engine, "r1");
-  std::optional<fleet::OrderOutcome> outcome;
-  control.SendOrder(engine.Address(), {}, [&](fleet::OrderOutcome order) {
-    outcome = order;
-    loop.Stop();
-  });
-  const auto limit = loop.After(kTestLimit, [&] { loop.Stop(); });
-  loop.Run();
-  CHECK(outcome == fleet::OrderOutcome::kAccepted);
+  Fixture test;
+  test.m_engine.m_copies_answers = true;
+  test.m_engine.m_scripts = {kRefusal, kAccepted};
+  Run(test.m_loop, test.m_client, test.m_engine, "r1");
+  CHECK(test.SendOrder() == fleet::OrderOutcome::kAccepted);
+}
+
+// Guards against an order that is taken for accepted because the answer to an
+// earlier one came twice.
+TEST_CASE("An answer without an id proves nothing on a kept connection") {
+  Fixture test;
+  test.m_engine.m_scripts = {kAcceptedWithoutId, kAcceptedWithoutId};
+  CHECK(test.SendOrder() == fleet::OrderOutcome::kAccepted);
+  CHECK(test.SendOrder() == fleet::OrderOutcome::kUnknown);
 }
--- a/Tests/process/scripted_server.py
+++ b/Tests/process/scripted_server.py
@@ -111,8 +111,8 @@
             body = json.dumps({"stage": "unified", "busy": False, "seq": 0,
                                "models": self.entry()["models"]}).encode()
             connection.sendall(
-                f"HTTP/1.1 {self.control_status}\r\n"
-                f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+                head(request, self.control_status,
+                     f"Content-Length: {len(body)}", signed=False) + body)
             return True
         self.requests.append(request)
         return self.respond(connection, request)
