Read on from a connection whose last call was paused

What callers saw: 504 at the deadline after one send, although the server had answered.

Cause: a call is paused while its caller reads slowly. If the end of the answer was read together with the bytes that caused the pause, the connection went back to the pool with reading disabled, and nothing enabled it again: the next call on it was sent and read nothing, and extra bytes or an end of the connection while it was idle went unseen.

Evidence: the new test failed before (the second call got no answer) and passes now.

--- a/Source/endpoint/client_connection.cc
+++ b/Source/endpoint/client_connection.cc
@@ -284,6 +284,8 @@
   const auto done = std::exchange(m_events, {}).m_done;
   const bool clean = evbuffer_get_length(bufferevent_get_input(m_buffer)) == 0;
   if (m_reusable && clean) {
+    // The call may have been paused.
+    bufferevent_enable(m_buffer, EV_READ);
     m_owner.m_idle(connection);
   } else {
     Release();
--- a/Tests/endpoint/copied_refusal_test.cc
+++ b/Tests/endpoint/copied_refusal_test.cc
@@ -76,6 +76,26 @@
   CHECK(outcome.m_failure == ErrorCode::kProtocol);
 }
 
+// Regression test: a connection on which reading was paused when its answer
+// ended was kept, and the next call on it read nothing.
+TEST_CASE("A connection that was paused at the end of an answer is read on") {
+  EventLoop loop;
+  ScriptedEndpoint endpoint(loop);
+  PooledHttpClient client(loop);
+  endpoint.m_scripts = {Success("r1", "one"), Success("r2", "two")};
+  std::unique_ptr<Call> call;
+  call = client.Start({.m_endpoint = endpoint.Address(),
+                       .m_target = "/",
+                       .m_headers = {{"Request-Id", "r1"}},
+                       .m_echo = {"Request-Id", "r1"}},
+                      {.m_bytes = [&](std::string_view) { call->Pause(); },
+                       .m_done = [&] { loop.Stop(); }});
+  const auto limit = loop.After(kTestLimit, [&] { loop.Stop(); });
+  loop.Run();
+  CHECK(Run(loop, client, endpoint, "r2").m_body == "two");
+  CHECK(endpoint.connections() == 1);
+}
+
 TEST_CASE("Other requests use the connection on which one was refused") {
   EventLoop loop;
   ScriptedEndpoint endpoint(loop);
