--- a/Source/endpoint/http_client.h
+++ b/Source/endpoint/http_client.h
@@ -47,8 +47,8 @@
   // connection has carried another call or response, so that it may be an extra
   // one. If the name is empty, responses are not matched.
   HeaderField m_echo;
-  // If true, a 2xx response needs no field either if it is the first on its
-  // connection.
+  // If true, a response without the field is taken for the call's own. It may
+  // still be an extra one to an earlier call of this kind.
   bool m_echo_optional = false;
 };
 
