Send orders and questions for reports without an id

An answer that names any request is skipped where theirs is due; that is all the ids were for, since orders have new connections.

--- a/Source/endpoint/client_connection.cc
+++ b/Source/endpoint/client_connection.cc
@@ -234,7 +234,7 @@
   if (!echo.m_name.empty()) {
     const std::string* value = http::FindHeader(head.m_headers, echo.m_name);
     const bool may_be_extra = m_earlier_calls > 0 || m_skipped;
-    if (value == nullptr && !m_request->m_echo_optional &&
+    if (value == nullptr && !echo.m_value.empty() &&
         (may_be_extra || head.m_status / 100 == 2)) {
       m_echo_error =
           MakeError(ErrorCode::kProtocol, "the answer echoes no request id");
--- a/Source/endpoint/http_client.h
+++ b/Source/endpoint/http_client.h
@@ -45,11 +45,9 @@
   // another value belongs to an earlier call and is skipped. A response without
   // the field fails the call with kProtocol if its status is 2xx, or if the
   // connection has carried another call or response, so that it may be an extra
-  // one. If the name is empty, responses are not matched.
+  // one. If the value is empty, the call's own response has no such field, and
+  // one with it is skipped. If the name is empty, responses are not matched.
   HeaderField m_echo;
-  // If true, a response without the field is taken for the call's own. It may
-  // still be an extra one to an earlier call of this kind.
-  bool m_echo_optional = false;
 };
 
 struct AnswerHead {
--- a/Tests/endpoint/scripted_endpoint.h
+++ b/Tests/endpoint/scripted_endpoint.h
@@ -23,8 +23,8 @@
 
 inline constexpr Duration kTestLimit = seconds(5);
 
-// Sends the next script for each request that it reads, verbatim except that
-// "{id}" stands for the request's id. Not thread-safe.
+// Sends the next script verbatim for each request that it reads. Not
+// thread-safe.
 class ScriptedEndpoint {
  public:
   explicit ScriptedEndpoint(EventLoop& loop) : m_loop(loop) {
@@ -64,17 +64,6 @@
   std::function<std::string(const std::vector<std::string>&)> m_extra_bytes;
 
  private:
-  static constexpr std::string_view kIdMark = "{id}";
-
-  static std::string IdOf(const std::string& request) {
-    constexpr std::string_view kField = "Request-Id: ";
-    const std::size_t at = request.find(kField);
-    if (at == std::string::npos) {
-      return "";
-    }
-    const std::size_t begin = at + kField.size();
-    return request.substr(begin, request.find('\r', begin) - begin);
-  }
   static void OnAccept(evconnlistener* /*listener*/,
                        evutil_socket_t socket,
                        sockaddr* /*peer*/,
@@ -90,16 +79,12 @@
   static void OnReadable(bufferevent* connection, void* self) {
     auto* endpoint = static_cast<ScriptedEndpoint*>(self);
     evbuffer* input = bufferevent_get_input(connection);
-    std::string request(evbuffer_get_length(input), '\0');
-    evbuffer_remove(input, request.data(), request.size());
+    evbuffer_drain(input, evbuffer_get_length(input));
     if (endpoint->m_scripts.empty()) {
       return;
     }
-    std::string script = endpoint->m_scripts.front();
+    const std::string script = endpoint->m_scripts.front();
     endpoint->m_scripts.pop_front();
-    if (const std::size_t id = script.find(kIdMark); id != std::string::npos) {
-      script.replace(id, kIdMark.size(), IdOf(request));
-    }
     std::vector<std::string>& earlier = endpoint->m_earlier[connection];
     std::string extra;
     if (endpoint->m_copies_answers && !earlier.empty()) {
