Count the ends of requests and of prompt parts apart

Requests no longer explain each other's ends: all with enough evidence are held until they are proved sound. A proved request marks no ends. An end counts at the earliest time that a host recorded.

--- a/Source/admission/crashing_parts.cc
+++ b/Source/admission/crashing_parts.cc
@@ -79,43 +79,47 @@
       m_held.insert(part);
     }
   }
-  const std::set<std::string> by_parts = Explained(/*fingerprints=*/false);
-  const std::set<std::string> by_requests = Explained(/*fingerprints=*/true);
+  const std::set<std::string> explained = ExplainedByParts();
+  // Hosts notice one end at different times.
+  std::map<std::string, std::chrono::milliseconds> ended_at;
+  for (const EndpointEnd& end : m_records.m_ends) {
+    auto& at = ended_at.try_emplace(end.m_incarnation, end.m_at).first->second;
+    at = std::min(at, end.m_at);
+  }
   m_evidence.clear();
   for (const EndpointEnd& end : m_records.m_ends) {
-    if (by_parts.contains(end.m_incarnation)) {
+    if (explained.contains(end.m_incarnation)) {
       continue;
     }
+    const std::chrono::milliseconds at = ended_at.at(end.m_incarnation);
     for (const PartInUse& part : end.m_parts) {
-      const bool fingerprint = IsFingerprint(part.m_id);
-      if (SoundSince(part.m_id, end.m_revision) ||
-          (fingerprint && by_requests.contains(end.m_incarnation))) {
+      if (Held(part.m_id) || SoundSince(part.m_id, end.m_revision)) {
         continue;
       }
       Evidence& evidence =
           m_evidence
-              .try_emplace(part.m_id, Evidence{.m_fingerprint = fingerprint,
-                                               .m_first = end.m_at,
-                                               .m_last = end.m_at,
-                                               .m_depth = part.m_depth})
+              .try_emplace(part.m_id,
+                           Evidence{.m_fingerprint = IsFingerprint(part.m_id),
+                                    .m_first = at,
+                                    .m_last = at,
+                                    .m_depth = part.m_depth})
               .first->second;
       evidence.m_incarnations.insert(end.m_incarnation);
       evidence.m_seen_by.insert(end.m_seen_by);
-      evidence.m_first = std::min(evidence.m_first, end.m_at);
-      evidence.m_last = std::max(evidence.m_last, end.m_at);
+      evidence.m_first = std::min(evidence.m_first, at);
+      evidence.m_last = std::max(evidence.m_last, at);
       evidence.m_depth = std::max(evidence.m_depth, part.m_depth);
     }
   }
   MarkSingleRequests();
 }
 
-std::set<std::string> CrashingParts::Explained(bool fingerprints) const {
+std::set<std::string> CrashingParts::ExplainedByParts() const {
   std::set<std::string> explained;
   for (const EndpointEnd& end : m_records.m_ends) {
     if (std::any_of(end.m_parts.begin(), end.m_parts.end(),
                     [&](const PartInUse& part) {
-                      return IsFingerprint(part.m_id) == fingerprints &&
-                             Held(part.m_id);
+                      return !IsFingerprint(part.m_id) && Held(part.m_id);
                     })) {
       explained.insert(end.m_incarnation);
     }
@@ -127,7 +131,7 @@
   std::map<std::string, std::set<std::string>> ends_of_requests;
   for (const EndpointEnd& end : m_records.m_ends) {
     for (const PartInUse& part : end.m_parts) {
-      if (IsFingerprint(part.m_id)) {
+      if (IsFingerprint(part.m_id) && !SoundSince(part.m_id, end.m_revision)) {
         ends_of_requests[part.m_id].insert(end.m_incarnation);
       }
     }
@@ -156,7 +160,7 @@
       findings.push_back(found.m_finding);
     }
   }
-  // What is found explains all of its ends, so its evidence is gone afterwards.
+  // What is held has no evidence.
   // The bound holds for any records, also of another version.
   for (std::size_t left = m_evidence.size(); left > 0; --left) {
     const std::vector<std::string> worst = WorstSettled(now);
@@ -195,13 +199,15 @@
       continue;
     }
     const Evidence& evidence = entry->second;
-    const Rank rank(evidence.m_fingerprint ? -1 : evidence.m_depth,
-                    evidence.m_incarnations.size());
+    // Requests that were in use at the same ends cannot be told apart.
+    const Rank rank =
+        evidence.m_fingerprint
+            ? Rank(-1, 0)
+            : Rank(evidence.m_depth, evidence.m_incarnations.size());
     if (!highest || rank > *highest) {
       highest = rank;
       worst.clear();
     }
-    // Requests that were in use at the same ends cannot be told apart.
     if (worst.empty() || (rank == *highest && evidence.m_fingerprint)) {
       worst.push_back(part);
     }
--- a/Source/admission/crashing_parts.h
+++ b/Source/admission/crashing_parts.h
@@ -43,9 +43,8 @@
 };
 
 // A part is held once several endpoints have ended with it in use and none has
-// completed an answer with it since. An end that a held part explains is not
-// counted against other parts, and one that a held request explains is not
-// counted against other requests. Ends that all had one request in use do not
+// completed an answer with it since. An end that a held prompt part explains is
+// not counted against other parts. Ends that all had one request in use do not
 // count against the parts of its prompt. Hosts with equal records hold the same
 // parts. Not thread-safe; the times passed in must not decrease.
 class CrashingParts {
@@ -105,13 +104,12 @@
     bool m_lost = false;      // To be recorded again.
   };
 
-  // Returns the incarnations that ended with a held part in use, of the kind
-  // given by `fingerprints`.
-  std::set<std::string> Explained(bool fingerprints) const;
+  // Returns the incarnations that ended with a held prompt part in use.
+  std::set<std::string> ExplainedByParts() const;
   // Marks the prompt parts whose ends all had one request in use.
   void MarkSingleRequests();
-  // Returns the parts with most evidence that have settled: one prompt part, or
-  // all requests whose evidence is equal.
+  // Returns what is to be held first, of the parts that have settled: the
+  // prompt part with most evidence, or all requests if there is none.
   std::vector<std::string> WorstSettled(MonotonicTime now) const;
   // Returns whether `part` was proved sound after `revision`.
   bool SoundSince(const std::string& part, Revision revision) const;
--- a/Tests/admission/crashing_parts_test.cc
+++ b/Tests/admission/crashing_parts_test.cc
@@ -262,6 +262,48 @@
   CHECK_FALSE(fleet.m_parts.Held("first"));
 }
 
+// Guards against a crashing part that a sound request hides by being in use at
+// each end.
+TEST_CASE("A request that was proved sound hides no crashing part") {
+  const std::string sound = FingerprintOf("bar", "/poll", "");
+  Fleet fleet;
+  for (int i = 0; i < 6; ++i) {
+    fleet.EndEndpoint("e" + std::to_string(i), {"first", "bad", sound});
+    fleet.Pass(milliseconds(400));
+    fleet.Prove(sound);
+    fleet.Prove("first");
+    fleet.SettleAndFind();
+  }
+  CHECK(fleet.m_parts.held() == std::set<std::string>{"bad"});
+}
+
+// Guards against a request that stays free because a sound one with more ends
+// explains those of both.
+TEST_CASE("A request with more ends does not excuse the one that crashes") {
+  const std::string bad = FingerprintOf("shop", "/look/1", "bad");
+  const std::string other = FingerprintOf("bar", "/look/2", "sound");
+  Fleet fleet;
+  fleet.EndEndpoint("e0", {other}, "h2");
+  for (int i = 1; i < 4; ++i) {
+    fleet.Pass(milliseconds(600));
+    fleet.EndEndpoint("e" + std::to_string(i), {bad}, "h1");
+    fleet.EndEndpoint("e" + std::to_string(i), {other}, "h2");
+    fleet.SettleAndFind();
+  }
+  CHECK(fleet.m_parts.Held(bad));
+}
+
+TEST_CASE("Records of one end at different times do not spread the ends") {
+  const std::string popular = FingerprintOf("shop", "/look/1", "");
+  Fleet fleet;
+  for (const char* endpoint : {"e1", "e2", "e3"}) {
+    fleet.EndEndpoint(endpoint, {popular}, "h1");
+  }
+  fleet.Pass(milliseconds(300));
+  fleet.EndEndpoint("e1", {popular}, "h2");
+  CHECK(fleet.SettleAndFind().empty());
+}
+
 TEST_CASE("Endpoints that end at the same moment do not hold a request") {
   const std::string popular = FingerprintOf("shop", "/look/1", "");
   Fleet fleet;
