Record a request at an end only if its answer had just begun

The conditions for a record and for suspicion are those of prompt parts again, the record leaves out what was proved in between, any whole answer proves the request (a success the parts too), and a request's fingerprint is looked up before the parts of its prompt. The process tests of crashing requests and parts pass.

--- a/Source/host/crash_guard.cc
+++ b/Source/host/crash_guard.cc
@@ -45,8 +45,8 @@
 // endpoints.
 bool Proves(AnswerProgress progress, const std::string& part) {
   return progress == AnswerProgress::kComplete ||
-         (progress == AnswerProgress::kGoesOn &&
-          !admission::IsFingerprint(part));
+         progress == (admission::IsFingerprint(part) ? AnswerProgress::kRejected
+                                                     : AnswerProgress::kGoesOn);
 }
 
 std::string JoinNames(const std::set<HostId>& hosts) {
@@ -61,16 +61,18 @@
 
 std::vector<PartInUse> PartsOf(const fleet::CallerRequest& request,
                                const ClientAccountId& account) {
-  std::vector<PartInUse> parts;
+  // The fingerprint comes first: a request that is held itself must not use up
+  // the trials of a part of its prompt.
+  std::vector<PartInUse> parts = {
+      {.m_id = admission::FingerprintOf(account.value(),
+                                        request.m_host + request.m_target,
+                                        request.m_body)}};
   for (std::size_t i = 0; i + 1 < request.m_prompt.size(); ++i) {
     if (IsValidPart(request.m_prompt[i].m_id)) {
       parts.push_back(
           {.m_id = request.m_prompt[i].m_id, .m_depth = static_cast<int>(i)});
     }
   }
-  parts.push_back({.m_id = admission::FingerprintOf(
-                       account.value(), request.m_host + request.m_target,
-                       request.m_body)});
   return parts;
 }
 
@@ -103,11 +105,10 @@
   return held == parts.end() ? std::nullopt : std::optional(held->m_id);
 }
 
-bool CrashGuard::Suspects(const Parts& parts, AnswerProgress progress) const {
+bool CrashGuard::Suspects(const Parts& parts) const {
   return std::any_of(parts.begin(), parts.end(), [&](const PartInUse& part) {
-    return !Proves(progress, part.m_id) &&
-           (m_parts.Held(part.m_id) ||
-            m_parts.Ends(part.m_id) >= CrashingParts::kSuspectEnds);
+    return m_parts.Held(part.m_id) ||
+           m_parts.Ends(part.m_id) >= CrashingParts::kSuspectEnds;
   });
 }
 
@@ -185,18 +186,18 @@
 
 void CrashGuard::RecordEarlyEnd(const endpoint::EndpointAddress& endpoint,
                                 std::int64_t started_at_ms,
-                                const Parts& parts,
-                                AnswerProgress progress) {
+                                const Parts& parts) {
   const std::string incarnation =
       endpoint.m_id.value() + "." + std::to_string(started_at_ms);
   const bool pending = m_pending_ends.contains(incarnation);
   if (!pending && m_pending_ends.size() >= kMaxPendingEnds) {
     return;
   }
-  PendingEnd end{.m_endpoint = endpoint};
+  PendingEnd end{.m_endpoint = endpoint,
+                 .m_at = duration_cast<milliseconds>(
+                     std::chrono::system_clock::now().time_since_epoch())};
   for (const PartInUse& part : parts) {
-    if (!Proves(progress, part.m_id) &&
-        !m_proven.Proven(part.m_id, m_loop.Now())) {
+    if (!m_proven.Proven(part.m_id, m_loop.Now())) {
       end.m_depths[part.m_id] = part.m_depth;
     }
   }
@@ -217,14 +218,14 @@
 }
 
 void CrashGuard::RecordEnd(const std::string& incarnation) {
-  admission::EndpointEnd end{
-      .m_incarnation = incarnation,
-      .m_at = duration_cast<milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())};
-  std::string names;
   const PendingEnd& pending = m_pending_ends.at(incarnation);
+  admission::EndpointEnd end{.m_incarnation = incarnation,
+                             .m_at = pending.m_at};
+  std::string names;
   for (const auto& [part, depth] : pending.m_depths) {
-    if (end.m_parts.size() < kMaxPartsPerEnd) {
+    // Its repeat at another endpoint may have proved it by now.
+    if (end.m_parts.size() < kMaxPartsPerEnd &&
+        !m_proven.Proven(part, m_loop.Now())) {
       end.m_parts.push_back({.m_id = part, .m_depth = depth});
       names += (names.empty() ? "" : ",") + part;
     }
--- a/Source/host/crash_guard.h
+++ b/Source/host/crash_guard.h
@@ -4,6 +4,7 @@
 #ifndef SOURCE_HOST_CRASH_GUARD_H_
 #define SOURCE_HOST_CRASH_GUARD_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -23,9 +24,9 @@
 
 namespace hickoryloft::host {
 
-// Returns what a request has in common with others: the parts of its prompt,
-// except the last, which belongs to one request or session, and its
-// fingerprint. `account` is empty on open routes. Thread-safe.
+// Returns what a request has in common with others: its fingerprint and the
+// parts of its prompt, except the last, which belongs to one request or
+// session. `account` is empty on open routes. Thread-safe.
 std::vector<admission::PartInUse> PartsOf(const fleet::CallerRequest& request,
                                           const ClientAccountId& account);
 // Returns the ids of `parts`, for the log. Thread-safe.
@@ -35,7 +36,8 @@
 enum class AnswerProgress {
   kJustBegun,  // Too short to prove anything.
   kGoesOn,     // Proves that the parts of the prompt crash no endpoints.
-  kComplete,   // Proves the same of the whole request.
+  kRejected,   // Whole, but no success: proves the same of the request only.
+  kComplete,   // Proves it of the parts and of the request.
 };
 
 // Records the ends of endpoints in the key-value service, and reads from there
@@ -55,7 +57,7 @@
                  own_keys,
              std::function<void()> on_held);
 
-  // Returns one of `parts` that is held; nothing if there is none.
+  // Returns the first of `parts` that is held; nothing if there is none.
   std::optional<std::string> HeldPart(const Parts& parts) const;
   // Records that a request was rejected because of `part`, so that the part
   // stays held.
@@ -63,19 +65,17 @@
   // Returns whether this host may let one request with the held part through,
   // which uses up the right.
   bool TakeTrial(const std::string& part);
-  // Returns whether a send that ended at `progress` makes one of `parts`
-  // suspect: endpoints have ended with it in use, and it was not proved sound
-  // since.
-  bool Suspects(const Parts& parts, AnswerProgress progress) const;
+  // Returns whether endpoints have ended with one of `parts` in use that was
+  // not proved sound since.
+  bool Suspects(const Parts& parts) const;
 
   // Records the proof that an answer gives by its progress.
   void RecordProof(const Parts& parts, AnswerProgress progress);
-  // Records that the connection to `endpoint` ended before the answer did.
-  // Whether the endpoint has ended is checked first.
+  // Records that the connection to `endpoint` ended when the answer had just
+  // begun, if it had begun. Whether the endpoint has ended is checked first.
   void RecordEarlyEnd(const endpoint::EndpointAddress& endpoint,
                       std::int64_t started_at_ms,
-                      const Parts& parts,
-                      AnswerProgress progress);
+                      const Parts& parts);
 
   // The system's own keys have changed.
   void ApplyOwnKeys();
@@ -88,6 +88,7 @@
   struct PendingEnd {
     endpoint::EndpointAddress m_endpoint;
     std::map<std::string, int> m_depths;  // By part.
+    std::chrono::milliseconds m_at{};     // Unix time.
     std::shared_ptr<EndpointProbe::Check> m_check;
   };
   struct Write {
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -317,9 +317,9 @@
     return;
   }
   m_context.m_health.RecordSuccess(m_endpoint);
-  if (m_answer.m_head.m_status / 100 == 2) {
-    m_context.m_crash_guard.RecordProof(m_parts, AnswerProgress::kComplete);
-  }
+  m_context.m_crash_guard.RecordProof(
+      m_parts, m_answer.m_head.m_status / 100 == 2 ? AnswerProgress::kComplete
+                                                   : AnswerProgress::kRejected);
   if (m_stream_started) {
     FinishStream();
     return;
@@ -411,18 +411,14 @@
 void RequestFlow::ReportEarlyEnd() {
   const fleet::EndpointEntry* entry =
       m_context.m_knowledge.directory().Find(m_endpoint);
-  if (entry != nullptr && entry->AcceptsRequests()) {
+  if (m_answer.EndsEarly(m_context.m_loop.Now()) && entry != nullptr &&
+      entry->AcceptsRequests()) {
     m_context.m_crash_guard.RecordEarlyEnd(
         {entry->m_id, entry->m_address, entry->m_port},
-        m_endpoint_started_at_ms, m_parts, Progress());
+        m_endpoint_started_at_ms, m_parts);
   }
 }
 
-AnswerProgress RequestFlow::Progress() const {
-  return m_answer.EndsEarly(m_context.m_loop.Now()) ? AnswerProgress::kJustBegun
-                                                    : AnswerProgress::kGoesOn;
-}
-
 void RequestFlow::AvoidEndpoint(bool refused) {
   const MonotonicTime now = m_context.m_loop.Now();
   const Duration pause =
@@ -444,8 +440,9 @@
 
 void RequestFlow::RetryOrFinish(bool may_have_run, const std::string& reason) {
   // What may have crashed this endpoint must not reach another one.
-  const bool suspect =
-      may_have_run && m_context.m_crash_guard.Suspects(m_parts, Progress());
+  const bool suspect = may_have_run &&
+                       m_answer.EndsEarly(m_context.m_loop.Now()) &&
+                       m_context.m_crash_guard.Suspects(m_parts);
   const bool repeat = !suspect && (not_run() || MayRepeat());
   // A send without a connection put no load on an endpoint, so it is not
   // charged to the retry budget.
--- a/Source/host/request_flow.h
+++ b/Source/host/request_flow.h
@@ -118,7 +118,6 @@
   void OnOverBudget(const BufferBudget::Excess& excess);
   // Records that the endpoint may have ended because of the request.
   void ReportEarlyEnd();
-  AnswerProgress Progress() const;
   // Records a failure of the current endpoint, which is then avoided for a
   // while. `refused`: it refused the connection.
   void AvoidEndpoint(bool refused = false);
--- a/Tests/host/crash_guard_test.cc
+++ b/Tests/host/crash_guard_test.cc
@@ -37,9 +37,9 @@
   const std::string fingerprint =
       admission::FingerprintOf("shop", "shop.example/chat/1?a=b", "body");
   const auto parts = PartsOf(request, account);
-  CHECK(IdsOf(parts) == std::vector<std::string>{"f00d", "77", fingerprint});
-  CHECK(parts[1].m_depth == 1);
-  CHECK(Describe(parts) == "f00d,77," + fingerprint);
+  CHECK(IdsOf(parts) == std::vector<std::string>{fingerprint, "f00d", "77"});
+  CHECK(parts[2].m_depth == 1);
+  CHECK(Describe(parts) == fingerprint + ",f00d,77");
   CHECK(IdsOf(PartsOf(RequestWithParts({}), account)) ==
         std::vector<std::string>{fingerprint});
 }
@@ -62,7 +62,7 @@
       PartsOf(RequestWithParts({fingerprint, "a/b", "", "ok", "last"}),
               ClientAccountId("shop"));
   REQUIRE(parts.size() == 2);
-  CHECK(parts[0].m_id == "ok");
-  CHECK(parts[0].m_depth == 3);
-  CHECK(parts[1].m_id != fingerprint);
+  CHECK(parts[0].m_id != fingerprint);
+  CHECK(parts[1].m_id == "ok");
+  CHECK(parts[1].m_depth == 3);
 }
