--- a/Tests/host/crash_guard_test.cc
+++ b/Tests/host/crash_guard_test.cc
@@ -22,6 +22,7 @@
 
 std::vector<std::string> IdsOf(const std::vector<admission::PartInUse>& parts) {
   std::vector<std::string> ids;
+  ids.reserve(parts.size());
   for (const admission::PartInUse& part : parts) {
     ids.push_back(part.m_id);
   }
