--- a/Source/admission/token_quota.h
+++ b/Source/admission/token_quota.h
@@ -20,10 +20,8 @@
 // copy what it admits itself and, as reports arrive, what the others admitted,
 // so the copies differ only by the delay of the reports. Each silent host,
 // which is registered but whose reports do not arrive, is assumed to use an
-// equal share of the rate and the burst. What the others have admitted but not
-// yet reported is predicted from what this host admits, so that the copies do
-// not all spend the same tokens before they hear of each other. Not
-// thread-safe; the times passed in must not decrease.
+// equal share of the rate and the burst. Not thread-safe; the times passed in
+// must not decrease.
 class TokenQuota {
  public:
   // Fraction of the burst that a host may admit before it should report early:
@@ -38,20 +36,6 @@
   // of the burst: the tokens admitted in the gap were also refilled in it.
   static constexpr Duration kMaxReportGap = seconds(2);
 
-  // Time constant of the sums that the ratio of the others' tokens to this
-  // host's is taken from: a few reports long, so that it is not all noise.
-  static constexpr Duration kRatioTime = seconds(2);
-  // Time constant after which a prediction that no report confirms is dropped:
-  // longer than a regular report takes through two relays.
-  static constexpr Duration kPredictionTime = seconds(1);
-  // Predictions count for this long after the level alone last refused a
-  // request, so that an account that the reports never show to be beyond its
-  // rate is not refused because of a guess.
-  static constexpr Duration kPredictAfterEmpty = seconds(5);
-  // Fraction of the burst from which on the level alone decides, so that an
-  // account whose bucket is filling up is not refused because of a guess.
-  static constexpr double kCertainFraction = 0.35;
-
   TokenQuota(const QuotaLimit& limit, MonotonicTime now);
 
   // Changes the limit. The level is capped at the new burst immediately.
@@ -88,13 +72,6 @@
   void Refill(MonotonicTime now);
   // Returns the share of the burst of the hosts that are not silent.
   double Burst() const;
-  // Lets the recent sums and the prediction decay.
-  void Decay(MonotonicTime now);
-  // Returns the tokens that the others are assumed to admit while this host
-  // admits `tokens`: none if the others' recent share is unknown.
-  double PredictOthers(double tokens) const;
-  // Returns the level from which on `tokens` are admitted.
-  double NeededLevel(double tokens, MonotonicTime now) const;
 
   QuotaLimit m_limit;
   double m_level;
@@ -107,17 +84,6 @@
   MonotonicTime m_others_at;
   // Fraction of the rate and the burst reserved for silent hosts.
   double m_silent_fraction = 0;
-  // The hosts that are not silent, other than this one.
-  double m_other_hosts = 0;
-  // Tokens of this host and reported tokens of the others, with less weight the
-  // older they are.
-  double m_recent_own = 0;
-  double m_recent_others = 0;
-  // Tokens that the others are assumed to have admitted and not yet reported.
-  double m_predicted = 0;
-  MonotonicTime m_decayed_at;
-  // When the level alone last refused a request.
-  std::optional<MonotonicTime> m_empty_at;
 };
 
 }  // namespace hickoryloft::admission
