--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -144,6 +144,7 @@
         self._lock = threading.Lock()
         self._beats = 0
         self.closed = False
+        self.first_start = True
         if not PROGRAM.exists():
             raise CannotRun("target/bin/loft-host is not built")
         self.store = platform_store.Store("127.0.0.1")
@@ -176,7 +177,7 @@
             "listen": {"front": f"{ip}:{self.ports['front']}",
                        "ready": f"{ip}:{self.ports['ready']}"},
             "portRange": [self.ports["peer"], self.ports["peer"] + 15],
-            "seeds": [], "bootstrap": True, "countsAsLoss": False,
+            "seeds": [], "bootstrap": self.first_start, "countsAsLoss": False,
             "limits": {"cpuShare": 0.25, "cores": 1, "memoryMb": MEMORY_MB,
                        "maxFds": 4200, "linkMbps": 1000.0, "diskMb": 0},
             "dataDir": None, "discovery": "platform", "entry": "vip",
