--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -182,10 +182,14 @@
                        "maxFds": 4200, "linkMbps": 1000.0, "diskMb": 0},
             "dataDir": None, "discovery": "platform", "entry": "vip",
             "heartbeatMs": 1200, "bounds": BOUNDS,
-            "provider": {"address": self.store.address, "form": "kv",
+            "provider": {"address": self.store_address(index), "form": "kv",
                          "writesPerS": 400, "readsPerS": 2000, "historyS": 20,
                          "valueBytes": 1048576, "minTtlMs": 1000}}
 
+    def store_address(self, index):
+        """Returns where the host reaches the store."""
+        return self.store.address
+
     def start_host(self, index=0):
         path = self.folder / f"node-{index}.json"
         path.write_text(json.dumps(self.settings(index)))
--- a/review/lib2/platform_store.py
+++ b/review/lib2/platform_store.py
@@ -1,8 +1,10 @@
 """A small stand-in for the platform's metadata store (PROTOCOL.md, "The
-platform's metadata store"). It runs in threads of the script that uses it,
-behaves soundly, and is never the disruption of a case."""
+platform's metadata store"). It runs in threads of the script that uses it. It
+behaves soundly; on demand it is away, and comes back from an older copy (news of
+the pages: "In a drill the store may be away for a moment [...]")."""
 
 import base64
+import copy
 import json
 import threading
 import time
@@ -20,6 +22,8 @@
         self._leases = {}  # Id: (time to live in s, end).
         self._next_lease = 1
         self._history = []
+        self._era = 1
+        self._away = False
         store = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -37,11 +41,14 @@
             def _handle(self):
                 length = int(self.headers.get("Content-Length") or 0)
                 body = self.rfile.read(length)
-                status, answer = store.handle(self.command, self.path, body)
+                status, answer, era = store.call(self.command, self.path, body)
+                if answer is None:
+                    self.close_connection = True
+                    return
                 text = json.dumps(answer).encode()
                 self.send_response(status)
                 self.send_header("Content-Type", "application/json")
-                self.send_header("Store-Era", "1")
+                self.send_header("Store-Era", str(era))
                 self.send_header("Content-Length", str(len(text)))
                 self.end_headers()
                 self.wfile.write(text)
@@ -80,6 +87,37 @@
         with self._changed:
             return [key for key in self._items if key.startswith(prefix)]
 
+    def take_copy(self):
+        with self._changed:
+            return copy.deepcopy((self._revision, self._items, self._leases,
+                                  self._next_lease, self._history))
+
+    def go_away(self):
+        """From now on calls, waiting ones too, end without an answer and
+        without an effect."""
+        with self._changed:
+            self._away = True
+            self._changed.notify_all()
+
+    def come_back_from(self, older):
+        """The state is that of the copy, and leases have run on since."""
+        with self._changed:
+            (self._revision, self._items, self._leases, self._next_lease,
+             self._history) = copy.deepcopy(older)
+            self._era += 1
+            self._away = False
+
+    def call(self, method, target, body):
+        with self._changed:
+            if self._away:
+                return 0, None, 0
+            era = self._era
+        status, answer = self.handle(method, target, body)
+        with self._changed:
+            if self._away or era != self._era:
+                return 0, None, 0
+            return status, answer, era
+
     def handle(self, method, target, body):
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query, True))
@@ -123,13 +161,15 @@
 
     def _watch(self, query):
         prefix, after = query.get("pathPrefix", ""), int(query["after"])
+        if after > self._revision:
+            return 410, {}
         until = time.monotonic() + int(query.get("waitMs", 0)) / 1000
         while True:
             events = [event for event in self._history
                       if event["revision"] > after
                       and event["key"].startswith(prefix)]
             left = until - time.monotonic()
-            if events or left <= 0:
+            if events or left <= 0 or self._away:
                 return 200, {"events": events, "asOf": self._revision}
             self._changed.wait(left)
 
