--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -17,7 +17,6 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 PROGRAM = ROOT / "target" / "bin" / "loft-host"  # As in deploy/system.toml.
-LIBRARY = pathlib.Path(__file__).resolve().parent
 HOST_HEADER = "shop.example"
 KEY = "key-counter"
 HEARTBEAT_S = 1.2
@@ -224,7 +223,7 @@
     def register(self, server_id, value):
         with self._lock:
             self.beating[server_id] = value
-        self._write_entry(server_id)
+        self.write_entry(server_id)
 
     def deregister(self, server_id):
         with self._lock:
@@ -232,7 +231,7 @@
         self.store.remove(f"servers/{server_id}")
         self.record.write(f"store: servers/{server_id} removed")
 
-    def _write_entry(self, server_id):
+    def write_entry(self, server_id):
         with self._lock:
             if server_id not in self.beating:
                 return
@@ -244,7 +243,7 @@
         while not self.closed:
             time.sleep(HEARTBEAT_S)
             for server_id in list(self.beating):
-                self._write_entry(server_id)
+                self.write_entry(server_id)
 
     def close(self):
         self.closed = True
--- a/review/lib2/platform_store.py
+++ b/review/lib2/platform_store.py
@@ -83,10 +83,6 @@
             self._delete(key)
             self._changed.notify_all()
 
-    def keys(self, prefix):
-        with self._changed:
-            return [key for key in self._items if key.startswith(prefix)]
-
     def take_copy(self):
         with self._changed:
             return copy.deepcopy((self._revision, self._items, self._leases,
