--- a/review/lib2/server_base.py
+++ b/review/lib2/server_base.py
@@ -44,6 +44,8 @@
         headers[name.strip().lower()] = value.strip()
     length = int(headers.get("content-length", 0))
     body = stream.read(length) if length else b""
+    if len(body) < length:
+        return None  # The caller has left.
     return Request(line[0], line[1], headers, body)
 
 
