Complete the streams of endpoints that exit as announced

Cause: after such a stream the host asks the endpoint for its report and takes a refused connection for proof that it crashed. Whether the endpoint had announced that it leaves was not looked at.

Ruled out: calls cancelled when the entry is removed, and calls ended when the drain time is over (docs/incidents/lost-leaving-servers.md).

Change: fleet/departures remembers when and how each incarnation began to leave. A refused connection after its service time, with no notice that has run out, is the announced exit, and the stream is complete; it proves nothing then. Within the service time, or after a short notice, the stream is broken off as before.

--- a/Source/base/log_fields.h
+++ b/Source/base/log_fields.h
@@ -75,7 +75,11 @@
     {"key", "key in the key-value service"},
     {"last_id", "id of the last complete event of a stream"},
     {"lease", "lease in the key-value service"},
+    {"leaving", "1 if the endpoint has announced that it is leaving"},
     {"left_ms", "milliseconds until the request's deadline"},
+    {"may_have_finished",
+     "1 if the endpoint may have exited as it announced, after its last "
+     "request"},
     {"may_have_run", "1 if the endpoint may have begun to work on the request"},
     {"members", "number of hosts of the fleet"},
     {"model", "model"},
--- a/Source/fleet/endpoint_directory.cc
+++ b/Source/fleet/endpoint_directory.cc
@@ -71,21 +71,21 @@
   ++m_version;
 }
 
-std::vector<EndpointId> EndpointDirectory::RetainOnly(
+std::map<EndpointId, std::int64_t> EndpointDirectory::RetainOnly(
     const std::unordered_set<EndpointId>& present,
     std::optional<MonotonicTime> keep_until,
     Absence absence) {
-  std::vector<EndpointId> missing;
+  std::map<EndpointId, std::int64_t> missing;
   for (const auto& [id, entry] : m_entries) {
     if (!present.contains(id)) {
-      missing.push_back(id);
+      missing.emplace(id, entry.m_started_at_ms);
     }
   }
-  std::vector<EndpointId> removed;
-  for (const EndpointId& id : missing) {
+  std::map<EndpointId, std::int64_t> removed;
+  for (const auto& [id, started_at_ms] : missing) {
     const Change change = Remove(id, keep_until);
     if (change == Change::kRemoved) {
-      removed.push_back(id);
+      removed.emplace(id, started_at_ms);
     } else if (absence == Absence::kHistoryLost && m_lapsed.contains(id)) {
       m_lapsed.at(id).m_absence = absence;
     }
@@ -93,15 +93,16 @@
   return removed;
 }
 
-std::vector<EndpointId> EndpointDirectory::DropLapsed(MonotonicTime now) {
-  std::vector<EndpointId> dropped;
+std::map<EndpointId, std::int64_t> EndpointDirectory::DropLapsed(
+    MonotonicTime now) {
+  std::map<EndpointId, std::int64_t> dropped;
   for (auto at = m_lapsed.begin(); at != m_lapsed.end();) {
     if (at->second.m_until > now) {
       ++at;
       continue;
     }
-    dropped.push_back(at->first);
     const EndpointId id = at->first;
+    dropped.emplace(id, m_entries.at(id).m_started_at_ms);
     const Absence absence = at->second.m_absence;
     ++at;
     RemoveEntry(id, absence);
--- a/Source/fleet/endpoint_directory.h
+++ b/Source/fleet/endpoint_directory.h
@@ -39,14 +39,14 @@
   // registers again. Nothing: the endpoint has left.
   Change Remove(const EndpointId& id, std::optional<MonotonicTime> keep_until);
   // Handles every entry that is missing from `present` as removed. Returns the
-  // endpoints that were removed at once.
-  std::vector<EndpointId> RetainOnly(
+  // endpoints that were removed at once, with the start of their incarnation.
+  std::map<EndpointId, std::int64_t> RetainOnly(
       const std::unordered_set<EndpointId>& present,
       std::optional<MonotonicTime> keep_until,
       Absence absence);
   // Removes lapsed entries that are not to be kept any longer, and returns
-  // their ids.
-  std::vector<EndpointId> DropLapsed(MonotonicTime now);
+  // their ids, with the start of their incarnation.
+  std::map<EndpointId, std::int64_t> DropLapsed(MonotonicTime now);
 
   // Records that the incarnation of the endpoint that started at
   // `started_at_ms` is leaving. Later registrations of this incarnation do not
--- a/Source/fleet/fleet_state_feed.cc
+++ b/Source/fleet/fleet_state_feed.cc
@@ -36,6 +36,14 @@
 
 const Logger kLog("knowledge");
 
+// Returns what a registration that was made or removed after `complete_until`
+// says about the departure of its endpoint.
+Departure DepartureAfter(std::optional<MonotonicTime> complete_until,
+                         std::optional<Duration> notice) {
+  return {.m_registered_after = complete_until.value_or(MonotonicTime::min()),
+          .m_notice = notice};
+}
+
 }  // namespace
 
 FleetStateFeed::FleetStateFeed(EventLoop& loop,
@@ -126,7 +134,7 @@
         break;
       case ItemClass::kEndpoint:
         present.insert(m_decoder.EndpointOf(item.m_key));
-        ApplyEndpoint(item);
+        ApplyEndpoint(item, complete_until);
         break;
       case ItemClass::kEvacuation:
         evacuations.push_back(item);
@@ -136,13 +144,9 @@
         break;
     }
   }
-  for (const EndpointId& id : m_directory.RetainOnly(
-           present, m_complete ? LapseDeadline() : std::nullopt,
-           restored ? EndpointDirectory::Absence::kHistoryLost
-                    : EndpointDirectory::Absence::kRemoved)) {
-    kLog.Info("endpoint removed", {{"endpoint", id.value()}});
-    m_events.m_endpoint_changed(id);
-  }
+  RemoveMissing(present, complete_until,
+                restored ? EndpointDirectory::Absence::kHistoryLost
+                         : EndpointDirectory::Absence::kRemoved);
   m_evacuation.ReplaceAll(
       evacuations,
       restored ? std::optional(m_loop.Now() + kReregistrationPeriod)
@@ -159,6 +163,19 @@
   BeginWatch(reply.m_revision);
 }
 
+void FleetStateFeed::RemoveMissing(
+    const std::unordered_set<EndpointId>& present,
+    std::optional<MonotonicTime> complete_until,
+    EndpointDirectory::Absence absence) {
+  for (const auto& [id, started_at_ms] : m_directory.RetainOnly(
+           present, m_complete ? LapseDeadline() : std::nullopt, absence)) {
+    kLog.Info("endpoint removed", {{"endpoint", id.value()}});
+    m_departures.Record(id, started_at_ms,
+                        DepartureAfter(complete_until, std::nullopt));
+    m_events.m_endpoint_changed(id);
+  }
+}
+
 void FleetStateFeed::BeginWatch(Revision revision) {
   m_watch = m_store.WatchPrefix(
       "", revision,
@@ -294,20 +311,11 @@
       break;
     case ItemClass::kEndpoint: {
       const EndpointId id = m_decoder.EndpointOf(item.m_key);
-      if (!event.m_deleted) {
-        if (ApplyEndpoint(item)) {
-          m_events.m_endpoint_changed(id);
-        }
+      if (event.m_deleted) {
+        ApplyEndpointRemoval(item, complete_until, source);
+      } else if (!ApplyEndpoint(item, complete_until)) {
         break;
       }
-      const auto change = m_directory.Remove(id, LapseDeadline());
-      kLog.Info(change == EndpointDirectory::Change::kLapsed
-                    ? "endpoint registration lapsed; kept for a grace period"
-                    : "endpoint removed",
-                {{"endpoint", id.value()},
-                 {"revision", DescribeRevision(item.m_mod_revision)},
-                 {"source", source},
-                 {"view_age_ms", ToMillis(Age()).count()}});
       m_events.m_endpoint_changed(id);
       break;
     }
@@ -350,7 +358,30 @@
   }
 }
 
-bool FleetStateFeed::ApplyEndpoint(const keyvalue::KeyValue& item) {
+void FleetStateFeed::ApplyEndpointRemoval(const keyvalue::KeyValue& item,
+                                          MonotonicTime complete_until,
+                                          const char* source) {
+  const EndpointId id = m_decoder.EndpointOf(item.m_key);
+  const EndpointEntry* entry = m_directory.Find(id);
+  const std::int64_t started_at_ms =
+      entry == nullptr ? 0 : entry->m_started_at_ms;
+  const auto change = m_directory.Remove(id, LapseDeadline());
+  if (change == EndpointDirectory::Change::kRemoved) {
+    m_departures.Record(id, started_at_ms,
+                        DepartureAfter(complete_until, std::nullopt));
+  }
+  kLog.Info(change == EndpointDirectory::Change::kLapsed
+                ? "endpoint registration lapsed; kept for a grace period"
+                : "endpoint removed",
+            {{"endpoint", id.value()},
+             {"revision", DescribeRevision(item.m_mod_revision)},
+             {"source", source},
+             {"view_age_ms", ToMillis(Age()).count()}});
+}
+
+bool FleetStateFeed::ApplyEndpoint(
+    const keyvalue::KeyValue& item,
+    std::optional<MonotonicTime> complete_until) {
   try {
     EndpointEntry entry = m_decoder.DecodeEndpoint(item);
     const std::string id = entry.m_id.value();
@@ -360,6 +391,9 @@
     }
     const bool draining = entry.m_state == EndpointState::kDraining;
     entry.m_cold_until = m_loop.Now() + entry.m_cold_for.value_or(Duration{});
+    const std::int64_t started_at_ms = entry.m_started_at_ms;
+    const Departure departure =
+        DepartureAfter(complete_until, entry.m_remaining);
     const auto change = m_directory.Put(std::move(entry));
     if (change == EndpointDirectory::Change::kNone) {
       kLog.Info("outdated endpoint entry ignored",
@@ -367,6 +401,9 @@
                  {"revision", DescribeRevision(item.m_mod_revision)}});
       return false;
     }
+    if (draining) {
+      m_departures.Record(EndpointId(id), started_at_ms, departure);
+    }
     if (change == EndpointDirectory::Change::kAdded ||
         change == EndpointDirectory::Change::kRestarted || draining) {
       kLog.Info(draining ? "endpoint leaving"
@@ -391,6 +428,7 @@
   if (!m_directory.MarkLeaving(id, started_at_ms)) {
     return;
   }
+  m_departures.Record(id, started_at_ms, {});
   kLog.Info("endpoint leaving", {{"endpoint", id.value()},
                                  {"source", source},
                                  {"started_at_ms", started_at_ms}});
@@ -437,9 +475,11 @@
 
 void FleetStateFeed::RemoveLapsed() {
   NoteRunning();
-  for (const EndpointId& id : m_directory.DropLapsed(m_loop.Now())) {
+  for (const auto& [id, started_at_ms] : m_directory.DropLapsed(m_loop.Now())) {
     kLog.Info("endpoint with lapsed registration removed",
               {{"endpoint", id.value()}});
+    m_departures.Record(id, started_at_ms,
+                        DepartureAfter(std::nullopt, std::nullopt));
     m_events.m_endpoint_changed(id);
   }
   m_evacuation.Tick(KnowledgeFrom(kFromWatch, m_current_as_of));
--- a/Source/fleet/fleet_state_feed.h
+++ b/Source/fleet/fleet_state_feed.h
@@ -9,11 +9,13 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "base/event_loop.h"
 #include "fleet/change_log.h"
 #include "fleet/configuration_view.h"
+#include "fleet/departures.h"
 #include "fleet/endpoint_directory.h"
 #include "fleet/evacuation_control.h"
 #include "fleet/protocols.h"
@@ -91,6 +93,8 @@
     return m_configuration;
   }
   const EndpointDirectory& directory() const { return m_directory; }
+  // The departures of endpoints, by registrations and by answers.
+  const Departures& departures() const { return m_departures; }
   // The failure domains that operators have asked to empty.
   const std::map<FailureDomainId, Evacuation>& evacuations() const {
     return m_evacuation.states();
@@ -133,7 +137,17 @@
   // a batch pause and a poll wait while the service works.
   void UpdatePollWait();
   void ApplyConfiguration(const keyvalue::KeyValue& item);
-  bool ApplyEndpoint(const keyvalue::KeyValue& item);
+  // `complete_until`: as for ApplyEvents(); nothing if it is not known when the
+  // registration was made.
+  bool ApplyEndpoint(const keyvalue::KeyValue& item,
+                     std::optional<MonotonicTime> complete_until);
+  void ApplyEndpointRemoval(const keyvalue::KeyValue& item,
+                            MonotonicTime complete_until,
+                            const char* source);
+  // Removes the endpoints that a read did not return.
+  void RemoveMissing(const std::unordered_set<EndpointId>& present,
+                     std::optional<MonotonicTime> complete_until,
+                     EndpointDirectory::Absence absence);
   void RecordProof(MonotonicTime as_of);
   // Disregards the time in which this host was suspended, and thus did not ask.
   void NoteRunning();
@@ -153,6 +167,7 @@
   Events m_events;
   std::shared_ptr<const ConfigurationView> m_configuration;
   EndpointDirectory m_directory;
+  Departures m_departures;
   EvacuationControl m_evacuation;
   std::map<std::string, keyvalue::KeyValue> m_own_keys;
   // The newest version that the service was seen to have lost.
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -313,7 +313,10 @@
   }
   if (m_stream_started && m_answer.m_head.m_ends_with_connection) {
     m_end_check = m_context.m_probe.Start(
-        m_address, [this](bool gone) { FinishUnframedStream(gone); });
+        m_address, [this, ended_at = m_context.m_loop.Now()](bool gone) {
+          FinishUnframedStream(gone ? EndOfGoneEndpoint(ended_at)
+                                    : UnframedEnd::kWhole);
+        });
     return;
   }
   m_context.m_health.RecordSuccess(m_endpoint);
@@ -327,18 +330,33 @@
   RelayWholeAnswer();
 }
 
-void RequestFlow::FinishUnframedStream(bool gone) {
+RequestFlow::UnframedEnd RequestFlow::EndOfGoneEndpoint(
+    MonotonicTime ended_at) const {
+  const fleet::Departures& departures = m_context.m_knowledge.departures();
+  const bool leaving =
+      departures.IsLeaving(m_endpoint, m_endpoint_started_at_ms);
+  const bool finished =
+      departures.MayHaveFinished(m_endpoint, m_endpoint_started_at_ms, ended_at,
+                                 m_context.m_settings.m_bounds.m_drain);
+  kLog.Info("endpoint is gone after its stream ended with its connection",
+            {{"id", m_admitted.m_request.m_id},
+             {"endpoint", m_endpoint.value()},
+             {"events", m_events.events()},
+             {"leaving", leaving ? 1 : 0},
+             {"may_have_finished", finished ? 1 : 0}});
+  return finished ? UnframedEnd::kUncertain : UnframedEnd::kBrokenOff;
+}
+
+void RequestFlow::FinishUnframedStream(UnframedEnd end) {
   m_end_check.reset();
-  if (gone) {
-    kLog.Info("endpoint is gone after its stream ended with its connection",
-              {{"id", m_admitted.m_request.m_id},
-               {"endpoint", m_endpoint.value()},
-               {"events", m_events.events()}});
+  if (end == UnframedEnd::kBrokenOff) {
     OnUnusableAnswer(SendOutcome::kStreamBrokenOff);
     return;
   }
-  m_context.m_health.RecordSuccess(m_endpoint);
-  m_context.m_crash_guard.RecordProof(m_parts, AnswerProgress::kComplete);
+  if (end == UnframedEnd::kWhole) {
+    m_context.m_health.RecordSuccess(m_endpoint);
+    m_context.m_crash_guard.RecordProof(m_parts, AnswerProgress::kComplete);
+  }
   FinishStream();
 }
 
--- a/Source/host/request_flow.h
+++ b/Source/host/request_flow.h
@@ -90,6 +90,13 @@
 
  private:
   enum class Phase { kNew, kWaiting, kSent, kStreaming, kFinished };
+  // What the end of a connection says about a stream without a length or chunks
+  // that it ends.
+  enum class UnframedEnd {
+    kWhole,      // The endpoint goes on.
+    kUncertain,  // Nothing speaks against it; proves nothing.
+    kBrokenOff,  // The endpoint broke off what it ran.
+  };
 
   bool Dispatch();
   // Ends the request if a part of its prompt, or the request itself, is held.
@@ -103,9 +110,11 @@
   void OnBytes(std::string_view bytes);
   void OnDone();
   // Finishes a stream that had neither a length nor chunks, and whose
-  // connection ended between two events. Only an endpoint that is `gone` tells
-  // that more events were to come.
-  void FinishUnframedStream(bool gone);
+  // connection ended between two events.
+  void FinishUnframedStream(UnframedEnd end);
+  // Returns what it means that the endpoint is gone after it ended its
+  // connection at `ended_at`.
+  UnframedEnd EndOfGoneEndpoint(MonotonicTime ended_at) const;
   void FinishStream();
   // Handles an answer that is not relayed as it is. Precondition: `outcome` is
   // neither kComplete nor kNotExecuted.
--- a/Source/host/request_flow_end.cc
+++ b/Source/host/request_flow_end.cc
@@ -31,7 +31,7 @@
     return;
   }
   if (m_end_check) {
-    FinishUnframedStream(/*gone=*/false);
+    FinishUnframedStream(UnframedEnd::kUncertain);
     return;
   }
   EndSend(SendEnd::kMayHaveRun);
@@ -46,7 +46,7 @@
 
 void RequestFlow::OnDeadline() {
   if (m_end_check) {
-    FinishUnframedStream(/*gone=*/false);
+    FinishUnframedStream(UnframedEnd::kUncertain);
     return;
   }
   if (m_executions.sending()) {
--- a/Tests/fleet/outage_detection_test.cc
+++ b/Tests/fleet/outage_detection_test.cc
@@ -63,6 +63,11 @@
   bool Knows(const EndpointId& id) const {
     return m_feed.directory().Find(id) != nullptr;
   }
+  // Whether an exit of the endpoint now can be that of one that has left.
+  bool MayHaveFinished(const EndpointId& id, Duration service_time) const {
+    return m_feed.departures().MayHaveFinished(id, 0, m_loop.Now(),
+                                               service_time);
+  }
 
   EventLoop m_loop;
   ManualKeyValueService m_service;
@@ -192,3 +197,28 @@
   CHECK(host.m_loop.Now() - returned_at <
         std::max<Duration>(seconds(2), heard_after) + kSlack);
 }
+
+// Guards against a planned exit that is taken for a crash (LOST, review/10), of
+// an endpoint that never reports that it leaves.
+TEST_CASE("A removed registration is a departure, a lapsed one is none yet") {
+  Host host;
+  host.AnswerWatch();
+  SECTION("removed") {
+    host.m_service.Delete("e/a");
+    host.AnswerWatch();
+    CHECK(host.MayHaveFinished(kEndpoint, Duration{}));
+    CHECK_FALSE(host.MayHaveFinished(kEndpoint, seconds(2)));
+  }
+  SECTION("lapsed") {
+    host.RunFor(milliseconds(3500));  // No answer of the service.
+    host.m_service.Delete("e/a");
+    host.AnswerWatch();
+    CHECK_FALSE(host.MayHaveFinished(kEndpoint, Duration{}));
+    host.RunFor(milliseconds(2500));
+    CHECK(host.MayHaveFinished(kEndpoint, seconds(2)));
+  }
+  SECTION("announced in an answer") {
+    host.m_feed.MarkLeaving(kEndpoint, 0, "answer");
+    CHECK(host.MayHaveFinished(kEndpoint, seconds(2)));
+  }
+}
--- a/Tests/process/jarro_harness.py
+++ b/Tests/process/jarro_harness.py
@@ -66,7 +66,8 @@
 class JarroFleet:
     """The stand-in and the hosts, each on its own loopback address."""
 
-    def __init__(self, hosts=2):
+    def __init__(self, hosts=2, bounds=None):
+        self.bounds = bounds or {}
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="loft-jarro-"))
         self.processes = []
         self.next_request = 0
@@ -113,7 +114,7 @@
                           self.ports["peer"] + PEER_PORT_COUNT - 1],
             "limits": {"cpuShare": 0.25},
             "bounds": {"revokeMs": 3000, "graceS": 6, "leaseMs": 500,
-                       "strictRevoke": True},
+                       "strictRevoke": True, **self.bounds},
             "provider": {"address": f"127.0.0.1:{self.platform.port}",
                          "minTtlMs": 1000}}
 
@@ -198,9 +199,10 @@
 
 class JarroTest(unittest.TestCase):
     hosts = 2
+    bounds = {}
 
     def setUp(self):
-        self.fleet = JarroFleet(self.hosts)
+        self.fleet = JarroFleet(self.hosts, self.bounds)
         self.addCleanup(self.fleet.close)
         self.fleet.configure(1)
         self.fleet.wait_ready()
