Reject answers whose status is none

A caller got nothing until its deadline when a server answered with status 000, or the body of that answer before the body of the next one; 600 and 999 were passed on (MIXED).

Cause: the parser took each status under 200 for an interim response, passed the body that such a head announces on, and did not check the upper end.

Change: a status outside 100 to 599, or 101, is malformed; an interim response has no body. The call ends at once as one that may have run.

The new cases of message_parser_test cover the shapes byte by byte. The same parser serves the store's client and the older daemons.

--- a/Source/http/message_parser.cc
+++ b/Source/http/message_parser.cc
@@ -11,6 +11,20 @@
 // library does not report.
 constexpr std::size_t kSeparatorBytes = 4;
 
+constexpr unsigned kFirstStatus = 100;
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
+// Tells the parser library that no body follows the head.
+constexpr int kSkipBody = 1;
+
+// Returns whether `status` can be that of a response. No request asks for
+// another protocol.
+bool IsStatus(unsigned status) {
+  return status >= kFirstStatus && status <= kLastStatus &&
+         status != kSwitchingProtocols;
+}
+
 MessageParser* Self(http_parser* parser) {
   return static_cast<MessageParser*>(parser->data);
 }
@@ -156,7 +170,8 @@
   MessageParser* self = Self(parser);
   MessageHead& head = self->m_head;
   const bool request = self->m_type == MessageType::kRequest;
-  if (!self->HasValidFraming() || parser->upgrade != 0) {
+  if (!self->HasValidFraming() || parser->upgrade != 0 ||
+      (!request && !IsStatus(parser->status_code))) {
     self->m_error = ParseError::kMalformed;
     return -1;
   }
@@ -174,10 +189,10 @@
       parser->content_length != std::numeric_limits<std::uint64_t>::max()) {
     head.m_content_length = parser->content_length;
   }
-  const bool interim = !request && head.m_status < 200;
-  if (!interim) {
-    self->m_events.m_head(std::move(head));
+  if (!request && parser->status_code < kFirstFinalStatus) {
+    return kSkipBody;
   }
+  self->m_events.m_head(std::move(head));
   return 0;
 }
 
@@ -191,7 +206,8 @@
 int MessageParser::OnMessageComplete(http_parser* parser) {
   MessageParser* self = Self(parser);
   // An interim response (1xx) is followed by the final one.
-  if (self->m_type == MessageType::kResponse && parser->status_code < 200) {
+  if (self->m_type == MessageType::kResponse &&
+      parser->status_code < kFirstFinalStatus) {
     self->m_head = MessageHead{};
     self->m_head_done = false;
     self->m_in_value = false;
--- a/Tests/http/message_parser_test.cc
+++ b/Tests/http/message_parser_test.cc
@@ -141,3 +141,57 @@
   REQUIRE(harness.m_parsed.m_head);
   CHECK(harness.m_parsed.m_head->m_status == 204);
 }
+
+// Guards against an answer whose status is none: 000 was skipped as an interim
+// response and its body became the beginning of the next one (MIXED), and 600
+// was passed on.
+TEST_CASE("A status outside 100 to 599 is malformed") {
+  const std::string status =
+      GENERATE("000", "001", "099", "101", "600", "999", "1000", "-20", "2x0");
+  const std::string rest =
+      GENERATE("Content-Length: 3\r\n\r\nabc",
+               "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+               "\r\n", "Content-Length: 0\r\n\r\n");
+  const auto step = GENERATE(as<std::size_t>(), 1, 7, 4096);
+  CAPTURE(status, rest, step);
+  Harness harness(MessageType::kResponse);
+  harness.Feed("HTTP/1.1 " + status + " Odd\r\n" + rest +
+                   "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcde",
+               step);
+  CHECK(harness.m_parser.error() == ParseError::kMalformed);
+  CHECK_FALSE(harness.m_parsed.m_head);
+  CHECK(harness.m_parsed.m_body.empty());
+  CHECK_FALSE(harness.m_parser.FeedEnd());
+}
+
+TEST_CASE("Every status from 200 to 599 ends the response") {
+  for (int status = 200; status <= 599; ++status) {
+    Harness harness(MessageType::kResponse);
+    harness.Feed("HTTP/1.1 " + std::to_string(status) +
+                     " S\r\nContent-Length: 0\r\n\r\n",
+                 4096);
+    REQUIRE(harness.m_parsed.m_head);
+    CHECK(harness.m_parsed.m_head->m_status == status);
+  }
+}
+
+// Guards against MIXED: the body that the head of an interim response announces
+// was passed on as that of the final one.
+TEST_CASE("An interim response has no body") {
+  const std::string framing =
+      GENERATE("Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", "");
+  const auto step = GENERATE(as<std::size_t>(), 1, 4096);
+  const std::string interim = "HTTP/1.1 103 Early\r\n" + framing + "\r\n";
+  Harness harness(MessageType::kResponse);
+  SECTION("the final response follows its head") {
+    harness.Feed(interim + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcde",
+                 step);
+    CHECK(harness.m_parser.complete());
+    CHECK(harness.m_parsed.m_body == "abcde");
+  }
+  SECTION("other bytes follow its head") {
+    harness.Feed(interim + "early", step);
+    CHECK(harness.m_parser.error() == ParseError::kMalformed);
+    CHECK(harness.m_parsed.m_body.empty());
+  }
+}
