Check the end of every answer without a length or chunks

Cause, the same for both: only streams were checked after an end with the connection.

Change: host/unframed_end is the one table for streams and plain answers. The endpoint is asked after each of them, at once after a plain one. An answer of an endpoint that is gone, and not as announced, is broken off; a doubtful one proves nothing.

--- a/Source/host/crash_guard.cc
+++ b/Source/host/crash_guard.cc
@@ -208,12 +208,13 @@
     m_pending_ends[incarnation].m_depths.merge(end.m_depths);
     return;
   }
-  end.m_check = m_probe.Start(endpoint, [this, incarnation](bool gone) {
-    if (gone) {
-      RecordEnd(incarnation);
-    }
-    m_pending_ends.erase(incarnation);
-  });
+  end.m_check = m_probe.Ask(endpoint, EndpointProbe::Start::kSettled,
+                            [this, incarnation](ProbeResult result) {
+                              if (result == ProbeResult::kGone) {
+                                RecordEnd(incarnation);
+                              }
+                              m_pending_ends.erase(incarnation);
+                            });
   m_pending_ends.emplace(incarnation, std::move(end));
 }
 
--- a/Source/host/endpoint_probe.cc
+++ b/Source/host/endpoint_probe.cc
@@ -13,29 +13,53 @@
 
 }  // namespace
 
-std::shared_ptr<EndpointProbe::Check> EndpointProbe::Start(
+std::shared_ptr<EndpointProbe::Check> EndpointProbe::Ask(
     const endpoint::EndpointAddress& endpoint,
-    std::function<void(bool gone)> done) {
+    Start start,
+    std::function<void(ProbeResult)> done) {
   auto check = std::make_shared<Check>();
   check->m_done = std::move(done);
-  check->m_timer =
-      m_loop.After(kDelay, [this, weak = std::weak_ptr<Check>(check),
-                            endpoint] { Ask(weak, endpoint); });
+  const bool settled = start == Start::kSettled;
+  AskAfter(settled ? kDelay : Duration{}, check, endpoint, settled);
   return check;
 }
 
-void EndpointProbe::Ask(const std::weak_ptr<Check>& check,
-                        const endpoint::EndpointAddress& endpoint) {
-  m_engines.ReadReport(
-      endpoint, [&loop = m_loop, check, asked_at = m_loop.Now()](
-                    const Result<fleet::EngineReport>& report) {
-        // The owner may drop the check while it is told.
-        if (const auto running = check.lock()) {
-          running->m_done(!report.ok() &&
-                          report.error().code() == ErrorCode::kUnavailable &&
-                          loop.Now() - asked_at < kRefusalTime);
-        }
-      });
+void EndpointProbe::AskAfter(Duration delay,
+                             const std::weak_ptr<Check>& check,
+                             const endpoint::EndpointAddress& endpoint,
+                             bool last) {
+  check.lock()->m_timer = m_loop.After(delay, [this, check, endpoint, last] {
+    m_engines.ReadReport(endpoint,
+                         [this, check, endpoint, asked_at = m_loop.Now(),
+                          last](const Result<fleet::EngineReport>& report) {
+                           Handle(report, check, endpoint, asked_at, last);
+                         });
+  });
+}
+
+void EndpointProbe::Handle(const Result<fleet::EngineReport>& report,
+                           const std::weak_ptr<Check>& check,
+                           const endpoint::EndpointAddress& endpoint,
+                           MonotonicTime asked_at,
+                           bool last) {
+  // The owner may drop the check while it is told.
+  const auto running = check.lock();
+  if (!running) {
+    return;
+  }
+  const bool answers =
+      report.ok() || report.error().code() == ErrorCode::kProtocol;
+  if (answers) {
+    running->m_done(ProbeResult::kAnswers);
+  } else if (report.error().code() == ErrorCode::kUnavailable &&
+             m_loop.Now() - asked_at < kRefusalTime) {
+    running->m_done(ProbeResult::kGone);
+  } else if (report.error().code() == ErrorCode::kOutcomeUnknown && !last) {
+    // A process that is ending may still have accepted the connection.
+    AskAfter(kDelay, check, endpoint, true);
+  } else {
+    running->m_done(ProbeResult::kSilent);
+  }
 }
 
 }  // namespace hickoryloft::host
--- a/Source/host/endpoint_probe.h
+++ b/Source/host/endpoint_probe.h
@@ -12,29 +12,43 @@
 
 namespace hickoryloft::host {
 
+// What a probe found. kSilent can also be due to the network.
+enum class ProbeResult { kAnswers, kSilent, kGone };
+
 // Use on the loop's thread only. Must outlive its checks.
 class EndpointProbe {
  public:
   // A running check. Destroying it cancels it.
   struct Check {
-    std::function<void(bool gone)> m_done;
+    std::function<void(ProbeResult)> m_done;
     std::unique_ptr<Timer> m_timer;
   };
+  enum class Start {
+    kAtOnce,   // Finds out whether the process that ended the connection lives.
+    kSettled,  // Also finds processes that end a little later.
+  };
 
   EndpointProbe(EventLoop& loop, fleet::EngineControl& engines)
       : m_loop(loop), m_engines(engines) {}
 
-  // Asks `endpoint` for its report, shortly after its connection has ended, and
-  // calls `done` once. `gone`: it refused the connection, as the system of a
-  // process that has ended does. No answer can also be due to the network, and
-  // proves nothing.
-  [[nodiscard]] std::shared_ptr<Check> Start(
+  // Asks `endpoint` for its report after its connection has ended, and calls
+  // `done` once, later. It is gone if it refuses the connection, as the system
+  // of a process that has ended does, or if another instance answers.
+  [[nodiscard]] std::shared_ptr<Check> Ask(
       const endpoint::EndpointAddress& endpoint,
-      std::function<void(bool gone)> done);
+      Start start,
+      std::function<void(ProbeResult)> done);
 
  private:
-  void Ask(const std::weak_ptr<Check>& check,
-           const endpoint::EndpointAddress& endpoint);
+  void AskAfter(Duration delay,
+                const std::weak_ptr<Check>& check,
+                const endpoint::EndpointAddress& endpoint,
+                bool last);
+  void Handle(const Result<fleet::EngineReport>& report,
+              const std::weak_ptr<Check>& check,
+              const endpoint::EndpointAddress& endpoint,
+              MonotonicTime asked_at,
+              bool last);
 
   EventLoop& m_loop;
   fleet::EngineControl& m_engines;
--- a/Source/host/received_answer.cc
+++ b/Source/host/received_answer.cc
@@ -95,13 +95,14 @@
 }
 
 const char* ToText(SendOutcome outcome) {
-  static constexpr std::array<const char*, 7> kNames = {
+  static constexpr std::array<const char*, 8> kNames = {
       "complete",
       "endpoint_failed",
       "endpoint_refused",
       "refusal_without_proof",
       "answer_not_the_endpoints",
       "stream_broken_off",
+      "answer_broken_off",
       "stream_not_continued"};
   return kNames.at(static_cast<std::size_t>(outcome));
 }
--- a/Source/host/received_answer.h
+++ b/Source/host/received_answer.h
@@ -19,6 +19,7 @@
   kUnprovenRefusal,     // A refusal that does not say that it did not execute.
   kNotTheEndpoints,     // A success that is not the endpoint's own answer.
   kStreamBrokenOff,     // A stream without its end.
+  kAnswerBrokenOff,     // Cut by the end of its endpoint.
   kStreamNotContinued,  // Does not continue the stream that was begun.
 };
 
--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -311,63 +311,34 @@
     OnUnusableAnswer(outcome);
     return;
   }
-  if (m_stream_started && m_answer.m_head.m_ends_with_connection) {
-    m_end_check = m_context.m_probe.Start(
-        m_address, [this, ended_at = m_context.m_loop.Now()](bool gone) {
-          FinishUnframedStream(gone ? EndOfGoneEndpoint(ended_at)
-                                    : UnframedEnd::kWhole);
-        });
+  if (m_answer.m_head.m_ends_with_connection) {
+    CheckUnframedEnd();
     return;
   }
+  RecordSoundAnswer();
+  RelayCompleteAnswer();
+}
+
+void RequestFlow::RecordSoundAnswer() {
   m_context.m_health.RecordSuccess(m_endpoint);
   m_context.m_crash_guard.RecordProof(
       m_parts, m_answer.m_head.m_status / 100 == 2 ? AnswerProgress::kComplete
                                                    : AnswerProgress::kRejected);
-  if (m_stream_started) {
-    FinishStream();
-    return;
-  }
-  RelayWholeAnswer();
 }
 
-RequestFlow::UnframedEnd RequestFlow::EndOfGoneEndpoint(
-    MonotonicTime ended_at) const {
-  const fleet::Departures& departures = m_context.m_knowledge.departures();
-  const bool leaving =
-      departures.IsLeaving(m_endpoint, m_endpoint_started_at_ms);
-  const bool finished =
-      departures.MayHaveFinished(m_endpoint, m_endpoint_started_at_ms, ended_at,
-                                 m_context.m_settings.m_bounds.m_drain);
-  kLog.Info("endpoint is gone after its stream ended with its connection",
-            {{"id", m_admitted.m_request.m_id},
-             {"endpoint", m_endpoint.value()},
-             {"events", m_events.events()},
-             {"leaving", leaving ? 1 : 0},
-             {"may_have_finished", finished ? 1 : 0}});
-  return finished ? UnframedEnd::kUncertain : UnframedEnd::kBrokenOff;
-}
-
-void RequestFlow::FinishUnframedStream(UnframedEnd end) {
-  m_end_check.reset();
-  if (end == UnframedEnd::kBrokenOff) {
-    OnUnusableAnswer(SendOutcome::kStreamBrokenOff);
+void RequestFlow::RelayCompleteAnswer() {
+  if (!m_stream_started) {
+    RelayWholeAnswer();
     return;
   }
-  if (end == UnframedEnd::kWhole) {
-    m_context.m_health.RecordSuccess(m_endpoint);
-    m_context.m_crash_guard.RecordProof(m_parts, AnswerProgress::kComplete);
-  }
-  FinishStream();
-}
-
-void RequestFlow::FinishStream() {
   m_exchange->FinishAnswer();
   Finish("answered", "");
 }
 
 void RequestFlow::OnUnusableAnswer(SendOutcome outcome) {
   AvoidEndpoint();
-  if (outcome == SendOutcome::kStreamBrokenOff) {
+  if (outcome == SendOutcome::kStreamBrokenOff ||
+      outcome == SendOutcome::kAnswerBrokenOff) {
     ReportEarlyEnd();
   }
   // The endpoint's own failure is its answer if no other endpoint may be asked.
--- a/Source/host/request_flow.h
+++ b/Source/host/request_flow.h
@@ -18,6 +18,7 @@
 #include "host/execution_record.h"
 #include "host/received_answer.h"
 #include "host/request_context.h"
+#include "host/unframed_end.h"
 #include "http/server_exchange.h"
 
 namespace hickoryloft::host {
@@ -90,13 +91,6 @@
 
  private:
   enum class Phase { kNew, kWaiting, kSent, kStreaming, kFinished };
-  // What the end of a connection says about a stream without a length or chunks
-  // that it ends.
-  enum class UnframedEnd {
-    kWhole,      // The endpoint goes on.
-    kUncertain,  // Nothing speaks against it; proves nothing.
-    kBrokenOff,  // The endpoint broke off what it ran.
-  };
 
   bool Dispatch();
   // Ends the request if a part of its prompt, or the request itself, is held.
@@ -109,13 +103,17 @@
   void OnHead(const endpoint::AnswerHead& head);
   void OnBytes(std::string_view bytes);
   void OnDone();
-  // Finishes a stream that had neither a length nor chunks, and whose
-  // connection ended between two events.
-  void FinishUnframedStream(UnframedEnd end);
-  // Returns what it means that the endpoint is gone after it ended its
-  // connection at `ended_at`.
-  UnframedEnd EndOfGoneEndpoint(MonotonicTime ended_at) const;
-  void FinishStream();
+  // Finds out whether an answer that had neither a length nor chunks is whole,
+  // now that its connection has ended.
+  void CheckUnframedEnd();
+  void FinishUnframedAnswer(UnframedEnd end);
+  // Returns what the endpoint did after it ended its connection at `ended_at`.
+  AfterEnd AfterEndOfConnection(ProbeResult result,
+                                MonotonicTime ended_at) const;
+  // The answer proves that the endpoint works and that the request is sound.
+  void RecordSoundAnswer();
+  // Passes the rest of an answer on and ends the request.
+  void RelayCompleteAnswer();
   // Handles an answer that is not relayed as it is. Precondition: `outcome` is
   // neither kComplete nor kNotExecuted.
   void OnUnusableAnswer(SendOutcome outcome);
--- a/Source/host/request_flow_end.cc
+++ b/Source/host/request_flow_end.cc
@@ -31,7 +31,7 @@
     return;
   }
   if (m_end_check) {
-    FinishUnframedStream(UnframedEnd::kUncertain);
+    FinishUnframedAnswer(UnframedEnd::kUncertain);
     return;
   }
   EndSend(SendEnd::kMayHaveRun);
@@ -39,6 +39,52 @@
   Refuse("host_stops", not_run() ? std::optional(Duration{}) : std::nullopt);
 }
 
+void RequestFlow::CheckUnframedEnd() {
+  // The events of a stream have been passed on already.
+  m_end_check = m_context.m_probe.Ask(
+      m_address,
+      m_stream_started ? EndpointProbe::Start::kSettled
+                       : EndpointProbe::Start::kAtOnce,
+      [this, ended_at = m_context.m_loop.Now()](ProbeResult result) {
+        FinishUnframedAnswer(
+            JudgeUnframedEnd(AfterEndOfConnection(result, ended_at)));
+      });
+}
+
+AfterEnd RequestFlow::AfterEndOfConnection(ProbeResult result,
+                                           MonotonicTime ended_at) const {
+  if (result != ProbeResult::kGone) {
+    return result == ProbeResult::kAnswers ? AfterEnd::kAnswers
+                                           : AfterEnd::kSilent;
+  }
+  const fleet::Departures& departures = m_context.m_knowledge.departures();
+  const bool leaving =
+      departures.IsLeaving(m_endpoint, m_endpoint_started_at_ms);
+  const bool finished =
+      departures.MayHaveFinished(m_endpoint, m_endpoint_started_at_ms, ended_at,
+                                 m_context.m_settings.m_bounds.m_drain);
+  kLog.Info("endpoint is gone after its answer ended with its connection",
+            {{"id", m_admitted.m_request.m_id},
+             {"endpoint", m_endpoint.value()},
+             {"events", m_events.events()},
+             {"leaving", leaving ? 1 : 0},
+             {"may_have_finished", finished ? 1 : 0}});
+  return finished ? AfterEnd::kLeft : AfterEnd::kCrashed;
+}
+
+void RequestFlow::FinishUnframedAnswer(UnframedEnd end) {
+  m_end_check.reset();
+  if (end == UnframedEnd::kBrokenOff) {
+    OnUnusableAnswer(m_stream_started ? SendOutcome::kStreamBrokenOff
+                                      : SendOutcome::kAnswerBrokenOff);
+    return;
+  }
+  if (end == UnframedEnd::kWhole) {
+    RecordSoundAnswer();
+  }
+  RelayCompleteAnswer();
+}
+
 void RequestFlow::OnCallerDisconnected() {
   EndSend(SendEnd::kMayHaveRun);
   Finish("caller_left", "");
@@ -46,7 +92,7 @@
 
 void RequestFlow::OnDeadline() {
   if (m_end_check) {
-    FinishUnframedStream(UnframedEnd::kUncertain);
+    FinishUnframedAnswer(UnframedEnd::kUncertain);
     return;
   }
   if (m_executions.sending()) {
--- a/Tests/process/crashing_servers.py
+++ b/Tests/process/crashing_servers.py
@@ -23,18 +23,25 @@
     connection.sendall(head(request, "200 OK", "Content-Length: 4") + b"done")
 
 
+def begin_unframed(connection, request):
+    """Writes the first half of an answer that ends with its connection."""
+    connection.sendall(head(request) + b"do")
+
+
 class CrashingServers:
     """Servers of a service that crash when they begin to answer a request for
     which `crashes` is true, and come back under another id, a model server
-    empty-handed. `answer` writes the other answers."""
+    empty-handed. `answer` writes the other answers; `begin` writes what a
+    server has written when it crashes."""
 
     def __init__(self, fleet, service, models, crashes, answer=answer_stream,
-                 count=10, restart_s=0.6):
+                 count=10, restart_s=0.6, begin=lambda *_: None):
         self.fleet = fleet
         self.service = service
         self.models = models
         self.crashes_on = crashes
         self.answer = answer
+        self.begin = begin
         self.restart_s = restart_s
         self.arrivals = []  # Times of requests that crash servers.
         self.crashes = []
@@ -59,6 +66,7 @@
     def respond(self, name, connection, request):
         if self.crashes_on(request):
             self.arrivals.append(time.monotonic())
+            self.begin(connection, request)
             time.sleep(TIME_TO_CRASH_S)
             self.crash(name)
             return False
--- a/Tests/process/jarro_crashing_requests_test.py
+++ b/Tests/process/jarro_crashing_requests_test.py
@@ -6,7 +6,8 @@
 
 import harness
 import jarro_harness
-from crashing_servers import CrashingServers, answer_stream, answer_whole
+from crashing_servers import (CrashingServers, answer_stream, answer_whole,
+                              begin_unframed)
 
 MODEL = "m5"  # No stand-in holds it.
 BAD = b"bad"
@@ -43,10 +44,10 @@
         self.repeats = []  # Replies to the request that crashes servers.
         self.number = 0
 
-    def start_servers(self, service, models, answer):
+    def start_servers(self, service, models, answer, **more):
         self.servers = CrashingServers(
             self.fleet, service, models, lambda request: request.body == BAD,
-            answer, SERVERS, RESTART_S)
+            answer, SERVERS, RESTART_S, **more)
         self.addCleanup(self.servers.close)
 
     def ask(self, index, path, headers, body):
@@ -114,6 +115,14 @@
         self.start_servers("desk", [], answer_whole)
         self.check("/non_idempotent/x")
 
+    def test_request_that_crashes_servers_inside_an_unframed_answer(self):
+        """Guards against a broken answer that counts as proof of a sound
+        request, so that the request is never held (BUDGET, review/7)."""
+        self.start_servers("desk", [], answer_whole, begin=begin_unframed)
+        self.check("/non_idempotent/x")
+        self.assertFalse([reply for reply in self.repeats
+                          if reply.status == 200])
+
     def test_stream_with_sound_parts(self):
         """Regression test (BUDGET): the parts of the prompt that the request
         shares with sound ones must stay in use."""
--- a/Tests/process/jarro_stream_ends_test.py
+++ b/Tests/process/jarro_stream_ends_test.py
@@ -1,5 +1,6 @@
-"""Streams that end with their connection, and what a caller sees of them."""
+"""Answers that end with their connection, and what a caller sees of them."""
 
+import socket
 import unittest
 
 import harness
@@ -168,6 +169,64 @@
         self.start_server("s1", respond)
         self.assertFalse(self.chat().complete)
 
+    def start_ledgers(self, respond):
+        """Starts two plain servers, the only ones of their service."""
+        for server in self.fleet.platform_state()["servers"]:
+            self.fleet.control("remove-entry", {"id": server["id"]})
+        servers = [self.start_server(f"ledger-{name}", respond, "ledger")
+                   for name in "ab"]
+        harness.wait_for(
+            lambda: self.fleet.post("/look/x").body == "a receipt", 5,
+            "the host uses the new servers")
+        return servers
+
+    def ask_for_broken_plain_answer(self, path):
+        """Returns the reply to a request whose first server is killed when it
+        has written half of its answer."""
+        servers, crashed = [], []
+
+        def respond(connection, request):
+            connection.sendall(head(request) + b"a rec")
+            if request.target == path and not crashed:
+                crashed.extend(server for server in servers
+                               if request in server.requests)
+                crashed[0].crash()
+                return False
+            connection.sendall(b"eipt")
+            return False
+        servers += self.start_ledgers(respond)
+        reply = self.fleet.post(path)
+        self.assertEqual(len(crashed), 1)
+        return reply
+
+    def test_unframed_plain_answer_of_a_server_that_is_gone(self):
+        """Guards against half of a plain answer that passes for the whole
+        because its server ended (MIXED, review/6)."""
+        reply = self.ask_for_broken_plain_answer("/pay/crash")
+        self.assertEqual(reply.status, 502, reply)
+
+    def test_unframed_plain_answer_of_a_server_that_is_gone_is_repeated(self):
+        """Guards against the same where another server may be asked."""
+        reply = self.ask_for_broken_plain_answer("/look/crash")
+        self.assertEqual((reply.status, reply.body), (200, "a receipt"))
+
+    def test_unframed_plain_answer_of_a_server_that_left(self):
+        """Guards against a whole plain answer that counts as broken off because
+        its server exited as announced."""
+        def respond(connection, request):
+            connection.sendall(head(request, "200 OK", "Server-Leaving: 1")
+                               + b"a receipt")
+            if request.target.endswith("/last"):
+                connection.shutdown(socket.SHUT_WR)
+                for server in servers:
+                    if request in server.requests:
+                        server.crash()
+            return False
+        servers = []
+        servers += self.start_ledgers(respond)
+        reply = self.fleet.post("/pay/last")
+        self.assertEqual((reply.status, reply.body), (200, "a receipt"))
+
     def test_unframed_plain_answer(self):
         def respond(connection, request):
             if request.target.endswith("/reset"):
