Place adapters by the memory that models leave

Cause: only the number of adapters was checked; their memory was reserved when models are placed, which does not cover models that the engine held from its start, and adapterMb was not read.

Change: the size of adapters is read, the reserve follows it, and an adapter is ordered only if it fits beside all that the engine holds; other adapters, or an idle model, yield for it. Adapters of a reported model count although its registration lacks it.

Partial: an adapter that fits nowhere is not refused at once.

--- a/Source/fleet/configuration.h
+++ b/Source/fleet/configuration.h
@@ -55,11 +55,15 @@
 };
 
 struct ModelSpec {
+  // Assumed for adapters whose size is not configured.
+  static constexpr double kDefaultAdapterMegabytes = 80;
+
   double m_megabytes = 0;
   Duration m_load_from_store{};
   Duration m_load_from_disk{};
   Duration m_load_from_memory{};
   int m_adapters = 0;  // Named a1, a2 and so on.
+  double m_adapter_megabytes = kDefaultAdapterMegabytes;  // Of each adapter.
 
   // Returns whether the model has an adapter of that name. Thread-safe.
   bool HasAdapter(const AdapterId& adapter) const {
--- a/Source/placement/engine_ledger.cc
+++ b/Source/placement/engine_ledger.cc
@@ -1,11 +1,11 @@
 #include "placement/engine_ledger.h"
 
+#include <algorithm>
+
 namespace hickoryloft::placement {
 
 namespace {
 
-// Memory reserved for each adapter slot: the largest adapters need 66 MB.
-constexpr double kAdapterSlotMegabytes = 80;
 // An adapter's transfer is assumed complete after this time: with four
 // transfers to each of a hundred engines, the weight store needs 0.3 s for
 // one.
@@ -16,17 +16,36 @@
 void ModelSizes::Update(const fleet::EngineSpec& spec,
                         const std::function<bool(const ModelId&)>& is_held) {
   m_engine_megabytes = spec.m_megabytes;
-  std::erase_if(m_megabytes, [&](const auto& known) {
+  std::erase_if(m_sizes, [&](const auto& known) {
     return !spec.m_models.contains(known.first) && !is_held(known.first);
   });
   for (const auto& [model, listed] : spec.m_models) {
-    m_megabytes[model] = listed.m_megabytes;
+    m_sizes[model] = {.m_megabytes = listed.m_megabytes,
+                      .m_adapter_megabytes = listed.m_adapters > 0
+                                                 ? listed.m_adapter_megabytes
+                                                 : 0};
+  }
+  m_largest_adapter = 0;
+  for (const auto& [model, sizes] : m_sizes) {
+    m_largest_adapter = std::max(m_largest_adapter, sizes.m_adapter_megabytes);
   }
 }
 
 double ModelSizes::MegabytesOf(const ModelId& model) const {
-  const auto known = m_megabytes.find(model);
-  return known == m_megabytes.end() ? m_engine_megabytes : known->second;
+  const auto known = m_sizes.find(model);
+  return known == m_sizes.end() ? m_engine_megabytes
+                                : known->second.m_megabytes;
+}
+
+double ModelSizes::AdapterMegabytesOf(const ModelId& model) const {
+  const auto known = m_sizes.find(model);
+  return known == m_sizes.end() || known->second.m_adapter_megabytes == 0
+             ? m_largest_adapter
+             : known->second.m_adapter_megabytes;
+}
+
+double ModelSizes::AdapterReserve(const fleet::EngineSpec& spec) const {
+  return m_largest_adapter * spec.m_adapter_slots;
 }
 
 void EngineLedger::ApplyReport(const fleet::EngineReport& report,
@@ -75,10 +94,9 @@
   return oldest;
 }
 
-double UsedMegabytes(const fleet::EndpointEntry& entry,
-                     const EngineLedger& ledger,
-                     const fleet::EngineSpec& spec,
-                     const ModelSizes& sizes) {
+double ModelMegabytes(const fleet::EndpointEntry& entry,
+                      const EngineLedger& ledger,
+                      const ModelSizes& sizes) {
   std::unordered_set<ModelId> models = ledger.m_reported_models;
   for (const auto& [model, adapters] : entry.m_models) {
     if (ledger.Holds(entry, model)) {
@@ -89,11 +107,28 @@
       ledger.m_open->m_operation == fleet::OrderOperation::kLoad) {
     models.insert(ledger.m_open->m_model);
   }
-  double used = kAdapterSlotMegabytes * spec.m_adapter_slots;
+  double used = 0;
   for (const ModelId& model : models) {
     used += sizes.MegabytesOf(model);
   }
   return used;
 }
 
+double AdapterMegabytes(const EngineLedger& ledger, const ModelSizes& sizes) {
+  double used = 0;
+  for (const auto& [model, adapters] : ledger.m_adapters) {
+    used +=
+        sizes.AdapterMegabytesOf(model) * static_cast<double>(adapters.size());
+  }
+  return used;
+}
+
+double UsedMegabytes(const fleet::EndpointEntry& entry,
+                     const EngineLedger& ledger,
+                     const fleet::EngineSpec& spec,
+                     const ModelSizes& sizes) {
+  return ModelMegabytes(entry, ledger, sizes) +
+         std::max(AdapterMegabytes(ledger, sizes), sizes.AdapterReserve(spec));
+}
+
 }  // namespace hickoryloft::placement
--- a/Source/placement/engine_ledger.h
+++ b/Source/placement/engine_ledger.h
@@ -121,18 +121,37 @@
               const std::function<bool(const ModelId&)>& is_held);
   // Returns the size in megabytes: that of a whole engine if it is unknown.
   double MegabytesOf(const ModelId& model) const;
+  // Returns the size of each adapter of `model`: the largest of all models if
+  // it is unknown.
+  double AdapterMegabytesOf(const ModelId& model) const;
+  // Returns the memory that the adapters of an engine may need at most.
+  double AdapterReserve(const fleet::EngineSpec& spec) const;
 
  private:
+  struct Sizes {
+    double m_megabytes = 0;
+    double m_adapter_megabytes = 0;  // 0 if it has no adapters.
+  };
+
   double m_engine_megabytes = 0;
-  std::unordered_map<ModelId, double> m_megabytes;
+  std::unordered_map<ModelId, Sizes> m_sizes;
+  double m_largest_adapter = 0;
 };
 
 // A registration reflects a change within this time, unless the store is slow.
 constexpr Duration kRegistrationLag = seconds(3);
 
 // Returns the memory, in megabytes, needed by the models of the registration,
-// those of the last report, the one that the open order may still load, and by
-// the adapter slots. Thread-safe.
+// those of the last report, and the one that the open order may still load.
+// Thread-safe.
+double ModelMegabytes(const fleet::EndpointEntry& entry,
+                      const EngineLedger& ledger,
+                      const ModelSizes& sizes);
+// Returns the memory of the adapters that the engine holds or is loading.
+// Thread-safe.
+double AdapterMegabytes(const EngineLedger& ledger, const ModelSizes& sizes);
+// Returns the memory of the models, and the reserve for the adapter slots.
+// Thread-safe.
 double UsedMegabytes(const fleet::EndpointEntry& entry,
                      const EngineLedger& ledger,
                      const fleet::EngineSpec& spec,
--- a/Source/placement/engine_planner.cc
+++ b/Source/placement/engine_planner.cc
@@ -157,8 +157,10 @@
     if (ledger.m_started_at_ms != entry.m_started_at_ms) {
       ledger = {.m_started_at_ms = entry.m_started_at_ms};
     }
+    // A model that was reported may be missing in an outdated registration.
     std::erase_if(ledger.m_adapters, [&](const auto& known) {
-      return !entry.m_models.contains(known.first);
+      return !entry.m_models.contains(known.first) &&
+             !ledger.m_reported_models.contains(known.first);
     });
     std::erase_if(ledger.m_absent_models, [&](const ModelId& model) {
       return !entry.m_models.contains(model);
@@ -388,72 +390,6 @@
   }
 }
 
-std::optional<EndpointId> EnginePlanner::ChooseAdapterEngine(
-    const PlanningView& view,
-    const ModelId& model,
-    const AdapterId& adapter,
-    MonotonicTime now) const {
-  std::optional<EndpointId> best;
-  for (const auto& [id, ledger] : m_ledgers) {
-    const fleet::EndpointEntry& entry = view.m_entries.at(id);
-    if (!Usable(entry) || view.m_avoided(id) || !ledger.Holds(entry, model)) {
-      continue;
-    }
-    const auto held = ledger.m_adapters.find(model);
-    const bool present =
-        held != ledger.m_adapters.end() && held->second.contains(adapter);
-    const bool coming = ledger.m_open && ledger.m_open->m_model == model &&
-                        ledger.m_open->m_adapter == adapter;
-    if (coming ||
-        (present && view.m_running(id, model) < view.m_spec.m_slots)) {
-      return std::nullopt;
-    }
-    // An engine that has the adapter but no free slot cannot be used either.
-    if (present || ledger.Occupied() || now < ledger.m_paused_until) {
-      continue;
-    }
-    if (!best || view.m_running(id, model) < view.m_running(*best, model)) {
-      best = id;
-    }
-  }
-  return best;
-}
-
-void EnginePlanner::PlaceAdapter(const PlanningView& view,
-                                 const ModelDemand::PendingDemand& demand,
-                                 MonotonicTime now,
-                                 PlannedActions& actions) {
-  const ModelId& model = demand.m_key.m_model;
-  const AdapterId& adapter = demand.m_key.m_adapter;
-  const auto engine = ChooseAdapterEngine(view, model, adapter, now);
-  if (!engine) {
-    return;
-  }
-  EngineLedger& ledger = m_ledgers[*engine];
-  if (!ledger.m_accepted_orders) {
-    if (!std::exchange(ledger.m_report_requested, true)) {
-      actions.m_reports.push_back(*engine);
-    }
-    return;
-  }
-  if (ledger.AdapterCount() < view.m_spec.m_adapter_slots) {
-    IssueOrder(view, *engine, ledger,
-               {.m_operation = fleet::OrderOperation::kLoad,
-                .m_model = model,
-                .m_adapter = adapter},
-               std::to_string(demand.m_waiting) + " requests waiting", now,
-               actions);
-    return;
-  }
-  if (const auto oldest = ledger.OldestAdapter(now)) {
-    IssueOrder(view, *engine, ledger,
-               {.m_operation = fleet::OrderOperation::kUnload,
-                .m_model = oldest->first,
-                .m_adapter = oldest->second},
-               "evicted to load adapter " + adapter.value(), now, actions);
-  }
-}
-
 void EnginePlanner::IssueOrder(const PlanningView& view,
                                const EndpointId& engine,
                                EngineLedger& ledger,
--- a/Source/placement/engine_planner.h
+++ b/Source/placement/engine_planner.h
@@ -200,6 +200,21 @@
                   const ModelDemand::PendingDemand& demand,
                   MonotonicTime now,
                   PlannedActions& actions);
+  // Returns whether an adapter of `model` fits beside the models of the engine
+  // if all other adapters are evicted.
+  bool FitsWithoutOthers(const PlanningView& view,
+                         const fleet::EndpointEntry& entry,
+                         const EngineLedger& ledger,
+                         const ModelId& model) const;
+  // Returns what to evict for an adapter of `model` that lacks a slot or
+  // `lacking` megabytes: an adapter, or a model if adapters are not enough.
+  std::optional<std::pair<ModelId, AdapterId>> ChooseForAdapter(
+      const PlanningView& view,
+      const fleet::EndpointEntry& entry,
+      const EngineLedger& ledger,
+      const ModelId& model,
+      double lacking,
+      MonotonicTime now) const;
   // Returns the engine that should load `adapter`, or nothing if an engine can
   // serve it already, is loading it, or if all engines are busy.
   std::optional<EndpointId> ChooseAdapterEngine(const PlanningView& view,
--- a/Tests/jarro/fleet_decoder_test.cc
+++ b/Tests/jarro/fleet_decoder_test.cc
@@ -137,6 +137,7 @@
   REQUIRE(engine);
   CHECK(engine->m_models.at(ModelId("m1")).m_load_from_memory ==
         milliseconds(440));
+  CHECK(engine->m_models.at(ModelId("m1")).m_adapter_megabytes == 66);
   CHECK_FALSE(decoded.m_services.at(ServiceId("t")).m_engine);
   CHECK(decoded.m_accounts[0].m_plain_tokens == 200);
   CHECK(decoded.m_limits.m_idle_timeout == seconds(15));
--- a/Tests/placement/engine_planner_state_test.cc
+++ b/Tests/placement/engine_planner_state_test.cc
@@ -62,6 +62,77 @@
       }));
 }
 
+// Guards against an adapter that is loaded beside models which leave no room
+// for it (LIMIT, review/8): the oracle adds up everything that an engine holds
+// and loads, at each order that it accepts.
+TEST_CASE("Adapters never exceed the memory that the models leave") {
+  CHECK(rc::check(
+      "for any sizes, engines filled by others, late orders and changes", [] {
+        const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+        const auto late = *rc::gen::element(0.0, 0.2, 0.6);
+        RandomEngine random(seed);
+        constexpr int kModels = 9;
+        PlannerWorld world(2, kModels);
+        std::uniform_int_distribution<int> model(0, kModels - 1);
+        std::uniform_int_distribution<int> percent(0, 99);
+        std::uniform_real_distribution<double> share(0, 1);
+        for (int i = 0; i < kModels; ++i) {
+          world.SetSizes(i, 30000 + 40000 * share(random),
+                         percent(random) < 20 ? 4000 * share(random)
+                                              : 20 + 100 * share(random));
+        }
+        // Engines hold from the start what just fits without any adapter.
+        for (int engine = 0; engine < 2; ++engine) {
+          const int first = 3 * engine;
+          const double left = kEngineMegabytes - world.SizeOf(Model(first)) -
+                              world.SizeOf(Model(first + 1));
+          world.SetSizes(first + 2, left - 600 * share(random),
+                         world.AdapterSizeOf(Model(first + 2)));
+          world.Hold(engine, {first, first + 1, first + 2});
+        }
+        world.m_registration_lag =
+            *rc::gen::element(seconds(0), seconds(1), seconds(6));
+        world.m_adapter_load =
+            *rc::gen::element(milliseconds(0), milliseconds(500));
+        world.m_outdated_reports = *rc::gen::arbitrary<bool>();
+        for (int step = 0; step < 300; ++step) {
+          if (percent(random) < 40) {
+            world.AddDemand(model(random), 1,
+                            "a" + std::to_string(1 + model(random)));
+          }
+          if (percent(random) < 5) {
+            world.AddDemand(model(random), 1);
+          }
+          if (percent(random) < 15) {
+            world.m_waiting_requests.clear();
+          }
+          if (percent(random) < 10) {
+            world.m_running[{Engine(percent(random) % 2),
+                             Model(model(random))}] = percent(random) % 3;
+          }
+          if (percent(random) < 3) {
+            const int changed = model(random);
+            if (percent(random) < 50) {
+              world.RemoveModel(changed);
+            } else {
+              world.AddModel(changed);
+            }
+          }
+          if (percent(random) < 2) {
+            world.m_planner.Reset();
+          }
+          world.Step(milliseconds(100), late, random);
+          if (world.m_max_used > kEngineMegabytes) {
+            for (const std::string& event : world.m_events) {
+              RC_LOG() << event << "\n";
+            }
+          }
+          RC_ASSERT(world.m_max_used <= kEngineMegabytes);
+          RC_ASSERT(world.m_max_adapters <= 8U);
+        }
+      }));
+}
+
 // A placement leader ended with an exception when a model that it was about to
 // preload left the configuration (LOST, issue 37).
 TEST_CASE("Planning survives models that leave the configuration at any time") {
--- a/Tests/placement/engine_planner_test.cc
+++ b/Tests/placement/engine_planner_test.cc
@@ -442,3 +442,47 @@
   CHECK(after.m_orders.empty());
   CHECK(after.m_reports.size() == 1);
 }
+
+// Guards against LIMIT (review/8): rare adapters were ordered to an engine
+// whose models leave room for seven, because only their number was looked at.
+TEST_CASE("Adapters for which there is no room make others yield") {
+  RandomEngine random(1);
+  PlannerWorld world(1, 3);
+  for (int model = 0; model < 3; ++model) {
+    world.SetSizes(model, 66500, 66);
+  }
+  world.Hold(0, {0, 1, 2});
+  for (int adapter = 1; adapter <= 12; ++adapter) {
+    world.AddDemand(adapter % 3, 1, "a" + std::to_string(adapter));
+    for (int step = 0; step < 30; ++step) {
+      world.Step(milliseconds(100), 0, random);
+    }
+    const std::pair wanted(Model(adapter % 3),
+                           AdapterId("a" + std::to_string(adapter)));
+    CHECK(world.m_engines[Engine(0)].m_adapters.contains(wanted));
+    world.m_waiting_requests.clear();
+  }
+  CHECK(world.m_max_used <= kEngineMegabytes);
+  CHECK(world.m_max_adapters == 7U);
+}
+
+// Guards against an adapter that is never loaded because no adapter can make
+// room for it.
+TEST_CASE("A model that nobody uses makes room for an adapter") {
+  RandomEngine random(1);
+  PlannerWorld world(1, 3);
+  for (int model = 0; model < 3; ++model) {
+    world.SetSizes(model, 66650, 66);
+  }
+  world.Hold(0, {0, 1, 2});
+  world.m_running[{Engine(0), Model(1)}] = 1;
+  world.AddDemand(0, 1, "a1");
+  for (int step = 0; step < 30; ++step) {
+    world.Step(milliseconds(100), 0, random);
+  }
+  CHECK(world.m_engines[Engine(0)].m_adapters.contains(
+      {Model(0), AdapterId("a1")}));
+  CHECK(world.m_engines[Engine(0)].m_models ==
+        std::set<ModelId>{Model(0), Model(1)});
+  CHECK(world.m_max_used <= kEngineMegabytes);
+}
--- a/Tests/placement/planner_world.h
+++ b/Tests/placement/planner_world.h
@@ -69,13 +69,20 @@
 
   // Change the configuration.
   void AddModel(int model) {
-    m_spec.m_models[Model(model)] = {.m_megabytes = Megabytes(Model(model)),
-                                     .m_load_from_store = seconds(6),
-                                     .m_load_from_disk = milliseconds(800),
-                                     .m_load_from_memory = milliseconds(500),
-                                     .m_adapters = 20};
+    m_spec.m_models[Model(model)] = {
+        .m_megabytes = SizeOf(Model(model)),
+        .m_load_from_store = seconds(6),
+        .m_load_from_disk = milliseconds(800),
+        .m_load_from_memory = milliseconds(500),
+        .m_adapters = 20,
+        .m_adapter_megabytes = AdapterSizeOf(Model(model))};
     ++m_configuration;
   }
+  // Sets the sizes of a model and of its adapters, also in the configuration.
+  void SetSizes(int model, double megabytes, double adapter_megabytes) {
+    m_sizes[Model(model)] = {megabytes, adapter_megabytes};
+    AddModel(model);
+  }
   void RemoveModel(int model) {
     m_spec.m_models.erase(Model(model));
     ++m_configuration;
@@ -84,6 +91,15 @@
     return std::stoi(model.value().substr(1)) % 2 == 0 ? 72700.0 : 42700.0;
   }
 
+  double SizeOf(const ModelId& model) const {
+    const auto known = m_sizes.find(model);
+    return known == m_sizes.end() ? Megabytes(model) : known->second.first;
+  }
+  double AdapterSizeOf(const ModelId& model) const {
+    const auto known = m_sizes.find(model);
+    return known == m_sizes.end() ? 66 : known->second.second;
+  }
+
   void Hold(int engine, std::initializer_list<int> models) {
     for (const int model : models) {
       m_engines[Engine(engine)].m_models.insert(Model(model));
@@ -263,6 +279,7 @@
       }
       m_max_adapters = std::max(
           m_max_adapters, engine.m_adapters.size() + engine.m_arriving.size());
+      CheckMemory(id);
       return OrderOutcome::kAccepted;
     }
     const bool cached = engine.m_on_disk.contains(order.m_model);
@@ -332,12 +349,20 @@
     }
     double used = 0;
     for (const ModelId& model : models) {
-      used += Megabytes(model);
+      used += SizeOf(model);
+    }
+    for (const auto& [model, adapter] : engine.m_adapters) {
+      used += AdapterSizeOf(model);
+    }
+    for (const auto& [key, at] : engine.m_arriving) {
+      used += AdapterSizeOf(key.first);
     }
     m_max_used = std::max(m_max_used, used);
   }
 
   MonotonicTime m_now{seconds(100)};
+  // Sizes of models and of their adapters that differ from the usual ones.
+  std::map<ModelId, std::pair<double, double>> m_sizes;
   fleet::EngineSpec m_spec;
   std::int64_t m_configuration = 0;
   std::map<EndpointId, fleet::EndpointEntry> m_entries;
