Hold one or two crashing requests instead of their shared prompt part

Cause: four ends held a part unless one single request was in use at all of them. Ruled out: ends that are counted although a held request explains them; at the fourth end neither request is held yet.

Change: a part is held only if at least three requests are needed to explain its ends. A crashing part comes with many requests, so that is by the fifth end even if each of them is sent twice.

Partial: trials of a held part come after 30 s and five minutes as before.

--- a/Source/admission/crashing_parts.cc
+++ b/Source/admission/crashing_parts.cc
@@ -1,6 +1,7 @@
 #include "admission/crashing_parts.h"
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -8,6 +9,38 @@
 
 namespace hickoryloft::admission {
 
+namespace {
+
+// The incarnations that ended with each request in use.
+using EndsByRequest = std::map<std::string, std::set<std::string>>;
+
+// Returns whether each of `ends` had one of at most `limit` requests in use.
+bool FewExplain(const std::set<std::string>& ends,
+                const EndsByRequest& ends_of_requests,
+                std::size_t limit) {
+  if (ends.empty()) {
+    return true;
+  }
+  if (limit == 0) {
+    return false;
+  }
+  // One of the requests has to explain the first end.
+  return std::any_of(ends_of_requests.begin(), ends_of_requests.end(),
+                     [&](const auto& request) {
+                       if (!request.second.contains(*ends.begin())) {
+                         return false;
+                       }
+                       std::set<std::string> left;
+                       std::set_difference(ends.begin(), ends.end(),
+                                           request.second.begin(),
+                                           request.second.end(),
+                                           std::inserter(left, left.end()));
+                       return FewExplain(left, ends_of_requests, limit - 1);
+                     });
+}
+
+}  // namespace
+
 void CrashingParts::SetRecords(CrashRecords records, MonotonicTime now) {
   m_records = std::move(records);
   if (const Era era = EraOf(NewestRecord()); era > m_era) {
@@ -62,7 +95,7 @@
            spread >= kMinRequestSpread;
   }
   return evidence.m_incarnations.size() >= kMinEnds && spread >= kMinSpread &&
-         !evidence.m_one_request;
+         !evidence.m_few_requests;
 }
 
 void CrashingParts::Count() {
@@ -111,7 +144,7 @@
       evidence.m_depth = std::max(evidence.m_depth, part.m_depth);
     }
   }
-  MarkSingleRequests();
+  MarkFewRequests();
 }
 
 std::set<std::string> CrashingParts::ExplainedByParts() const {
@@ -127,8 +160,8 @@
   return explained;
 }
 
-void CrashingParts::MarkSingleRequests() {
-  std::map<std::string, std::set<std::string>> ends_of_requests;
+void CrashingParts::MarkFewRequests() {
+  EndsByRequest ends_of_requests;
   for (const EndpointEnd& end : m_records.m_ends) {
     for (const PartInUse& part : end.m_parts) {
       if (IsFingerprint(part.m_id) && !SoundSince(part.m_id, end.m_revision)) {
@@ -136,19 +169,12 @@
       }
     }
   }
-  // Few are left in any fleet.
-  std::erase_if(ends_of_requests, [](const auto& request) {
-    return request.second.size() < kMinEnds;
-  });
   for (auto& [part, evidence] : m_evidence) {
-    evidence.m_one_request =
-        !evidence.m_fingerprint &&
-        std::any_of(ends_of_requests.begin(), ends_of_requests.end(),
-                    [&ends = evidence.m_incarnations](const auto& request) {
-                      return std::includes(request.second.begin(),
-                                           request.second.end(), ends.begin(),
-                                           ends.end());
-                    });
+    // The search is made for the few parts that would be held.
+    evidence.m_few_requests =
+        Suffices(evidence) && !evidence.m_fingerprint &&
+        FewExplain(evidence.m_incarnations, ends_of_requests,
+                   CrashingParts::kMinRequests - 1);
   }
 }
 
--- a/Source/admission/crashing_parts.h
+++ b/Source/admission/crashing_parts.h
@@ -44,9 +44,10 @@
 
 // A part is held once several endpoints have ended with it in use and none has
 // completed an answer with it since. An end that a held prompt part explains is
-// not counted against other parts. Ends that all had one request in use do not
-// count against the parts of its prompt. Hosts with equal records hold the same
-// parts. Not thread-safe; the times passed in must not decrease.
+// not counted against other parts. Ends that one request or two explain do not
+// suffice against the parts of their prompts: holding the requests costs less.
+// Hosts with equal records hold the same parts. Not thread-safe; the times
+// passed in must not decrease.
 class CrashingParts {
  public:
   // Ends of endpoints after which a prompt part is held.
@@ -56,6 +57,8 @@
   static constexpr std::size_t kMinRequestEnds = 3;
   // Ends after which a part is suspected.
   static constexpr std::size_t kSuspectEnds = 2;
+  // Requests that are needed to explain the ends of a prompt part that is held.
+  static constexpr std::size_t kMinRequests = 3;
   // Least time between the first and the last of these ends. The endpoints of
   // a failure domain may all end at the same moment for another reason. The
   // repeats of one request follow each other faster.
@@ -90,8 +93,9 @@
   struct Evidence {
     std::set<std::string> m_incarnations;
     bool m_fingerprint = false;
-    // Whether one request was in use at all of these ends.
-    bool m_one_request = false;
+    // Whether fewer than kMinRequests requests were in use at all of these
+    // ends.
+    bool m_few_requests = false;
     std::set<HostId> m_seen_by;
     std::chrono::milliseconds m_first{};
     std::chrono::milliseconds m_last{};
@@ -106,8 +110,8 @@
 
   // Returns the incarnations that ended with a held prompt part in use.
   std::set<std::string> ExplainedByParts() const;
-  // Marks the prompt parts whose ends all had one request in use.
-  void MarkSingleRequests();
+  // Marks the prompt parts whose ends few requests explain.
+  void MarkFewRequests();
   // Returns what is to be held first, of the parts that have settled: the
   // prompt part with most evidence, or all requests if there is none.
   std::vector<std::string> WorstSettled(MonotonicTime now) const;
--- a/Tests/admission/crashing_parts_test.cc
+++ b/Tests/admission/crashing_parts_test.cc
@@ -9,81 +9,16 @@
 #include <string>
 #include <vector>
 
+#include "Tests/admission/recorded_ends.h"
 #include "admission/proven_parts.h"
 #include "admission/request_fingerprint.h"
-#include "base/history.h"
 
 using namespace hickoryloft;
 using namespace hickoryloft::admission;
 
-namespace {
-
-// The records of a fleet and the object of one host that reads them.
-class Fleet {
- public:
-  MonotonicTime m_now{seconds(100)};
-  CrashRecords m_records;
-  CrashingParts m_parts;
-
-  void Pass(Duration time) { m_now += time; }
-
-  void EndEndpoint(const std::string& endpoint,
-                   const std::vector<std::string>& parts,
-                   const std::string& host = "h1") {
-    EndpointEnd end{
-        .m_incarnation = endpoint,
-        .m_seen_by = HostId(host),
-        .m_at = duration_cast<milliseconds>(m_now.time_since_epoch()),
-        .m_revision = ++m_revision};
-    for (const std::string& part : parts) {
-      end.m_parts.push_back(
-          {.m_id = part, .m_depth = static_cast<int>(end.m_parts.size())});
-    }
-    m_records.m_ends.push_back(end);
-    m_parts.SetRecords(m_records, m_now);
-  }
-  void Prove(const std::string& part) {
-    m_records.m_sound[part] = ++m_revision;
-    m_parts.SetRecords(m_records, m_now);
-  }
-  // The store comes back from a copy: `records` as they were then.
-  void Restore(CrashRecords records) {
-    for (EndpointEnd& end : records.m_ends) {
-      end.m_revision = InEra(1, end.m_revision);
-    }
-    for (auto& [part, revision] : records.m_sound) {
-      revision = InEra(1, revision);
-    }
-    for (auto& [part, revision] : records.m_held) {
-      revision = InEra(1, revision);
-    }
-    m_records = std::move(records);
-    m_parts.SetRecords(m_records, m_now);
-  }
-  void RecordHeld(const std::string& part) {
-    m_records.m_held[part] = ++m_revision;
-    m_parts.SetRecords(m_records, m_now);
-  }
-  std::vector<std::string> FindCrashing() {
-    std::vector<std::string> names;
-    for (const auto& finding : m_parts.FindCrashing(m_now)) {
-      names.push_back(finding.m_part);
-    }
-    return names;
-  }
-  std::vector<std::string> SettleAndFind() {
-    Pass(CrashingParts::kSettleTime);
-    return FindCrashing();
-  }
-
-  Revision m_revision = 0;
-};
-
-}  // namespace
-
 // BUDGET on jarro-ne: about one end a second, seen by other hosts each time.
 TEST_CASE("A part under which endpoints end is held before the sixth end") {
-  Fleet fleet;
+  RecordedEnds fleet;
   std::vector<std::string> found;
   int ends = 0;
   while (found.empty() && ends < 10) {
@@ -105,7 +40,7 @@
 // a part that was held and then proved sound stays for minutes, and the part
 // crashes endpoints again.
 TEST_CASE("A part that was proved sound is held again after further ends") {
-  Fleet fleet;
+  RecordedEnds fleet;
   const auto end_endpoints = [&](const std::string& name) {
     for (int i = 0; i < 5; ++i) {
       fleet.EndEndpoint(name + std::to_string(i), {"bad"});
@@ -121,7 +56,7 @@
   CHECK(fleet.SettleAndFind() == std::vector<std::string>{"bad"});
   CHECK(fleet.m_parts.Held("bad"));
   // A host that starts now reads the same records.
-  Fleet started;
+  RecordedEnds started;
   started.m_records = fleet.m_records;
   started.m_parts.SetRecords(started.m_records, started.m_now);
   CHECK(started.SettleAndFind() == std::vector<std::string>{"bad"});
@@ -140,7 +75,7 @@
     return static_cast<int>(random() % static_cast<unsigned>(below));
   };
   for (int round = 0; round < 2000; ++round) {
-    Fleet fleet;
+    RecordedEnds fleet;
     const auto name = [&] {
       const std::string letter(1, "abcde"[draw(5)]);
       return draw(3) == 0 ? FingerprintOf("", letter, "") : letter;
@@ -173,7 +108,7 @@
 // Guards against a part whose record was lost when the key-value service came
 // back from an older copy: no host would have recorded it again.
 TEST_CASE("A part is found again from the records that a restore has left") {
-  Fleet fleet;
+  RecordedEnds fleet;
   fleet.m_revision = InEra(1, 50);
   for (int i = 0; i < 5; ++i) {
     fleet.EndEndpoint("e" + std::to_string(i), {"bad"});
@@ -193,7 +128,7 @@
 // attempt, all that its service had, and came again at every host.
 TEST_CASE("A request is held after the third end with it in use") {
   const std::string bad = FingerprintOf("shop", "/look/1", "bad");
-  Fleet fleet;
+  RecordedEnds fleet;
   fleet.EndEndpoint("e1", {bad}, "h1");
   fleet.Pass(milliseconds(80));
   fleet.EndEndpoint("e2", {bad}, "h1");
@@ -209,7 +144,7 @@
   const std::string bad = FingerprintOf("shop", "/look/1", "bad");
   const std::string other = FingerprintOf("bar", "/look/2", "sound");
   const std::string once = FingerprintOf("bar", "/look/3", "sound");
-  Fleet fleet;
+  RecordedEnds fleet;
   for (int i = 0; i < 3; ++i) {
     fleet.EndEndpoint("e" + std::to_string(i), {bad}, "h1");
     fleet.EndEndpoint("e" + std::to_string(i), {other}, "h2");
@@ -229,7 +164,7 @@
 
 TEST_CASE("Sound parts of a request that crashes endpoints are not held") {
   const std::string bad = FingerprintOf("shop", "/chat/1", "bad");
-  Fleet fleet;
+  RecordedEnds fleet;
   for (int i = 0; i < 8; ++i) {
     fleet.EndEndpoint("e" + std::to_string(i), {"first", "rare", bad});
     // Another request was there by chance.
@@ -243,7 +178,7 @@
 }
 
 TEST_CASE("A crashing part is held although one request with it is held") {
-  Fleet fleet;
+  RecordedEnds fleet;
   std::vector<std::string> found;
   for (int i = 0; i < 6; ++i) {
     fleet.EndEndpoint(
@@ -266,7 +201,7 @@
 // each end.
 TEST_CASE("A request that was proved sound hides no crashing part") {
   const std::string sound = FingerprintOf("bar", "/poll", "");
-  Fleet fleet;
+  RecordedEnds fleet;
   for (int i = 0; i < 6; ++i) {
     fleet.EndEndpoint("e" + std::to_string(i), {"first", "bad", sound});
     fleet.Pass(milliseconds(400));
@@ -282,7 +217,7 @@
 TEST_CASE("A request with more ends does not excuse the one that crashes") {
   const std::string bad = FingerprintOf("shop", "/look/1", "bad");
   const std::string other = FingerprintOf("bar", "/look/2", "sound");
-  Fleet fleet;
+  RecordedEnds fleet;
   fleet.EndEndpoint("e0", {other}, "h2");
   for (int i = 1; i < 4; ++i) {
     fleet.Pass(milliseconds(600));
@@ -295,7 +230,7 @@
 
 TEST_CASE("Records of one end at different times do not spread the ends") {
   const std::string popular = FingerprintOf("shop", "/look/1", "");
-  Fleet fleet;
+  RecordedEnds fleet;
   for (const char* endpoint : {"e1", "e2", "e3"}) {
     fleet.EndEndpoint(endpoint, {popular}, "h1");
   }
@@ -306,7 +241,7 @@
 
 TEST_CASE("Endpoints that end at the same moment do not hold a request") {
   const std::string popular = FingerprintOf("shop", "/look/1", "");
-  Fleet fleet;
+  RecordedEnds fleet;
   for (int i = 0; i < 10; ++i) {
     fleet.EndEndpoint("e" + std::to_string(i), {popular});
     fleet.Pass(milliseconds(9));
@@ -316,7 +251,7 @@
 
 TEST_CASE("A request that was proved sound since is not held") {
   const std::string sound = FingerprintOf("shop", "/look/1", "");
-  Fleet fleet;
+  RecordedEnds fleet;
   for (int i = 0; i < 12; ++i) {
     fleet.EndEndpoint("e" + std::to_string(i), {sound});
     fleet.Pass(seconds(1));
@@ -328,7 +263,7 @@
 }
 
 TEST_CASE("The first part is not held although its proofs come late") {
-  Fleet fleet;
+  RecordedEnds fleet;
   for (int i = 0; i < 4; ++i) {
     fleet.EndEndpoint("e" + std::to_string(i), {"first"}, "h2");
     fleet.EndEndpoint("e" + std::to_string(i), {"first", "bad"}, "h1");
@@ -339,7 +274,7 @@
 }
 
 TEST_CASE("A part that was proved sound since is not held") {
-  Fleet fleet;
+  RecordedEnds fleet;
   for (int i = 0; i < 20; ++i) {
     fleet.EndEndpoint("e" + std::to_string(i), {"sound"});
     fleet.Pass(seconds(1));
@@ -351,7 +286,7 @@
 }
 
 TEST_CASE("Endpoints that end at the same moment do not hold a part") {
-  Fleet fleet;
+  RecordedEnds fleet;
   for (int i = 0; i < 40; ++i) {
     fleet.EndEndpoint("e" + std::to_string(i), {"sound"});
     fleet.Pass(milliseconds(20));
@@ -363,7 +298,7 @@
 }
 
 TEST_CASE("Several records of one end count once") {
-  Fleet fleet;
+  RecordedEnds fleet;
   for (int i = 0; i < 12; ++i) {
     fleet.EndEndpoint("e" + std::to_string(i % 3), {"bad"},
                       "h" + std::to_string(i));
@@ -374,7 +309,7 @@
 }
 
 TEST_CASE("A proof that arrives within the settling time prevents holding") {
-  Fleet fleet;
+  RecordedEnds fleet;
   for (int i = 0; i < 4; ++i) {
     fleet.EndEndpoint("e" + std::to_string(i), {"sound"});
     fleet.Pass(milliseconds(400));
@@ -387,7 +322,7 @@
 }
 
 TEST_CASE("A late proof releases a part, another host's record holds it") {
-  Fleet fleet;
+  RecordedEnds fleet;
   fleet.RecordHeld("bad");
   CHECK(fleet.m_parts.Held("bad"));
   CHECK(fleet.FindCrashing().empty());
@@ -396,7 +331,7 @@
 }
 
 TEST_CASE("Ends that a held part explains are not counted against others") {
-  Fleet fleet;
+  RecordedEnds fleet;
   fleet.RecordHeld("bad");
   for (int i = 0; i < 8; ++i) {
     fleet.EndEndpoint("e" + std::to_string(i), {"first", "bad"});
@@ -407,7 +342,7 @@
 }
 
 TEST_CASE("A second crashing part is found after the first") {
-  Fleet fleet;
+  RecordedEnds fleet;
   for (int i = 0; i < 8; ++i) {
     fleet.EndEndpoint("e" + std::to_string(i),
                       {"first", i % 2 == 0 ? "bad1" : "bad2"});
@@ -424,7 +359,7 @@
   // first event, which is more than on the days with the most crashes.
   for (unsigned seed = 1; seed <= 50; ++seed) {
     std::mt19937 random(seed);
-    Fleet fleet;
+    RecordedEnds fleet;
     std::geometric_distribution<int> subject(0.02);
     for (int i = 0; i < 100; ++i) {
       std::vector<std::string> parts = {"first"};
@@ -448,7 +383,7 @@
 // Era and number order what is read after a restore behind all of the lost
 // time, also what was written before that time.
 TEST_CASE("A proof older than the ends does not release a part by a restore") {
-  Fleet fleet;
+  RecordedEnds fleet;
   fleet.Prove("bad");
   const CrashRecords copy = fleet.m_records;
   for (int i = 0; i < 5; ++i) {
