Keep each caller's body once, and bound the sum of all bodies

Cause: a body was kept three times while its request ran, and once more by the idle connection to its endpoint; nothing bounded the sum.

Change: SharedBytes from the caller's connection to the endpoint's, written without a copy. Half of a host's memory is for bodies; beyond it a request is rejected before its body is read, with 503 and Retry-After, or 413 if it can never fit. An eighth of that is left to small bodies.

Partial: a slow sender holds the memory of its announced body until the time-out.

--- a/Source/endpoint/client_connection.cc
+++ b/Source/endpoint/client_connection.cc
@@ -29,6 +29,8 @@
 // Limit on the calls with an id that one connection carries, because it
 // remembers all of their ids.
 constexpr std::size_t kMaxCarriedIds = 1000;
+// A body of this size is written without a copy.
+constexpr std::size_t kMinSharedBodyBytes = std::size_t{16} * 1024;
 // A faulty endpoint may send an id of any length.
 constexpr std::size_t kMaxLoggedIdLength = 64;
 
@@ -76,6 +78,16 @@
   return seconds(value) - kKeepAliveMargin;
 }
 
+void WriteWithoutCopy(bufferevent* buffer, const SharedBytes& bytes) {
+  auto* owner = new SharedBytes(bytes);
+  const auto release = [](const void* /*data*/, std::size_t /*size*/,
+                          void* owned) {
+    delete static_cast<SharedBytes*>(owned);
+  };
+  evbuffer_add_reference(bufferevent_get_output(buffer), owner->text().data(),
+                         owner->size(), release, owner);
+}
+
 }  // namespace
 
 ClientConnection::ClientConnection(EventLoop& loop,
@@ -163,7 +175,8 @@
 void ClientConnection::WriteRequest() {
   const CallRequest& request = *m_request;
   std::string text;
-  text.reserve(512 + request.m_body.size());
+  const bool share_body = request.m_body.size() >= kMinSharedBodyBytes;
+  text.reserve(512 + (share_body ? 0 : request.m_body.size()));
   text.append(MethodName(request.m_method)).append(" ");
   text.append(request.m_target).append(" HTTP/1.1\r\n");
   if (http::FindHeader(request.m_headers, "Host") == nullptr) {
@@ -180,8 +193,14 @@
     text.append("Content-Length: ");
     text.append(std::to_string(request.m_body.size())).append("\r\n");
   }
-  text.append("\r\n").append(request.m_body);
+  text.append("\r\n");
+  if (!share_body) {
+    text.append(request.m_body.text());
+  }
   bufferevent_write(m_buffer, text.data(), text.size());
+  if (share_body) {
+    WriteWithoutCopy(m_buffer, request.m_body);
+  }
   ArmTimer(request.m_idle_timeout);
 }
 
@@ -279,6 +298,7 @@
 void ClientConnection::FinishCall() {
   event_del(m_timer);
   m_running = false;
+  m_request->m_body = {};
   const auto connection = shared_from_this();
   const auto done = std::exchange(m_events, {}).m_done;
   const bool clean = evbuffer_get_length(bufferevent_get_input(m_buffer)) == 0;
--- a/Source/endpoint/http_client.h
+++ b/Source/endpoint/http_client.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/error.h"
+#include "base/shared_bytes.h"
 #include "base/time.h"
 #include "endpoint/orders.h"
 #include "http/header_fields.h"
@@ -34,7 +35,7 @@
   HttpMethod m_method = HttpMethod::kPost;
   std::string m_target;  // Path and query.
   HeaderFields m_headers;
-  std::string m_body;
+  SharedBytes m_body;
   // If true, a new connection is used, so that a failure to connect proves that
   // no byte of the request was sent. Set it for calls that are not idempotent.
   bool m_fresh_connection = false;
--- a/Source/fleet/caller_request.h
+++ b/Source/fleet/caller_request.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/ids.h"
+#include "base/shared_bytes.h"
 #include "base/time.h"
 #include "endpoint/http_client.h"
 #include "fleet/prompt_part.h"
@@ -34,7 +35,7 @@
   // Headers to forward: neither hop-by-hop headers nor headers that this
   // system sets itself.
   http::HeaderFields m_forwarded;
-  std::string m_body;
+  SharedBytes m_body;
   MonotonicTime m_received_at;
 };
 
--- a/Source/host/crash_guard.cc
+++ b/Source/host/crash_guard.cc
@@ -66,7 +66,7 @@
   std::vector<PartInUse> parts = {
       {.m_id = admission::FingerprintOf(account.value(),
                                         request.m_host + request.m_target,
-                                        request.m_body)}};
+                                        request.m_body.text())}};
   for (std::size_t i = 0; i + 1 < request.m_prompt.size(); ++i) {
     if (IsValidPart(request.m_prompt[i].m_id)) {
       parts.push_back(
--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -232,6 +232,7 @@
   const fleet::CallerLimits& limits = configuration.m_limits;
   m_callers.SetLimits({.m_max_head_bytes = limits.m_max_header_bytes,
                        .m_max_body_bytes = limits.m_max_body_bytes,
+                       .m_max_total_body_bytes = m_settings.body_bytes(),
                        .m_head_timeout = limits.m_header_timeout,
                        .m_idle_timeout = limits.m_idle_timeout});
   m_metrics.m_configuration_version.Set(
@@ -402,6 +403,9 @@
   m_metrics.MeasureMemory();
   m_metrics.m_answer_bytes.Set(
       static_cast<double>(m_platform.m_answers.bytes()));
+  m_metrics.m_body_bytes.Set(static_cast<double>(m_callers.body_bytes()));
+  m_metrics.m_bodies_rejected.Set(
+      static_cast<double>(m_callers.bodies_rejected()));
 }
 
 void HostDaemon::MeasureEvacuations() {
--- a/Source/host/host_metrics.cc
+++ b/Source/host/host_metrics.cc
@@ -59,7 +59,14 @@
           m_registry.GetGauge("loft_resident_bytes", "Memory of the process.")),
       m_answer_bytes(m_registry.GetGauge(
           "loft_answer_bytes",
-          "Memory of answers that are received or not read by callers.")) {}
+          "Memory of answers that are received or not read by callers.")),
+      m_body_bytes(m_registry.GetGauge(
+          "loft_body_bytes",
+          "Memory of the bodies of requests that arrive or run.")),
+      m_bodies_rejected(m_registry.GetGauge(
+          "loft_bodies_rejected",
+          "Requests rejected since the start because of the memory of their "
+          "bodies.")) {}
 
 void HostMetrics::CountOutcome(const std::string& kind,
                                const ClientAccountId& account,
--- a/Source/host/host_metrics.h
+++ b/Source/host/host_metrics.h
@@ -58,6 +58,8 @@
   metrics::Gauge& m_evacuated_requests;
   metrics::Gauge& m_resident_bytes;
   metrics::Gauge& m_answer_bytes;
+  metrics::Gauge& m_body_bytes;
+  metrics::Gauge& m_bodies_rejected;
 };
 
 }  // namespace hickoryloft::host
--- a/Source/host/host_settings.h
+++ b/Source/host/host_settings.h
@@ -59,6 +59,8 @@
   // Share of the memory for the answers of endpoints. Freed buffers and copies
   // in the kernel need as much again.
   static constexpr std::size_t kAnswerShare = 8;
+  // Share of the memory for the bodies of requests.
+  static constexpr std::size_t kBodyShare = 2;
 
   HostId m_host;
   FailureDomainId m_failure_domain;
@@ -87,6 +89,7 @@
   std::size_t answer_bytes() const {
     return m_memory_limit_bytes / kAnswerShare;
   }
+  std::size_t body_bytes() const { return m_memory_limit_bytes / kBodyShare; }
 };
 
 // Returns the effective settings as JSON, under the product's own names.
--- a/Source/http/server.cc
+++ b/Source/http/server.cc
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <limits>
 #include <utility>
 
 #include "base/error.h"
@@ -12,6 +13,14 @@
 
 namespace hickoryloft::http {
 
+namespace {
+
+constexpr std::size_t kMaxSmallBodyBytes = std::size_t{64} * 1024;
+// Share of the memory for bodies that is left to small ones.
+constexpr std::size_t kSmallBodyShare = 8;
+
+}  // namespace
+
 Server::Server(EventLoop& loop,
                const std::string& address,
                std::uint16_t port,
@@ -55,6 +64,14 @@
   connection->Start();
 }
 
+std::size_t Server::BodyLimitFor(std::size_t size) const {
+  const std::size_t limit = m_limits.m_max_total_body_bytes;
+  if (limit == 0) {
+    return std::numeric_limits<std::size_t>::max();
+  }
+  return size > kMaxSmallBodyBytes ? limit - limit / kSmallBodyShare : limit;
+}
+
 void Server::RemoveConnection(
     const std::shared_ptr<ServerConnection>& connection) {
   m_connections.erase(connection);
--- a/Source/http/server.h
+++ b/Source/http/server.h
@@ -26,6 +26,9 @@
 struct ServerLimits {
   std::size_t m_max_head_bytes = std::size_t{32} * 1024;
   std::size_t m_max_body_bytes = std::size_t{4} * 1024 * 1024;
+  // Of all requests that arrive or are being answered; 0: no limit. Larger
+  // bodies leave a share of it to smaller ones.
+  std::size_t m_max_total_body_bytes = 0;
   Duration m_head_timeout = seconds(10);
   Duration m_idle_timeout = seconds(60);
 };
@@ -68,6 +71,10 @@
   void RejectUnread();
 
   std::size_t connections() const { return m_connections.size(); }
+  // The bodies of all requests that arrive or are being answered.
+  std::size_t body_bytes() const { return m_body_bytes; }
+  // Number of requests that were rejected because of their body's memory.
+  std::uint64_t bodies_rejected() const { return m_bodies_rejected; }
 
  private:
   friend class ServerConnection;
@@ -77,6 +84,9 @@
                        sockaddr* peer,
                        int peer_size,
                        void* self);
+  // Returns the limit of all bodies together up to which a body of `size` bytes
+  // is accepted.
+  std::size_t BodyLimitFor(std::size_t size) const;
   void RemoveConnection(const std::shared_ptr<ServerConnection>& connection);
   // Returns the connections for which `matches` is true.
   std::vector<std::shared_ptr<ServerConnection>> Select(
@@ -86,6 +96,8 @@
   Handler m_handler;
   ServerLimits m_limits;
   bool m_draining = false;
+  std::size_t m_body_bytes = 0;
+  std::uint64_t m_bodies_rejected = 0;
   evconnlistener* m_listener = nullptr;
   std::uint16_t m_port = 0;
   std::unordered_set<std::shared_ptr<ServerConnection>> m_connections;
--- a/Source/http/server_connection.cc
+++ b/Source/http/server_connection.cc
@@ -24,6 +24,11 @@
 // Time for the peer to read the last answer before the connection is closed.
 constexpr Duration kLingerTimeout = seconds(1);
 
+constexpr int kTooLarge = 413;
+constexpr int kUnavailable = 503;
+// Streams, which hold bodies for longest, end within seconds.
+constexpr std::string_view kBodyRetryAfter = "Retry-After: 1\r\n";
+
 const Logger kLog("callers");
 
 }  // namespace
@@ -34,30 +39,15 @@
                                       socket,
                                       BEV_OPT_CLOSE_ON_FREE)),
       m_timer(event_new(server.m_loop.base(), -1, 0, &OnTimer, this)),
-      m_parser(
-          MessageType::kRequest,
-          server.m_limits.m_max_head_bytes,
-          {.m_head =
-               [this](MessageHead&& head) {
-                 m_head = std::move(head);
-                 const std::size_t limit = m_server.m_limits.m_max_body_bytes;
-                 m_body_too_large = m_head.m_content_length.value_or(0) > limit;
-                 if (!m_body_too_large) {
-                   m_body.reserve(m_head.m_content_length.value_or(0));
-                   SendContinueIfExpected(m_head.m_headers);
-                 }
-               },
-           .m_body =
-               [this](std::string_view bytes) {
-                 const std::size_t limit = m_server.m_limits.m_max_body_bytes;
-                 if (m_body.size() + bytes.size() > limit) {
-                   m_body_too_large = true;
-                 }
-                 if (!m_body_too_large) {
-                   m_body.append(bytes);
-                 }
-               },
-           .m_end = [] {}}) {
+      m_parser(MessageType::kRequest,
+               server.m_limits.m_max_head_bytes,
+               {.m_head =
+                    [this](MessageHead&& head) {
+                      m_head = std::move(head);
+                      AnnounceBody();
+                    },
+                .m_body = [this](std::string_view bytes) { AppendBody(bytes); },
+                .m_end = [] {}}) {
   DisableNagle(socket);
   DetectDeadPeer(socket);
 }
@@ -120,7 +110,7 @@
     } else if (m_parser.head_done()) {
       ArmTimer(m_server.m_limits.m_idle_timeout);
     }
-    if (m_parser.error() != ParseError::kNone || m_body_too_large) {
+    if (m_parser.error() != ParseError::kNone || m_body_status != 0) {
       RejectInput();
     } else if (m_parser.complete()) {
       DispatchRequest();
@@ -131,9 +121,58 @@
   }
 }
 
+void ServerConnection::AnnounceBody() {
+  const std::size_t size = m_head.m_content_length.value_or(0);
+  if (size > m_server.m_limits.m_max_body_bytes) {
+    m_body_status = kTooLarge;
+    return;
+  }
+  CountBody(size, size);
+  if (m_body_status == 0) {
+    m_body.reserve(size);
+    SendContinueIfExpected(m_head.m_headers);
+  }
+}
+
+void ServerConnection::AppendBody(std::string_view bytes) {
+  const std::size_t size = m_body.size() + bytes.size();
+  if (size > m_server.m_limits.m_max_body_bytes) {
+    m_body_status = kTooLarge;
+  } else if (!m_head.m_content_length && m_body_status == 0) {
+    CountBody(bytes.size(), size);
+  }
+  if (m_body_status == 0) {
+    m_body.append(bytes);
+  }
+}
+
+void ServerConnection::CountBody(std::size_t bytes, std::size_t size) {
+  const std::size_t limit = m_server.BodyLimitFor(size);
+  const std::size_t used = m_server.m_body_bytes;
+  if (used <= limit && bytes <= limit - used) {
+    m_server.m_body_bytes += bytes;
+    m_counted_body_bytes += bytes;
+    return;
+  }
+  ++m_server.m_bodies_rejected;
+  m_body_status = size > limit ? kTooLarge : kUnavailable;
+  kLog.Warn(
+      "rejecting a request; the bodies of all requests need too much memory",
+      {{"status", m_body_status},
+       {"bytes", static_cast<std::uint64_t>(size)},
+       {"reason", "bodies use " + std::to_string(used) + " of " +
+                      std::to_string(limit) + " bytes"}});
+}
+
+void ServerConnection::ReleaseBody() {
+  m_server.m_body_bytes -= std::exchange(m_counted_body_bytes, 0);
+}
+
 void ServerConnection::RejectInput() {
-  if (m_body_too_large) {
-    RejectWith(413);
+  if (m_body_status == kUnavailable) {
+    RejectWith(kUnavailable, kBodyRetryAfter);
+  } else if (m_body_status != 0) {
+    RejectWith(m_body_status);
   } else if (m_parser.error() == ParseError::kHeadTooLarge) {
     RejectWith(431);
   } else {
@@ -147,6 +186,8 @@
   answer.append("\r\n").append(fields);
   answer.append("Content-Length: 0\r\nConnection: close\r\n\r\n");
   Write(answer);
+  m_body = {};
+  ReleaseBody();
   BeginLinger();
 }
 
@@ -166,6 +207,7 @@
 void ServerConnection::FinishAnswer(bool keep_alive) {
   const auto exchange = std::exchange(m_exchange, nullptr);
   exchange->Detach(/*caller_disconnected=*/false);
+  ReleaseBody();
   if (!keep_alive || m_server.draining()) {
     BeginLinger();
     return;
@@ -224,6 +266,7 @@
     return;
   }
   m_phase = Phase::kClosed;
+  ReleaseBody();
   Release();
   const auto connection = shared_from_this();
   m_server.RemoveConnection(connection);
@@ -235,6 +278,7 @@
 void ServerConnection::AbortAnswer(bool reset) {
   m_exchange->Detach(/*caller_disconnected=*/false);
   m_exchange.reset();
+  ReleaseBody();
   if (reset) {
     ResetConnection();
     return;
--- a/Source/http/server_connection.h
+++ b/Source/http/server_connection.h
@@ -55,6 +55,14 @@
   void ReadInput();
   void DispatchRequest();
   void RejectInput();
+  // Handle the announced size of a body, and its bytes. Set m_body_status if it
+  // is rejected.
+  void AnnounceBody();
+  void AppendBody(std::string_view bytes);
+  // Counts `bytes` more of a body of `size` bytes, or rejects it.
+  void CountBody(std::size_t bytes, std::size_t size);
+  // The body is no longer needed.
+  void ReleaseBody();
   void FinishAnswer(bool keep_alive);
   // Sends the remaining output, then discards input until a timeout. Closing a
   // socket with unread input would send a reset, which can destroy the response
@@ -77,7 +85,8 @@
   MessageParser m_parser;
   MessageHead m_head;
   std::string m_body;
-  bool m_body_too_large = false;
+  std::size_t m_counted_body_bytes = 0;  // Of the server's count.
+  int m_body_status = 0;  // Of the rejection of the body; 0: none.
   std::shared_ptr<ConnectionExchange> m_exchange;
 };
 
--- a/Source/http/server_exchange.h
+++ b/Source/http/server_exchange.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/shared_bytes.h"
 #include "base/time.h"
 #include "http/header_fields.h"
 
@@ -18,7 +19,7 @@
   std::string m_method;
   std::string m_target;
   HeaderFields m_headers;
-  std::string m_body;
+  SharedBytes m_body;
   MonotonicTime m_received_at;  // When the last byte was read.
 };
 
--- a/StandIns/jarro_main.cc
+++ b/StandIns/jarro_main.cc
@@ -52,7 +52,7 @@
     for (const Commands* commands : {&StoreCommands(), &ServerCommands()}) {
       if (const auto known = commands->find(command);
           known != commands->end()) {
-        known->second(*this, exchange->request().m_body);
+        known->second(*this, exchange->request().m_body.text());
       }
     }
     exchange->Answer(200, {{"Content-Type", "application/json"}},
--- a/StandIns/jarro_server.cc
+++ b/StandIns/jarro_server.cc
@@ -87,7 +87,7 @@
 }
 
 void JarroServer::ExecuteOrder(const Exchange& exchange) {
-  const json order = json::parse(exchange->request().m_body, nullptr,
+  const json order = json::parse(exchange->request().m_body.text(), nullptr,
                                  /*allow_exceptions=*/false);
   m_order_log.push_back(order);
   if (m_busy ||
--- a/StandIns/jarro_store.cc
+++ b/StandIns/jarro_store.cc
@@ -245,7 +245,7 @@
 }
 
 void JarroStore::Transact(const Exchange& exchange) {
-  const json body = json::parse(exchange->request().m_body, nullptr,
+  const json body = json::parse(exchange->request().m_body.text(), nullptr,
                                 /*allow_exceptions=*/false);
   json current = json::array();
   bool all_match = true;
@@ -286,7 +286,7 @@
 }
 
 void JarroStore::GrantLease(const Exchange& exchange) {
-  const json body = json::parse(exchange->request().m_body, nullptr,
+  const json body = json::parse(exchange->request().m_body.text(), nullptr,
                                 /*allow_exceptions=*/false);
   const std::int64_t id = m_next_lease_id++;
   const Duration ttl = milliseconds(body.value("ttlMs", 1000));
--- a/Tests/endpoint/http_order_service_test.cc
+++ b/Tests/endpoint/http_order_service_test.cc
@@ -63,7 +63,7 @@
     return *reply.m_result;
   };
   CHECK(send(202).value().m_outcome == OrderOutcome::kAccepted);
-  const auto body = nlohmann::json::parse(client.m_last.m_body);
+  const auto body = nlohmann::json::parse(client.m_last.m_body.text());
   CHECK(body.at("fence") == 7);
   CHECK(body.at("model") == "s/m");
   CHECK(send(409).value().m_outcome == OrderOutcome::kFenced);
--- a/Tests/fuzz/caller_request_fuzz.cc
+++ b/Tests/fuzz/caller_request_fuzz.cc
@@ -42,6 +42,7 @@
 int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   const std::string input = InputText(data, size);
   http::ServerRequest request;
+  std::string body;
   http::MessageParser parser(
       http::MessageType::kRequest, kMaxHeadBytes,
       {.m_head =
@@ -50,12 +51,13 @@
              request.m_target = head.m_target;
              request.m_headers = std::move(head.m_headers);
            },
-       .m_body = [&](std::string_view bytes) { request.m_body += bytes; },
+       .m_body = [&](std::string_view bytes) { body += bytes; },
        .m_end = [] {}});
   parser.Feed(input);
   if (!parser.complete()) {
     return 0;
   }
+  request.m_body = std::move(body);
   const jarro::CallerProtocol protocol;
   try {
     const fleet::CallerRequest decoded = protocol.DecodeRequest(request);
--- a/Tests/http/server_test.cc
+++ b/Tests/http/server_test.cc
@@ -273,3 +273,122 @@
   CHECK(got_without_request.empty());
   CHECK(closed);
 }
+
+namespace {
+
+constexpr std::size_t kBodyLimit = std::size_t{800} * 1024;
+
+// A server that holds the requests to /hold and answers the others.
+struct BodyServer {
+  BodyServer() {
+    m_server.SetLimits(
+        {.m_max_body_bytes = kBodyLimit, .m_max_total_body_bytes = kBodyLimit});
+  }
+
+  EventLoop m_loop;
+  std::vector<std::shared_ptr<ServerExchange>> m_held;
+  Server m_server{m_loop, "127.0.0.1", 0,
+                  [this](const std::shared_ptr<ServerExchange>& exchange) {
+                    if (exchange->request().m_target == "/hold") {
+                      m_held.push_back(exchange);
+                    } else {
+                      exchange->Answer(200, {}, "done");
+                    }
+                  }};
+};
+
+std::string Post(const std::string& target, std::size_t size) {
+  return "POST " + target +
+         " HTTP/1.1\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n" +
+         std::string(size, 'x');
+}
+
+}  // namespace
+
+// Guards against a host that the bodies of its callers take over its memory
+// (Fault, review/9).
+TEST_CASE("A body beyond the memory for all bodies is rejected unread") {
+  BodyServer server;
+  std::string large;
+  std::string chunked;
+  std::string small;
+  std::string never;
+  std::string after;
+  Serve(server.m_loop, [&] {
+    RawCaller holder(server.m_server.port());
+    holder.Send(Post("/hold", 600 * 1024));
+    RawCaller second(server.m_server.port());
+    // Only the head: the answer does not wait for the body.
+    second.Send(
+        "POST /b HTTP/1.1\r\nContent-Length: 204800\r\nExpect: "
+        "100-continue\r\n\r\n");
+    large = second.Read();
+    RawCaller third(server.m_server.port());
+    third.Send(
+        "POST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" +
+        std::string(0x20000, 'x'));
+    chunked = third.Read();
+    RawCaller fourth(server.m_server.port());
+    fourth.Send(Post("/b", 1000));
+    small = fourth.Read("done");
+    RawCaller fifth(server.m_server.port());
+    fifth.Send("POST /b HTTP/1.1\r\nContent-Length: 810000\r\n\r\n");
+    never = fifth.Read();
+    holder.Close();
+    RawCaller sixth(server.m_server.port());
+    std::this_thread::sleep_for(milliseconds(100));
+    sixth.Send(Post("/b", 600 * 1024));
+    after = sixth.Read("done");
+  });
+  CHECK(large.starts_with("HTTP/1.1 503"));
+  CHECK(large.find("Retry-After: 1") != std::string::npos);
+  CHECK(chunked.starts_with("HTTP/1.1 503"));
+  CHECK(small.starts_with("HTTP/1.1 200"));
+  CHECK(never.starts_with("HTTP/1.1 413"));
+  CHECK(after.starts_with("HTTP/1.1 200"));
+  CHECK(server.m_server.bodies_rejected() == 3);
+  CHECK(server.m_server.body_bytes() == 0);
+}
+
+TEST_CASE("A body that fits into no memory gets 413") {
+  BodyServer server;
+  server.m_server.SetLimits({.m_max_body_bytes = 2 * kBodyLimit,
+                             .m_max_total_body_bytes = kBodyLimit});
+  std::string got;
+  Serve(server.m_loop, [&] {
+    RawCaller caller(server.m_server.port());
+    caller.Send("POST /b HTTP/1.1\r\nContent-Length: 819201\r\n\r\n");
+    got = caller.Read();
+  });
+  CHECK(got.starts_with("HTTP/1.1 413"));
+}
+
+TEST_CASE("Every way in which a request ends releases its body") {
+  BodyServer server;
+  const int end = GENERATE(range(0, 4));
+  CAPTURE(end);
+  Serve(server.m_loop, [&] {
+    RawCaller caller(server.m_server.port());
+    if (end == 0) {  // The caller leaves while it sends.
+      caller.Send(Post("/hold", 100000).substr(0, 50000));
+      std::this_thread::sleep_for(milliseconds(50));
+      return;
+    }
+    caller.Send(Post("/hold", 100000));
+    std::this_thread::sleep_for(milliseconds(50));
+    if (end == 1) {  // It leaves while the request runs.
+      return;
+    }
+    server.m_loop.Post([&] {
+      if (end == 2) {
+        server.m_held.at(0)->Abort();
+      } else {
+        server.m_held.at(0)->StartAnswer(200, {}, std::nullopt);
+        server.m_held.at(0)->FinishAnswer();
+      }
+    });
+    std::this_thread::sleep_for(milliseconds(50));
+  });
+  Serve(server.m_loop, [] { std::this_thread::sleep_for(milliseconds(50)); });
+  CHECK(server.m_server.body_bytes() == 0);
+}
