Wait for a slow reader until its output has been sent

Cause: the second that a peer has to close began with the writing of the answer. Change: it begins when all output has been sent; until then the idle time-out of callers, and in a planned stop the grace time, bound the connection.

--- a/Source/http/server_connection.cc
+++ b/Source/http/server_connection.cc
@@ -21,7 +21,7 @@
 
 // Input that is buffered per connection while a request is being answered.
 constexpr std::size_t kMaxPendingInputBytes = std::size_t{64} * 1024;
-// Time for the peer to read the last answer before the connection is closed.
+// Time for the peer to close after the end of the output.
 constexpr Duration kLingerTimeout = seconds(1);
 
 constexpr int kTooLarge = 413;
@@ -225,17 +225,24 @@
 
 void ServerConnection::BeginLinger() {
   m_phase = Phase::kLingering;
-  ArmTimer(kLingerTimeout);
   if (evbuffer_get_length(bufferevent_get_output(m_buffer)) == 0) {
-    shutdown(bufferevent_getfd(m_buffer), SHUT_WR);
+    EndOutput();
+    return;
   }
+  // The peer may read slowly.
+  ArmTimer(m_server.m_limits.m_idle_timeout);
+}
+
+void ServerConnection::EndOutput() {
+  shutdown(bufferevent_getfd(m_buffer), SHUT_WR);
+  ArmTimer(kLingerTimeout);
 }
 
-void ServerConnection::OnDrained(bufferevent* buffer, void* self) {
+void ServerConnection::OnDrained(bufferevent* /*buffer*/, void* self) {
   const auto connection =
       static_cast<ServerConnection*>(self)->shared_from_this();
   if (connection->m_phase == Phase::kLingering) {
-    shutdown(bufferevent_getfd(buffer), SHUT_WR);
+    connection->EndOutput();
   } else if (const auto exchange = connection->m_exchange) {
     exchange->NotifyDrained();
   }
--- a/Source/http/server_connection.h
+++ b/Source/http/server_connection.h
@@ -68,6 +68,8 @@
   // socket with unread input would send a reset, which can destroy the response
   // before the peer has read it.
   void BeginLinger();
+  // All output has been sent: tells the peer, and waits for its close.
+  void EndOutput();
   // Closes the connection without completing the response. `reset`: an orderly
   // close would make the response look complete.
   void AbortAnswer(bool reset);
--- a/Tests/http/server_test.cc
+++ b/Tests/http/server_test.cc
@@ -392,3 +392,23 @@
   Serve(server.m_loop, [] { std::this_thread::sleep_for(milliseconds(50)); });
   CHECK(server.m_server.body_bytes() == 0);
 }
+
+// Guards against an answer that is cut because its caller reads slowly during a
+// planned stop (LOST).
+TEST_CASE("A caller that reads slowly gets its whole last answer") {
+  constexpr std::size_t kAnswerBytes = std::size_t{6} * 1024 * 1024;
+  EventLoop loop;
+  Server server(loop, "127.0.0.1", 0,
+                [&](const std::shared_ptr<ServerExchange>& exchange) {
+                  exchange->Answer(200, {}, std::string(kAnswerBytes, 'x'));
+                });
+  server.BeginDrain();
+  std::string got;
+  Serve(loop, [&] {
+    RawCaller caller(server.port(), 4096);
+    caller.Send(kGet);
+    std::this_thread::sleep_for(milliseconds(1500));
+    got = caller.Read();
+  });
+  CHECK(got.size() > kAnswerBytes);
+}
