--- a/Source/endpoint/client_connection.cc
+++ b/Source/endpoint/client_connection.cc
@@ -78,6 +78,7 @@
   return seconds(value) - kKeepAliveMargin;
 }
 
+// Writes `bytes`, which the buffer shares until they have been sent.
 void WriteWithoutCopy(bufferevent* buffer, const SharedBytes& bytes) {
   auto* owner = new SharedBytes(bytes);
   const auto release = [](const void* /*data*/, std::size_t /*size*/,
--- a/Tests/admission/few_requests_test.cc
+++ b/Tests/admission/few_requests_test.cc
@@ -65,10 +65,10 @@
     RecordedEnds fleet;
     int ends = 0;
     std::vector<std::string> left;
+    left.reserve(static_cast<std::size_t>(crashing));
     for (int i = 0; i < crashing; ++i) {
       left.push_back(Request("crashing" + std::to_string(i)));
     }
-    std::vector<int> ends_of(left.size());
     const auto held = [&] {
       return part_crashes ? fleet.m_parts.Held("first") : left.empty();
     };
