--- a/Source/placement/engine_adapters.cc
+++ b/Source/placement/engine_adapters.cc
@@ -13,7 +13,7 @@
     const AdapterId& adapter,
     MonotonicTime now) const {
   std::optional<EndpointId> best;
-  std::pair<bool, int> best_rank;
+  bool best_fits = false;
   for (const auto& [id, ledger] : m_ledgers) {
     const fleet::EndpointEntry& entry = view.m_entries.at(id);
     if (!Usable(entry) || view.m_avoided(id) || !ledger.Holds(entry, model)) {
@@ -32,11 +32,12 @@
     if (present || ledger.Occupied() || now < ledger.m_paused_until) {
       continue;
     }
-    const std::pair rank(!FitsWithoutOthers(view, entry, ledger, model),
-                         view.m_running(id, model));
-    if (!best || rank < best_rank) {
+    const bool fits = FitsWithoutOthers(view, entry, ledger, model);
+    if (!best || fits > best_fits ||
+        (fits == best_fits &&
+         view.m_running(id, model) < view.m_running(*best, model))) {
       best = id;
-      best_rank = rank;
+      best_fits = fits;
     }
   }
   return best;
