Let the soak and the scripted servers share what reads and frames requests

The soak's server had a copy of the reader, the events and the resets of the scripted server; they stand once now. One function pauses servers and hosts. The entry of a crashed server stays for three heartbeats, as on the platform, so that its address is taken by another id beside it; before, it went at the crash.

--- a/Tests/process/scripted_server.py
+++ b/Tests/process/scripted_server.py
@@ -34,14 +34,35 @@
     return head(request, "200 OK", "Content-Type: text/event-stream", *fields)
 
 
-def event(number):
-    return f"id: {number}\ndata: t{number}\n\n".encode()
+def event(number, data=None):
+    return f"id: {number}\ndata: {data or f't{number}'}\n\n".encode()
 
 
 def chunk(data):
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
+def read_request(connection):
+    """Returns the next request; None if the connection has ended."""
+    data = b""
+    while b"\r\n\r\n" not in data and len(data) < HEAD_LIMIT:
+        piece = connection.recv(4096)
+        if not piece:
+            return None
+        data += piece
+    text, body = data.split(b"\r\n\r\n", 1)
+    first, *fields = text.decode().split("\r\n")
+    headers = {name.lower(): value for name, value in
+               (field.split(": ", 1) for field in fields)}
+    length = int(headers.get("content-length", 0))
+    while len(body) < length:
+        piece = connection.recv(length - len(body))
+        if not piece:
+            break
+        body += piece
+    return Request(first.split(" ")[1], headers, body)
+
+
 class ScriptedServer:
     """Serves each connection on a thread of its own. `respond` is called with
     the socket and the Request for each request that is not a control call; it
@@ -99,7 +120,7 @@
     def _serve(self, connection):
         try:
             with connection:
-                while request := self._read(connection):
+                while request := read_request(connection):
                     if not self._answer(connection, request):
                         return
                     self.kept.add(connection)
@@ -117,26 +138,6 @@
         self.requests.append(request)
         return self.respond(connection, request)
 
-    @staticmethod
-    def _read(connection):
-        data = b""
-        while b"\r\n\r\n" not in data and len(data) < HEAD_LIMIT:
-            piece = connection.recv(4096)
-            if not piece:
-                return None
-            data += piece
-        text, body = data.split(b"\r\n\r\n", 1)
-        first, *fields = text.decode().split("\r\n")
-        headers = {name.lower(): value for name, value in
-                   (field.split(": ", 1) for field in fields)}
-        length = int(headers.get("content-length", 0))
-        while len(body) < length:
-            piece = connection.recv(length - len(body))
-            if not piece:
-                break
-            body += piece
-        return Request(first.split(" ")[1], headers, body)
-
 
 def reset(connection):
     """Makes the close of `connection` a reset."""
--- a/Tests/soak/soak.py
+++ b/Tests/soak/soak.py
@@ -29,6 +29,8 @@
 # How long a request that was refused is given to run after all.
 SETTLE_S = 2.5
 REUSE_AFTER_S = 2.0
+# A crashed server's entry is removed after this silence.
+HEARTBEATS_S = 3.6
 ROUTES = {"/chat/": 0.35, "/letter/": 0.15, "/pay/": 0.35, "/look/": 0.15}
 MAY_RUN_AGAIN = {"/letter/", "/look/"}
 
@@ -70,9 +72,6 @@
             "available": {"inMemory": [],
                           "onDisk": [self.model] if self.model else []}}})
 
-    def withdraw(self):
-        self.soak.fleet.control("remove-entry", {"id": self.name})
-
     def send(self, number):
         if self.process.poll() is None:
             self.process.send_signal(number)
@@ -249,14 +248,23 @@
             process.close()
 
 
-def pause_server(soak, chance):
-    server = soak.claim(soak.servers, chance)
-    if server is None:
+def pause(soak, chance, things, send):
+    """Stops one of `things` with `send` for a while."""
+    thing = soak.claim(things, chance)
+    if thing is None:
         return
-    server.send(signal.SIGSTOP)
-    time.sleep(chance.uniform(0.1, 2))
-    server.send(signal.SIGCONT)
-    soak.busy.discard(id(server))
+    send(thing, signal.SIGSTOP)
+    time.sleep(chance.uniform(0.05, 2))
+    send(thing, signal.SIGCONT)
+    soak.busy.discard(id(thing))
+
+
+def pause_server(soak, chance):
+    pause(soak, chance, soak.servers, SoakServer.send)
+
+
+def pause_host(soak, chance):
+    pause(soak, chance, soak.fleet.hosts, harness.Process.signal)
 
 
 def crash_server(soak, chance):
@@ -265,11 +273,15 @@
     if server is None:
         return
     server.kill()
-    same = chance.random() < 0.5
-    if not same:
-        server.withdraw()
-    time.sleep(chance.uniform(0.1, 1) if same else REUSE_AFTER_S)
-    server.start(server.name if same else f"{server.name}r")
+    if chance.random() < 0.5:
+        time.sleep(chance.uniform(0.1, 1))
+        server.start(server.name)
+    else:
+        time.sleep(REUSE_AFTER_S)
+        lost = server.name
+        server.start(f"{lost}r")
+        time.sleep(HEARTBEATS_S - REUSE_AFTER_S)
+        soak.fleet.control("remove-entry", {"id": lost})
     soak.busy.discard(id(server))
 
 
@@ -288,16 +300,6 @@
     soak.busy.discard(id(server))
 
 
-def pause_host(soak, chance):
-    host = soak.claim(soak.fleet.hosts, chance)
-    if host is None:
-        return
-    host.signal(signal.SIGSTOP)
-    time.sleep(chance.uniform(0.05, 2))
-    host.signal(signal.SIGCONT)
-    soak.busy.discard(id(host))
-
-
 def restart_host(soak, chance):
     host = soak.claim(soak.fleet.hosts, chance)
     if host is None:
--- a/Tests/soak/soak_server.py
+++ b/Tests/soak/soak_server.py
@@ -6,15 +6,17 @@
 
 import json
 import os
+import pathlib
 import random
 import signal
 import socket
-import struct
 import sys
 import threading
 import time
 
-HEAD_LIMIT = 65536
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "process"))
+from scripted_server import chunk, event, read_request, reset  # noqa: E402
+
 EVENT_GAP_S = 0.03
 STREAM_EVENTS = 6
 NOT_RUN = "Not-Executed: 1"
@@ -25,34 +27,6 @@
     os.write(1, (text + "\n").encode())
 
 
-class Request:
-    def __init__(self, target, headers, body):
-        self.target = target
-        self.headers = headers
-        self.body = body
-        self.id = headers.get("request-id", "")
-
-
-def read_request(connection):
-    data = b""
-    while b"\r\n\r\n" not in data and len(data) < HEAD_LIMIT:
-        piece = connection.recv(4096)
-        if not piece:
-            return None
-        data += piece
-    text, body = data.split(b"\r\n\r\n", 1)
-    first, *fields = text.decode("latin-1").split("\r\n")
-    headers = {name.lower(): value for name, value in
-               (field.split(": ", 1) for field in fields)}
-    length = int(headers.get("content-length", 0))
-    while len(body) < length:
-        piece = connection.recv(length - len(body))
-        if not piece:
-            return None
-        body += piece
-    return Request(first.split(" ")[1], headers, body)
-
-
 def head(request_id, status, *fields, signed=True):
     lines = [f"HTTP/1.1 {status}", f"Request-Id: {request_id}"]
     if signed:
@@ -68,12 +42,10 @@
 class Connection:
     """A caller's connection, on which an answer may be written once more."""
 
-    def __init__(self, server, handle):
-        self.server = server
+    def __init__(self, handle):
         self.handle = handle
         self.lock = threading.Lock()
         self.rejection = None  # The last one.
-        self.last_id = ""
 
     def write(self, data):
         with self.lock:
@@ -90,8 +62,7 @@
         timer.start()
 
     def reset(self):
-        self.handle.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
-                               struct.pack("ii", 1, 0))
+        reset(self.handle)
         self.handle.close()
 
 
@@ -123,7 +94,7 @@
                              daemon=True).start()
 
     def serve_connection(self, handle):
-        connection = Connection(self, handle)
+        connection = Connection(handle)
         try:
             with handle:
                 while request := read_request(handle):
@@ -198,14 +169,13 @@
         connection.write(head(request.id, "200 OK", *fields))
         for number in range(first, STREAM_EVENTS + 1):
             time.sleep(EVENT_GAP_S)
-            event = f"id: {number}\ndata: {request.id}.{number}\n\n".encode()
-            connection.write(b"%x\r\n%s\r\n" % (len(event), event)
-                             if framed else event)
+            data = event(number, f"{request.id}.{number}")
+            connection.write(chunk(data) if framed else data)
             if self.happens("break_stream"):
                 connection.reset()
                 return False
         if framed:
-            connection.write(b"0\r\n\r\n")
+            connection.write(chunk(b""))
         return framed
 
 
