--- a/review/12/play.py
+++ b/review/12/play.py
@@ -1,9 +1,9 @@
-"""ONE: the store comes back from a copy that lacks the placement lease, while
-the holder is partitioned from the store."""
+"""LOST: callers that read slowly lose their answers around a planned stop."""
 
 import asyncio
 import pathlib
-import random
+import signal
+import socket
 import sys
 import time
 
@@ -11,119 +11,94 @@
 sys.path.insert(0, str(FOLDER.parent / "lib3"))
 
 import fleet  # noqa: E402
+import http11  # noqa: E402
 import servers  # noqa: E402
 
-HOSTS = 3
-ENGINES = 4
-MODELS = 16
-ADAPTERS = 56       # Of each busy model, as the first model of jarro-ne has.
-ASK_EVERY_S = 0.05  # A third of the site's rate of streams.
-AWAY_S = 0.3
-RARE_AFTER_S = 2
-CUT_S = 5.5         # As core_cut in the site file.
-LEASE_S = fleet.BOUNDS["leaseMs"] / 1000
-HOLDER_KEY = "hickoryloft/placement-holder"
-
-
-def configuration():
-    result = fleet.configuration(1)
-    result["services"][0]["engine"]["models"] = [
-        {"name": f"m{i}", "mb": 60000, "loadS": 6, "diskS": 0.3, "warmS": 0.2,
-         "adapters": ADAPTERS if i <= ENGINES else 0, "adapterMb": 66}
-        for i in range(1, MODELS + 1)]
-    return result
-
-
-async def demand(case):
-    """Each engine has one busy model with many adapters. Rare models are asked
-    for too from `rare_at` on."""
-    rng = random.Random(1)
-    count = 0
-    while True:
-        count += 1
-        rare = time.monotonic() > case.rare_at and count % 3 == 0
-        model = (f"m{rng.randint(ENGINES + 1, MODELS)}" if rare else
-                 f"m{rng.randint(1, ENGINES)}/a{rng.randint(1, ADAPTERS)}")
-        headers = case.headers(12000, model)
-        asyncio.get_running_loop().create_task(
-            case.ask(rng.randrange(HOSTS), "/chat/x", headers))
-        await asyncio.sleep(ASK_EVERY_S)
-
-
-def turns(engine):
-    """Returns the orders that follow one of another holder, with the time
-    between."""
-    found = []
-    for before, after in zip(engine.orders, engine.orders[1:]):
-        if before[1] != after[1]:
-            found.append((after[0] - before[0], before, after))
-    return found
-
-
-async def drill(case, holder):
-    """The store is away for a moment and comes back from a copy of before the
-    holder took the lease; the holder's path to the store stays cut."""
-    lacking = max(copy[0] for copy in case.store.copies
-                  if HOLDER_KEY not in copy[1])
-    case.log("the store is away;", holder, "is partitioned from it")
-    case.rare_at = time.monotonic() + RARE_AFTER_S
-    case.store.away = True
-    case.store.cut = {int(holder.split("-")[1])}
-    await asyncio.sleep(AWAY_S)
-    age_s = time.monotonic() - lacking + 0.1
-    case.store.restore(age_s)
-    case.store.away = False
-    case.log(f"the store is back, from a copy {age_s:.2f} s old; era",
-             case.store.era)
-    await asyncio.sleep(CUT_S - AWAY_S)
-    case.store.cut = set()
-    case.log("the partition has healed")
+MODEL = "m1"
+CLIENTS = 8
+DEADLINE_MS = 25000     # Of resumen-noche; the route's timeout is the same.
+GRACE_S = fleet.BOUNDS["graceS"]
+# Within the largest of the site: 119 events of 420 bytes.
+EVENTS, EVENT_BYTES = 119, 130
+# Callers with small receive buffers that take 0.9 to 1.3 KB a second, without a
+# pause, and would have the whole answer after 20 s.
+RECEIVE_BUFFER = 4096
+READ_BYTES = 512
+STOP_AFTER_S = 0.5
+STABLE_S = 4             # stableMs of the site.
+
+
+def read_every_s(number):
+    return 0.4 + 0.02 * number
+
+
+async def call(case, number, slow):
+    """Sends one request and reads its answer. Returns what came of it."""
+    loop = asyncio.get_running_loop()
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+    sock.setblocking(False)
+    headers = case.headers(DEADLINE_MS, MODEL)
+    data, end, started = b"", "complete", time.monotonic()
+    try:
+        await loop.sock_connect(sock, (case.address(0), case.front))
+        await loop.sock_sendall(sock, http11.request_bytes(
+            "POST", "/letter/x", headers, b"{}"))
+        while not data.endswith(b"\r\n0\r\n\r\n"):
+            piece = await asyncio.wait_for(
+                loop.sock_recv(sock, READ_BYTES),
+                DEADLINE_MS / 1000 - (time.monotonic() - started))
+            if not piece:
+                end = "closed"
+                break
+            data += piece
+            if slow:
+                await asyncio.sleep(read_every_s(number))
+    except asyncio.TimeoutError:
+        end = "the deadline has passed"   # Or ETIMEDOUT; not counted.
+    except OSError as error:
+        end = repr(error)
+    finally:
+        sock.close()
+    took_s = time.monotonic() - started
+    case.log(f"client {headers['Request-Id']}: {len(data)} bytes in "
+             f"{took_s:.2f} s, {data.count(b'id: ')} of {EVENTS} events,", end)
+    return headers["Request-Id"], took_s, end, data.count(b"id: ")
 
 
 async def play(case):
-    await case.store.start(range(HOSTS))
-    case.store.put_json("op/config", configuration())
-    engines = []
-    for i in range(1, ENGINES + 1):
-        engine = servers.Engine(
-            case.store, f"i-engine{i}", f"z{i % 2}", case.log,
-            [f"m{i}", f"m{i + ENGINES}"],
-            [f"m{k}" for k in range(1, MODELS + 1)])
-        engine.events, engine.gap_s = 3, 0.01
-        await engine.start(slots=32)
-        engines.append(engine)
-    await asyncio.sleep(2)
-    for index in range(HOSTS):
-        case.start_host(index)
+    await case.start(routes={"letter": {"timeoutMs": DEADLINE_MS,
+                                        "targetLatencyMs": 6000}})
+    engine = servers.Engine(case.store, "i-engine1", "z0", case.log,
+                            [MODEL, "m2"], ["m3"])
+    engine.events, engine.gap_s = EVENTS, 0.005
+    engine.event_bytes = EVENT_BYTES
+    await engine.start(slots=32)
     await case.wait_ready()
-    case.rare_at = float("inf")
-    task = asyncio.get_running_loop().create_task(demand(case))
-    await case.wait("the holder gives orders",
-                    lambda: any(engine.orders for engine in engines), 20)
-    await asyncio.sleep(2)
-    holder = case.store.holder()
-    if case.trouble:
-        await drill(case, holder)
-    else:
-        case.rare_at = time.monotonic() + RARE_AFTER_S
-        await asyncio.sleep(CUT_S)
-    task.cancel()
-    orders = sum(len(engine.orders) for engine in engines)
-    case.log("holder before", holder, "and after", case.store.holder(),
-             "orders", orders)
-    if orders < 20:
-        raise fleet.CannotRun("too few orders to judge")
+    await asyncio.sleep(STABLE_S + 0.5)
+    calls = [asyncio.get_running_loop().create_task(
+        call(case, number, case.trouble)) for number in range(CLIENTS)]
+    await case.wait("all requests run", lambda: len(engine.runs) == CLIENTS, 3)
+    await asyncio.sleep(STOP_AFTER_S)
+    stopped_at = time.monotonic()
+    case.signal(0, signal.SIGTERM)
+    results = []
+    for task in calls:
+        results.append(await task)
+    case.log("host 0 ended with", await asyncio.to_thread(
+        case.hosts[0].wait, GRACE_S + 20))
+    case.log("the host's log:\n" + "\n".join(
+        line for line in case.host_log(0).splitlines() if '"over"' in line))
     breaks = []
-    for engine in engines:
-        for gap_s, before, after in turns(engine):
-            case.log(f"turn at {engine.name}: {before[1]} fence {before[2]},"
-                     f" then {after[1]} fence {after[2]} after {gap_s:.3f} s")
-            if gap_s < LEASE_S:
-                breaks.append(
-                    f"ONE: {engine.name} gets an order of {after[1]} "
-                    f"{gap_s:.3f} s after one of {before[1]}; leaseMs is "
-                    f"{LEASE_S:.0f} s")
+    for rid, took_s, end, events in results:
+        run = next(r for r in engine.runs if r["id"] == rid)
+        ended_s = run["at"] + took_s - stopped_at
+        if end.startswith(("closed", "Conn")) and 0 < ended_s < GRACE_S + 1:
+            breaks.append(
+                f"LOST: {rid} ran at a sound server, which answered it in "
+                f"full; its connection ended {ended_s:.2f} s after the SIGTERM"
+                f" with {events} of {EVENTS} events")
     return breaks
 
 
-fleet.main(FOLDER, HOSTS, play)
+fleet.main(FOLDER, 1, play)
