http: log and count connections that end before the caller has read the answer

Hypotheses, written before any change of logic: 1. TCP_USER_TIMEOUT (3 s) ends connections whose peer keeps its window closed. 2. The process closes the connection a second after it has handed the answer to the system; the system then gives up on what is left, or resets it. 3. The idle time of callers ends the connection while output is left. 4. The end of the process takes the output with it.

The logs could not tell: "answered" means handed over to the system.

Change: a line with request id, unread bytes and reason, and the gauge loft_unread_answers, for each connection that ends before the caller has acknowledged the output.

--- a/Source/base/socket_options.cc
+++ b/Source/base/socket_options.cc
@@ -1,10 +1,16 @@
 #include "base/socket_options.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
+#include <cstring>
+
+#include "base/log.h"
 
 namespace hickoryloft {
 
@@ -20,6 +26,8 @@
 constexpr int kProbeIntervalSeconds = 1;
 constexpr int kProbeCount = 3;
 
+const Logger kLog("sockets");
+
 void SetOption(int socket, int level, int option, int value) {
   setsockopt(socket, level, option, &value, sizeof(value));
 }
@@ -39,6 +47,16 @@
   SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, kProbeCount);
 }
 
+std::size_t UnacknowledgedBytes(int socket) {
+  int bytes = 0;
+  if (ioctl(socket, SIOCOUTQ, &bytes) != 0) {
+    kLog.Warn("cannot read the output queue of a socket; taking it for empty",
+              {{"reason", std::strerror(errno)}});
+    return 0;
+  }
+  return static_cast<std::size_t>(std::max(0, bytes));
+}
+
 timeval ToTimeval(Duration duration) {
   constexpr std::int64_t kMicrosPerSecond = 1'000'000;
   const std::int64_t micros =
--- a/Source/base/socket_options.h
+++ b/Source/base/socket_options.h
@@ -1,10 +1,13 @@
-// Options of TCP sockets, and conversion of durations for the event library.
+// Options and state of TCP sockets, and conversion of durations for the event
+// library.
 
 #ifndef SOURCE_BASE_SOCKET_OPTIONS_H_
 #define SOURCE_BASE_SOCKET_OPTIONS_H_
 
 #include <sys/time.h>
 
+#include <cstddef>
+
 #include "base/time.h"
 
 namespace hickoryloft {
@@ -16,6 +19,10 @@
 // or keep-alive probes: a peer can disappear without a reset. Thread-safe.
 void DetectDeadPeer(int socket);
 
+// Returns the number of bytes in the system that the peer has not acknowledged,
+// sent or not. The end of the output counts as one byte. Thread-safe.
+std::size_t UnacknowledgedBytes(int socket);
+
 // Converts `duration` for the event library; a negative one becomes zero.
 // Thread-safe.
 timeval ToTimeval(Duration duration);
--- a/Source/host/frontend.cc
+++ b/Source/host/frontend.cc
@@ -36,6 +36,7 @@
 void Frontend::HandleRequest(std::shared_ptr<http::ServerExchange> exchange) {
   RequestFlow::Admitted admitted;
   const auto rejection = Admit(exchange->request(), admitted);
+  exchange->SetLogId(admitted.m_request.m_id);
   if (rejection) {
     Reject(*exchange, admitted, *rejection);
     return;
--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -406,6 +406,8 @@
   m_metrics.m_body_bytes.Set(static_cast<double>(m_callers.body_bytes()));
   m_metrics.m_bodies_rejected.Set(
       static_cast<double>(m_callers.bodies_rejected()));
+  m_metrics.m_unread_answers.Set(
+      static_cast<double>(m_callers.unread_answers()));
 }
 
 void HostDaemon::MeasureEvacuations() {
--- a/Source/host/host_metrics.cc
+++ b/Source/host/host_metrics.cc
@@ -66,7 +66,11 @@
       m_bodies_rejected(m_registry.GetGauge(
           "loft_bodies_rejected",
           "Requests rejected since the start because of the memory of their "
-          "bodies.")) {}
+          "bodies.")),
+      m_unread_answers(m_registry.GetGauge(
+          "loft_unread_answers",
+          "Connections closed since the start before their callers had read "
+          "the answer.")) {}
 
 void HostMetrics::CountOutcome(const std::string& kind,
                                const ClientAccountId& account,
--- a/Source/host/host_metrics.h
+++ b/Source/host/host_metrics.h
@@ -60,6 +60,7 @@
   metrics::Gauge& m_answer_bytes;
   metrics::Gauge& m_body_bytes;
   metrics::Gauge& m_bodies_rejected;
+  metrics::Gauge& m_unread_answers;
 };
 
 }  // namespace hickoryloft::host
--- a/Source/http/connection_exchange.cc
+++ b/Source/http/connection_exchange.cc
@@ -41,6 +41,12 @@
   m_connection->Write(head);
 }
 
+void ConnectionExchange::SetLogId(const std::string& id) {
+  if (m_connection != nullptr) {
+    m_connection->m_request_id = id;
+  }
+}
+
 void ConnectionExchange::Answer(int status,
                                 const HeaderFields& headers,
                                 std::string_view body) {
--- a/Source/http/connection_exchange.h
+++ b/Source/http/connection_exchange.h
@@ -23,6 +23,7 @@
                      const MessageHead& head);
 
   const ServerRequest& request() const override { return m_request; }
+  void SetLogId(const std::string& id) override;
   void Answer(int status,
               const HeaderFields& headers,
               std::string_view body) override;
--- a/Source/http/server.cc
+++ b/Source/http/server.cc
@@ -49,7 +49,7 @@
   const auto connections = std::move(m_connections);
   m_connections.clear();
   for (const auto& connection : connections) {
-    connection->Close();
+    connection->Close("the server stops");
   }
 }
 
@@ -99,7 +99,7 @@
   for (const auto& connection : Select([&](const ServerConnection& candidate) {
          return candidate.idle() && candidate.idle_since() <= idle_before;
        })) {
-    connection->Close();
+    connection->Close("the connection is idle in a planned stop");
   }
 }
 
--- a/Source/http/server.h
+++ b/Source/http/server.h
@@ -75,6 +75,9 @@
   std::size_t body_bytes() const { return m_body_bytes; }
   // Number of requests that were rejected because of their body's memory.
   std::uint64_t bodies_rejected() const { return m_bodies_rejected; }
+  // Number of connections that were closed before the caller had read the
+  // answer.
+  std::uint64_t unread_answers() const { return m_unread_answers; }
 
  private:
   friend class ServerConnection;
@@ -98,6 +101,7 @@
   bool m_draining = false;
   std::size_t m_body_bytes = 0;
   std::uint64_t m_bodies_rejected = 0;
+  std::uint64_t m_unread_answers = 0;
   evconnlistener* m_listener = nullptr;
   std::uint16_t m_port = 0;
   std::unordered_set<std::shared_ptr<ServerConnection>> m_connections;
--- a/Source/http/server_connection.cc
+++ b/Source/http/server_connection.cc
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <event2/util.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -194,6 +195,7 @@
 void ServerConnection::DispatchRequest() {
   event_del(m_timer);
   m_phase = Phase::kAnswering;
+  m_request_id.clear();
   ServerRequest request{.m_method = std::move(m_head.m_method),
                         .m_target = std::move(m_head.m_target),
                         .m_headers = std::move(m_head.m_headers),
@@ -254,7 +256,9 @@
   if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
     const auto connection =
         static_cast<ServerConnection*>(self)->shared_from_this();
-    connection->Close();
+    connection->Close((what & BEV_EVENT_EOF) != 0
+                          ? "the caller closed the connection"
+                          : std::strerror(EVUTIL_SOCKET_ERROR()));
   }
 }
 
@@ -265,13 +269,28 @@
     connection->RejectWith(408);
     return;
   }
-  connection->Close();
+  connection->Close("the time for the connection is over");
 }
 
-void ServerConnection::Close() {
+void ServerConnection::RecordUnread(std::string_view reason) {
+  const std::size_t unread =
+      evbuffer_get_length(bufferevent_get_output(m_buffer)) +
+      UnacknowledgedBytes(bufferevent_getfd(m_buffer));
+  if (unread == 0) {
+    return;
+  }
+  ++m_server.m_unread_answers;
+  kLog.Warn("closing a connection before its caller has read the answer",
+            {{"id", m_request_id},
+             {"bytes", static_cast<std::uint64_t>(unread)},
+             {"reason", reason}});
+}
+
+void ServerConnection::Close(std::string_view reason) {
   if (m_phase == Phase::kClosed) {
     return;
   }
+  RecordUnread(reason);
   m_phase = Phase::kClosed;
   ReleaseBody();
   Release();
@@ -303,7 +322,7 @@
     kLog.Error("cannot reset the connection of a caller; closing it",
                {{"reason", std::strerror(errno)}});
   }
-  Close();
+  Close("the answer was aborted");
 }
 
 void ServerConnection::Release() {
--- a/Source/http/server_connection.h
+++ b/Source/http/server_connection.h
@@ -40,7 +40,8 @@
   // Responds with `status` without calling the handler, then closes the
   // connection. `fields`: header lines. Precondition: reading_request().
   void RejectWith(int status, std::string_view fields = "");
-  void Close();
+  // `reason`: for the log line of output that the caller has not read.
+  void Close(std::string_view reason);
 
  private:
   friend class ConnectionExchange;
@@ -74,6 +75,8 @@
   // close would make the response look complete.
   void AbortAnswer(bool reset);
   void ResetConnection();
+  // Logs and counts output that the caller has not read.
+  void RecordUnread(std::string_view reason);
   void Release();
   void ArmTimer(Duration delay);
   void SendContinueIfExpected(const HeaderFields& headers);
@@ -88,7 +91,8 @@
   MessageHead m_head;
   std::string m_body;
   std::size_t m_counted_body_bytes = 0;  // Of the server's count.
-  int m_body_status = 0;  // Of the rejection of the body; 0: none.
+  int m_body_status = 0;     // Of the rejection of the body; 0: none.
+  std::string m_request_id;  // Of the last request; for logs.
   std::shared_ptr<ConnectionExchange> m_exchange;
 };
 
--- a/Source/http/server_exchange.h
+++ b/Source/http/server_exchange.h
@@ -31,6 +31,9 @@
 
   virtual const ServerRequest& request() const = 0;
 
+  // Names the request in the connection's log lines.
+  virtual void SetLogId(const std::string& id) = 0;
+
   // Sends a complete response. Precondition: no response has been started.
   virtual void Answer(int status,
                       const HeaderFields& headers,
--- a/Tests/standins/jarro_store_test.cc
+++ b/Tests/standins/jarro_store_test.cc
@@ -15,6 +15,7 @@
       : m_request(std::move(request)) {}
 
   const http::ServerRequest& request() const override { return m_request; }
+  void SetLogId(const std::string& /*id*/) override {}
   void Answer(int /*status*/,
               const http::HeaderFields& /*headers*/,
               std::string_view /*body*/) override {
