base: tell a peer that reads slowly from one that is gone

Cause: TCP_USER_TIMEOUT of 3 s ends a connection whose peer keeps its receive window closed for that long, although it answers each window probe.

Change: keep-alive probes stay. OutputWatch checks connections with unacknowledged output once a second; IsPeerGone, a function without a socket, decides: data in flight unacknowledged for 3 s, or three unanswered window probes, unless the peer answered the last retransmission. A slow reader acknowledges what fits and answers probes, so it stays; a vanished peer does neither, so it is still noticed in seconds.

--- a/Source/base/socket_options.cc
+++ b/Source/base/socket_options.cc
@@ -16,9 +16,6 @@
 
 namespace {
 
-// The peer is considered dead if sent data is not acknowledged for this long,
-// which is enough for several retransmissions.
-constexpr milliseconds kUnacknowledgedTimeout{3000};
 // Keep-alive probes of an idle connection: the time before the first one, the
 // interval between them, and the number of lost ones after which the peer is
 // considered dead.
@@ -39,8 +36,8 @@
 }
 
 void DetectDeadPeer(int socket) {
-  SetOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
-            static_cast<int>(kUnacknowledgedTimeout.count()));
+  // Not TCP_USER_TIMEOUT: it also closes the connection of a peer that answers
+  // each window probe but keeps its window closed for the time.
   SetOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
   SetOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, kProbeAfterSeconds);
   SetOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, kProbeIntervalSeconds);
@@ -57,6 +54,22 @@
   return static_cast<std::size_t>(std::max(0, bytes));
 }
 
+PeerSilence ReadPeerSilence(int socket, Duration stalled_for) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+    kLog.Warn("cannot read the state of a connection; taking it for sound",
+              {{"reason", std::strerror(errno)}});
+    return {};
+  }
+  return {.m_stalled_for = stalled_for,
+          .m_unacknowledged_segments = static_cast<int>(info.tcpi_unacked),
+          .m_retransmissions = info.tcpi_retransmits,
+          .m_unanswered_probes = info.tcpi_probes,
+          .m_since_received = milliseconds(info.tcpi_last_ack_recv),
+          .m_since_sent = milliseconds(info.tcpi_last_data_sent)};
+}
+
 timeval ToTimeval(Duration duration) {
   constexpr std::int64_t kMicrosPerSecond = 1'000'000;
   const std::int64_t micros =
--- a/Source/endpoint/client_connection.cc
+++ b/Source/endpoint/client_connection.cc
@@ -100,6 +100,8 @@
       m_number(number),
       m_owner(std::move(owner)),
       m_timer(event_new(loop.base(), -1, 0, &OnTimer, this)),
+      m_output(loop,
+               [this](const OutputState& output) { OnOutputCheck(output); }),
       m_parser(
           http::MessageType::kResponse,
           kMaxAnswerHeadBytes,
@@ -202,6 +204,7 @@
   if (share_body) {
     WriteWithoutCopy(m_buffer, request.m_body);
   }
+  m_output.AddOutput(text.size() + (share_body ? request.m_body.size() : 0));
   ArmTimer(request.m_idle_timeout);
 }
 
@@ -325,28 +328,40 @@
     connection->m_connected = true;
     DisableNagle(bufferevent_getfd(connection->m_buffer));
     DetectDeadPeer(bufferevent_getfd(connection->m_buffer));
+    connection->m_output.Start(connection->m_buffer);
     connection->WriteRequest();
     return;
   }
-  if (!connection->m_running) {
-    connection->Release();
-    connection->m_owner.m_closed(connection);
-    return;
-  }
-  if (!connection->m_connected) {
+  if (connection->m_running && !connection->m_connected) {
     connection->Fail(
         connection->MakeError(ErrorCode::kUnavailable, "connection refused"));
     return;
   }
   const bool ended = (what & BEV_EVENT_EOF) != 0;
-  if (ended && connection->m_parser.FeedEnd() && !connection->m_skip_response) {
+  if (connection->m_running && ended && connection->m_parser.FeedEnd() &&
+      !connection->m_skip_response) {
     connection->m_reusable = false;
     connection->CompleteMessage();
     return;
   }
-  connection->Fail(
-      connection->MakeError(ErrorCode::kOutcomeUnknown,
-                            "the connection ended before the answer did"));
+  connection->HandleLoss("the connection ended before the answer did");
+}
+
+void ClientConnection::OnOutputCheck(const OutputState& output) {
+  if (output.m_peer_gone) {
+    const auto connection = shared_from_this();
+    HandleLoss("it acknowledges nothing");
+  }
+}
+
+void ClientConnection::HandleLoss(const std::string& reason) {
+  if (m_running) {
+    Fail(MakeError(ErrorCode::kOutcomeUnknown, reason));
+    return;
+  }
+  const auto connection = shared_from_this();
+  Release();
+  m_owner.m_closed(connection);
 }
 
 void ClientConnection::OnTimer(int /*fd*/, short /*what*/, void* self) {
@@ -407,6 +422,7 @@
 
 void ClientConnection::Release() {
   event_del(m_timer);
+  m_output.Stop();
   if (m_buffer != nullptr) {
     bufferevent_free(std::exchange(m_buffer, nullptr));
   }
--- a/Source/endpoint/client_connection.h
+++ b/Source/endpoint/client_connection.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/event_loop.h"
+#include "base/output_watch.h"
 #include "endpoint/http_client.h"
 #include "http/message_parser.h"
 
@@ -63,6 +64,9 @@
 
   bool Connect();
   void WriteRequest();
+  void OnOutputCheck(const OutputState& output);
+  // The connection has ended without the end of the call's answer.
+  void HandleLoss(const std::string& reason);
   void ReadInput();
   void HandleHead(http::MessageHead&& head);
   void CompleteMessage();
@@ -78,6 +82,7 @@
   OwnerEvents m_owner;
   bufferevent* m_buffer = nullptr;
   event* m_timer;
+  OutputWatch m_output;
   bool m_connected = false;
   bool m_running = false;
   // Number of calls that the connection has carried before the current one.
--- a/Source/http/server_connection.cc
+++ b/Source/http/server_connection.cc
@@ -40,6 +40,8 @@
                                       socket,
                                       BEV_OPT_CLOSE_ON_FREE)),
       m_timer(event_new(server.m_loop.base(), -1, 0, &OnTimer, this)),
+      m_output(server.m_loop,
+               [this](const OutputState& output) { OnOutputCheck(output); }),
       m_parser(MessageType::kRequest,
                server.m_limits.m_max_head_bytes,
                {.m_head =
@@ -62,6 +64,7 @@
   bufferevent_setcb(m_buffer, &OnReadable, &OnDrained, &OnEvent, this);
   bufferevent_setwatermark(m_buffer, EV_READ, 0, kMaxPendingInputBytes);
   bufferevent_enable(m_buffer, EV_READ | EV_WRITE);
+  m_output.Start(m_buffer);
   m_idle_since = m_server.m_loop.Now();
   ArmTimer(m_server.m_limits.m_idle_timeout);
 }
@@ -79,6 +82,7 @@
 void ServerConnection::Write(std::string_view bytes) {
   if (m_buffer != nullptr && !bytes.empty()) {
     bufferevent_write(m_buffer, bytes.data(), bytes.size());
+    m_output.AddOutput(bytes.size());
   }
 }
 
@@ -272,10 +276,15 @@
   connection->Close("the time for the connection is over");
 }
 
+void ServerConnection::OnOutputCheck(const OutputState& output) {
+  if (output.m_peer_gone) {
+    const auto connection = shared_from_this();
+    Close("the caller acknowledges nothing");
+  }
+}
+
 void ServerConnection::RecordUnread(std::string_view reason) {
-  const std::size_t unread =
-      evbuffer_get_length(bufferevent_get_output(m_buffer)) +
-      UnacknowledgedBytes(bufferevent_getfd(m_buffer));
+  const std::size_t unread = m_output.Unacknowledged();
   if (unread == 0) {
     return;
   }
@@ -327,6 +336,7 @@
 
 void ServerConnection::Release() {
   event_del(m_timer);
+  m_output.Stop();
   if (m_buffer != nullptr) {
     bufferevent_free(std::exchange(m_buffer, nullptr));
   }
--- a/Source/http/server_connection.h
+++ b/Source/http/server_connection.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/output_watch.h"
 #include "http/message_parser.h"
 #include "http/server.h"
 
@@ -53,6 +54,7 @@
   static void OnEvent(bufferevent* buffer, short what, void* self);
   static void OnTimer(int fd, short what, void* self);
 
+  void OnOutputCheck(const OutputState& output);
   void ReadInput();
   void DispatchRequest();
   void RejectInput();
@@ -85,6 +87,7 @@
   Server& m_server;
   bufferevent* m_buffer;
   event* m_timer;
+  OutputWatch m_output;
   Phase m_phase = Phase::kReading;
   MonotonicTime m_idle_since;
   MessageParser m_parser;
