http: keep a last answer's connection until its caller has read the answer

What callers saw: a caller that reads its last answer slowly loses the rest if it sends anything meanwhile, such as its next request, or if it reads for longer than the idle time.

Cause: ServerConnection closed its socket a second after the system had taken the last byte, and an idle time after the answer was finished, whether or not the caller went on reading. Input to a closed socket is answered by a reset.

Change: the time for the caller's close starts when the end of the output is acknowledged. "A caller that reads nothing for the idle time is disconnected" holds the bound.

--- a/Source/base/output_watch.h
+++ b/Source/base/output_watch.h
@@ -28,6 +28,8 @@
 class OutputWatch {
  public:
   static constexpr Duration kInterval = seconds(1);
+  // What the end of the output counts as.
+  static constexpr std::size_t kEndBytes = 1;
 
   // Called from the loop after each check, the last time with m_unacknowledged
   // 0. May destroy the watch.
--- a/Source/http/server_connection.cc
+++ b/Source/http/server_connection.cc
@@ -22,7 +22,7 @@
 
 // Input that is buffered per connection while a request is being answered.
 constexpr std::size_t kMaxPendingInputBytes = std::size_t{64} * 1024;
-// Time for the peer to close after the end of the output.
+// Time for the peer to close after it has acknowledged the end of the output.
 constexpr Duration kLingerTimeout = seconds(1);
 
 constexpr int kTooLarge = 413;
@@ -231,17 +231,16 @@
 
 void ServerConnection::BeginLinger() {
   m_phase = Phase::kLingering;
+  // Until the peer has acknowledged all, OnOutputCheck() bounds the time.
+  event_del(m_timer);
   if (evbuffer_get_length(bufferevent_get_output(m_buffer)) == 0) {
     EndOutput();
-    return;
   }
-  // The peer may read slowly.
-  ArmTimer(m_server.m_limits.m_idle_timeout);
 }
 
 void ServerConnection::EndOutput() {
   shutdown(bufferevent_getfd(m_buffer), SHUT_WR);
-  ArmTimer(kLingerTimeout);
+  m_output.AddOutput(OutputWatch::kEndBytes);
 }
 
 void ServerConnection::OnDrained(bufferevent* /*buffer*/, void* self) {
@@ -277,9 +276,15 @@
 }
 
 void ServerConnection::OnOutputCheck(const OutputState& output) {
+  const auto connection = shared_from_this();
   if (output.m_peer_gone) {
-    const auto connection = shared_from_this();
     Close("the caller acknowledges nothing");
+  } else if (m_phase != Phase::kLingering) {
+    return;
+  } else if (output.m_unacknowledged == 0) {
+    ArmTimer(kLingerTimeout);
+  } else if (output.m_stalled_for >= m_server.m_limits.m_idle_timeout) {
+    Close("the caller reads nothing");
   }
 }
 
--- a/Source/http/server_connection.h
+++ b/Source/http/server_connection.h
@@ -67,11 +67,11 @@
   // The body is no longer needed.
   void ReleaseBody();
   void FinishAnswer(bool keep_alive);
-  // Sends the remaining output, then discards input until a timeout. Closing a
-  // socket with unread input would send a reset, which can destroy the response
-  // before the peer has read it.
+  // Sends the remaining output, and discards input until the peer has
+  // acknowledged all and had time to close. Input to a closed socket is
+  // answered with a reset, which destroys what the peer has not read.
   void BeginLinger();
-  // All output has been sent: tells the peer, and waits for its close.
+  // All output has been handed to the system: tells the peer that it ends.
   void EndOutput();
   // Closes the connection without completing the response. `reset`: an orderly
   // close would make the response look complete.
--- a/Tests/http/raw_caller.h
+++ b/Tests/http/raw_caller.h
@@ -52,8 +52,10 @@
   void Send(const std::string& text) {
     send(m_socket, text.data(), text.size(), MSG_NOSIGNAL);
   }
-  // Reads until the connection ends or the input contains `enough`.
-  std::string Read(const std::string& enough = "") {
+  // Reads until the connection ends, the input contains `enough` or it has
+  // `most` bytes.
+  std::string Read(const std::string& enough = "",
+                   std::size_t most = std::string::npos) {
     std::string got;
     char buffer[4096];
     for (;;) {
@@ -66,6 +68,9 @@
       if (!enough.empty() && got.find(enough) != std::string::npos) {
         return got;
       }
+      if (got.size() >= most) {
+        return got;
+      }
     }
   }
   void Close() {
--- a/Tests/http/slow_caller_test.cc
+++ b/Tests/http/slow_caller_test.cc
@@ -89,3 +89,86 @@
       kLimit);
   CHECK(answers.m_disconnected);
 }
+
+namespace {
+
+constexpr std::size_t kLargeAnswerBytes = std::size_t{8} * 1024 * 1024;
+constexpr Duration kIdleTimeout = milliseconds(1200);
+
+// Answers each request at once with a body of `bytes`.
+struct WholeAnswers {
+  explicit WholeAnswers(std::size_t bytes)
+      : m_server(m_loop,
+                 "127.0.0.1",
+                 0,
+                 [bytes](const std::shared_ptr<ServerExchange>& exchange) {
+                   exchange->Answer(200, {}, std::string(bytes, 'x'));
+                 }) {
+    m_server.SetLimits({.m_idle_timeout = kIdleTimeout});
+  }
+
+  EventLoop m_loop;
+  Server m_server;
+};
+
+}  // namespace
+
+// Guards against answers that are lost when their callers send the next request
+// while they read (LOST): a closed connection answers input with a reset, which
+// takes what the system still holds with it.
+TEST_CASE("A caller that sends while it reads its last answer loses nothing") {
+  WholeAnswers answers(kAnswerBytes);
+  answers.m_server.SetLimits({.m_idle_timeout = kLimit});
+  answers.m_server.BeginDrain();
+  std::string got;
+  Serve(
+      answers.m_loop,
+      [&] {
+        RawCaller caller(answers.m_server.port(), kSmallBuffer);
+        caller.Send(kGet);
+        std::this_thread::sleep_for(milliseconds(2500));
+        caller.Send(kGet);
+        std::this_thread::sleep_for(milliseconds(100));
+        got = caller.Read();
+      },
+      kLimit);
+  CHECK(BodyBytes(got) == kAnswerBytes);
+}
+
+// Guards against last answers that are cut after a fixed time, although their
+// callers go on reading (LOST).
+TEST_CASE("A caller that reads for longer than the idle time loses nothing") {
+  WholeAnswers answers(kLargeAnswerBytes);
+  answers.m_server.BeginDrain();
+  std::string got;
+  Serve(
+      answers.m_loop,
+      [&] {
+        RawCaller caller(answers.m_server.port(), kSmallBuffer);
+        caller.Send(kGet);
+        for (std::size_t share = 1; share <= 8; ++share) {
+          std::this_thread::sleep_for(kIdleTimeout / 4);
+          got += caller.Read("", share * kLargeAnswerBytes / 8 - got.size());
+        }
+        got += caller.Read("", kLargeAnswerBytes);
+      },
+      kLimit);
+  CHECK(BodyBytes(got) == kLargeAnswerBytes);
+  CHECK(answers.m_server.unread_answers() == 0);
+}
+
+// Guards against callers that hold connections and memory for ever.
+TEST_CASE("A caller that reads nothing for the idle time is disconnected") {
+  WholeAnswers answers(kLargeAnswerBytes);
+  answers.m_server.BeginDrain();
+  Serve(
+      answers.m_loop,
+      [&] {
+        RawCaller caller(answers.m_server.port(), kSmallBuffer);
+        caller.Send(kGet);
+        std::this_thread::sleep_for(3 * kIdleTimeout);
+      },
+      kLimit);
+  CHECK(answers.m_server.unread_answers() == 1);
+  CHECK(answers.m_server.connections() == 0);
+}
