http: start the idle time of a kept connection when its answer has been read

What callers saw: a caller that reads an answer on a kept connection for longer than the idle time, or while a planned stop begins, loses the rest.

Cause: the idle time began when the answer was finished, with output left in the process and in the system; OnTimer() dropped it, and CloseIdle() took the connection for idle once the system had the last byte.

--- a/Source/http/server_connection.cc
+++ b/Source/http/server_connection.cc
@@ -71,7 +71,7 @@
 
 bool ServerConnection::idle() const {
   return m_phase == Phase::kReading && !m_parser.started() &&
-         evbuffer_get_length(bufferevent_get_output(m_buffer)) == 0;
+         (!m_output.checking() || m_output.Unacknowledged() == 0);
 }
 
 void ServerConnection::ArmTimer(Duration delay) {
@@ -272,6 +272,10 @@
     connection->RejectWith(408);
     return;
   }
+  if (connection->m_phase == Phase::kReading &&
+      connection->m_output.checking()) {
+    return;  // The idle time starts when the last answer has been read.
+  }
   connection->Close("the time for the connection is over");
 }
 
@@ -279,15 +283,23 @@
   const auto connection = shared_from_this();
   if (output.m_peer_gone) {
     Close("the caller acknowledges nothing");
-  } else if (m_phase != Phase::kLingering) {
-    return;
+  } else if (m_phase == Phase::kAnswering) {
+    return;  // The request's deadline bounds the time.
   } else if (output.m_unacknowledged == 0) {
-    ArmTimer(kLingerTimeout);
+    OnOutputRead();
   } else if (output.m_stalled_for >= m_server.m_limits.m_idle_timeout) {
     Close("the caller reads nothing");
   }
 }
 
+void ServerConnection::OnOutputRead() {
+  if (m_phase == Phase::kLingering) {
+    ArmTimer(kLingerTimeout);
+  } else if (!reading_request()) {
+    ArmTimer(m_server.m_limits.m_idle_timeout);
+  }
+}
+
 void ServerConnection::RecordUnread(std::string_view reason) {
   const std::size_t unread = m_output.Unacknowledged();
   if (unread == 0) {
--- a/Source/http/server_connection.h
+++ b/Source/http/server_connection.h
@@ -55,6 +55,8 @@
   static void OnTimer(int fd, short what, void* self);
 
   void OnOutputCheck(const OutputState& output);
+  // The caller has acknowledged all output.
+  void OnOutputRead();
   void ReadInput();
   void DispatchRequest();
   void RejectInput();
--- a/Tests/http/slow_caller_test.cc
+++ b/Tests/http/slow_caller_test.cc
@@ -138,8 +138,12 @@
 // Guards against last answers that are cut after a fixed time, although their
 // callers go on reading (LOST).
 TEST_CASE("A caller that reads for longer than the idle time loses nothing") {
+  const bool draining = GENERATE(false, true);
+  CAPTURE(draining);
   WholeAnswers answers(kLargeAnswerBytes);
-  answers.m_server.BeginDrain();
+  if (draining) {
+    answers.m_server.BeginDrain();
+  }
   std::string got;
   Serve(
       answers.m_loop,
@@ -159,8 +163,12 @@
 
 // Guards against callers that hold connections and memory for ever.
 TEST_CASE("A caller that reads nothing for the idle time is disconnected") {
+  const bool draining = GENERATE(false, true);
+  CAPTURE(draining);
   WholeAnswers answers(kLargeAnswerBytes);
-  answers.m_server.BeginDrain();
+  if (draining) {
+    answers.m_server.BeginDrain();
+  }
   Serve(
       answers.m_loop,
       [&] {
@@ -172,3 +180,28 @@
   CHECK(answers.m_server.unread_answers() == 1);
   CHECK(answers.m_server.connections() == 0);
 }
+
+// Guards against answers on kept connections that a planned stop cuts: the
+// answer is finished for the server, but not read by its caller (LOST).
+TEST_CASE("A connection with unread output is not closed as idle") {
+  WholeAnswers answers(kAnswerBytes);
+  answers.m_server.SetLimits({.m_idle_timeout = kLimit});
+  std::string got;
+  Serve(
+      answers.m_loop,
+      [&] {
+        RawCaller caller(answers.m_server.port(), kSmallBuffer);
+        caller.Send(kGet);
+        std::this_thread::sleep_for(2 * Server::kMinIdleTime);
+        answers.m_loop.Post([&] {
+          answers.m_server.BeginDrain();
+          answers.m_server.CloseIdle();
+        });
+        std::this_thread::sleep_for(milliseconds(100));
+        caller.Send(kGet);
+        std::this_thread::sleep_for(milliseconds(100));
+        got = caller.Read();
+      },
+      kLimit);
+  CHECK(got.size() > 2 * kAnswerBytes);
+}
