host: keep the registrations of hosts that lapse in an outage

Cause: MemberView took a lapsed registration for the end of a host.

The shares of rates, the retry budget and the issuer of permits use the same view, so the related paths are mended with it. No special case for quotas.

Test: "A registration that lapses in an outage is kept for its time"; without the keeping it fails at three checks.

--- a/Source/fleet/fleet_state_feed.h
+++ b/Source/fleet/fleet_state_feed.h
@@ -112,6 +112,11 @@
   // The time up to which no change is missing.
   MonotonicTime current_as_of() const { return m_current_as_of; }
 
+  // Returns until when an entry whose registration is deleted now is kept,
+  // because the registration may have lapsed in an outage; nothing if there was
+  // none recently.
+  std::optional<MonotonicTime> LapseDeadline() const;
+
  private:
   void ReadAll();
   void ApplySnapshot(const keyvalue::ReadReply& reply);
@@ -155,10 +160,6 @@
   // old view alone does not tell: the host that sends the proofs may be the
   // only one without the service.
   bool ServiceSilent() const;
-  // Returns until when an entry whose registration is deleted now is kept,
-  // because the registration may have lapsed in an outage; nothing if there was
-  // none recently.
-  std::optional<MonotonicTime> LapseDeadline() const;
   void RemoveLapsed();
 
   EventLoop& m_loop;
--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -260,7 +260,8 @@
   if (!m_members_timer) {
     m_members_timer = m_loop.After(kMemberDelay, [this] {
       m_members_timer.reset();
-      if (m_members.Update(m_knowledge.own_keys())) {
+      if (m_members.Update(m_knowledge.own_keys(),
+                           m_knowledge.LapseDeadline())) {
         m_exchange.SetPeers(m_members.peers());
       }
     });
@@ -441,6 +442,9 @@
   m_metrics.m_held_prompt_parts.Set(
       static_cast<double>(m_crash_guard.held_parts()));
   MeasureEvacuations();
+  if (m_members.RemoveLapsed(now)) {
+    m_exchange.SetPeers(m_members.peers());
+  }
   m_frontend.RetryWaiting();
   m_demand.Expire(now);
   m_load.ExpireGroupLevels(now);
--- a/Source/host/member_view.cc
+++ b/Source/host/member_view.cc
@@ -44,39 +44,75 @@
 
 }  // namespace
 
-bool MemberView::Update(const std::map<std::string, keyvalue::KeyValue>& keys) {
-  bool changed = std::erase_if(m_registered, [&](const auto& registered) {
-                   return !keys.contains(registered.first);
-                 }) > 0;
+bool MemberView::RemoveMissing(
+    const std::map<std::string, keyvalue::KeyValue>& keys,
+    std::optional<MonotonicTime> keep_until) {
+  const std::size_t before = m_registered.size();
+  for (auto at = m_registered.begin(); at != m_registered.end();) {
+    auto& [key, registered] = *at;
+    if (!keys.contains(key) && keep_until && !registered.m_kept_until) {
+      kLog.Info("host registration lapsed; kept for a grace period",
+                {{"key", key}});
+      registered.m_kept_until = keep_until;
+    }
+    const bool remove = !keys.contains(key) && !registered.m_kept_until;
+    at = remove ? m_registered.erase(at) : std::next(at);
+  }
+  return m_registered.size() < before;
+}
+
+bool MemberView::RemoveLapsed(MonotonicTime now) {
+  const bool removed =
+      std::erase_if(m_registered, [now](const auto& registered) {
+        const auto& kept_until = registered.second.m_kept_until;
+        return kept_until && now >= *kept_until;
+      }) > 0;
+  if (removed) {
+    BuildPeers();
+  }
+  return removed;
+}
+
+bool MemberView::Update(const std::map<std::string, keyvalue::KeyValue>& keys,
+                        std::optional<MonotonicTime> keep_until) {
+  bool changed = RemoveMissing(keys, keep_until);
   for (auto item = keys.lower_bound(kPrefix);
        item != keys.end() && item->first.starts_with(kPrefix); ++item) {
     Registered& registered = m_registered[item->first];
-    if (registered.m_revision == item->second.m_mod_revision) {
+    const bool lapsed = registered.m_kept_until.has_value();
+    registered.m_kept_until.reset();
+    if (registered.m_revision == item->second.m_mod_revision && !lapsed) {
       continue;
     }
     registered = {.m_revision = item->second.m_mod_revision,
                   .m_peer = ParseMember(item->second.m_value)};
     changed = true;
   }
-  if (!changed) {
-    return false;
+  if (changed) {
+    BuildPeers();
   }
+  return changed;
+}
+
+void MemberView::BuildPeers() {
   std::map<HostId, PeerAddress> peers;
-  std::map<HostId, Revision> newest;
+  std::map<HostId, std::pair<bool, Revision>> newest;
   for (const auto& [key, registered] : m_registered) {
     if (!registered.m_peer || registered.m_peer->m_host == m_own) {
       continue;
     }
-    // A restarted host has two registrations until the old lease expires.
-    Revision& revision = newest[registered.m_peer->m_host];
-    if (registered.m_revision > revision) {
-      revision = registered.m_revision;
+    // A restarted host has two registrations until the old lease expires. A
+    // restored service may give a new one a lower revision than a lapsed one.
+    const std::pair<bool, Revision> rank = {
+        !registered.m_kept_until.has_value(), registered.m_revision};
+    std::pair<bool, Revision>& best = newest[registered.m_peer->m_host];
+    if (rank > best) {
+      best = rank;
       peers[registered.m_peer->m_host] = *registered.m_peer;
     }
   }
   const auto before = std::exchange(m_peers, std::move(peers));
   LogChanges(before);
-  return true;
 }
 
 void MemberView::LogChanges(const std::map<HostId, PeerAddress>& before) const {
--- a/Source/host/member_view.h
+++ b/Source/host/member_view.h
@@ -23,7 +23,14 @@
   explicit MemberView(HostId own) : m_own(std::move(own)) {}
 
   // Applies the product's own keys. Returns whether a registration has changed.
-  bool Update(const std::map<std::string, keyvalue::KeyValue>& keys);
+  // `keep_until`: registrations that are gone are kept until then, because they
+  // may have lapsed in an outage of the key-value service while their hosts
+  // went on. Without it they are removed.
+  bool Update(const std::map<std::string, keyvalue::KeyValue>& keys,
+              std::optional<MonotonicTime> keep_until);
+  // Removes the kept registrations whose time is over at `now`. Returns whether
+  // there were any.
+  bool RemoveLapsed(MonotonicTime now);
 
   // The newest registration of each host except this one.
   const std::map<HostId, PeerAddress>& peers() const { return m_peers; }
@@ -32,8 +39,12 @@
   struct Registered {
     Revision m_revision = 0;
     std::optional<PeerAddress> m_peer;  // Absent if unreadable.
+    std::optional<MonotonicTime> m_kept_until;
   };
 
+  bool RemoveMissing(const std::map<std::string, keyvalue::KeyValue>& keys,
+                     std::optional<MonotonicTime> keep_until);
+  void BuildPeers();
   void LogChanges(const std::map<HostId, PeerAddress>& before) const;
 
   HostId m_own;
