host: ask another server whether a stream of one that left goes on

Cause: the end of a server that may have exited as announced was judged like an end without any doubt, so the stream was completed. Ruled out: want of budget or servers; none was asked.

Change: such an end has a judgement of its own. Where the route may be resumed, a server that is available at once is asked for what follows the last event; what it sends is relayed. If it has no more or fails, or none can be asked, the stream is complete, as before. Routes that may not be resumed are as before.

--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -13,8 +13,6 @@
 
 namespace {
 
-// Limit on the sends of one request, including those that were not executed.
-constexpr int kMaxSends = 4;
 // With less time than this left, no endpoint can answer before the deadline.
 constexpr Duration kMinSendTime = milliseconds(5);
 // Endpoints answer a connection within a few milliseconds; one that takes this
@@ -278,6 +276,7 @@
     m_prompt_proved = true;
     m_context.m_crash_guard.RecordProof(m_parts, AnswerProgress::kGoesOn);
   }
+  m_may_be_whole = false;
   if (!m_stream_started) {
     m_stream_started = true;
     m_phase = Phase::kStreaming;
@@ -336,6 +335,10 @@
 }
 
 void RequestFlow::OnUnusableAnswer(SendOutcome outcome) {
+  if (m_may_be_whole && outcome == SendOutcome::kStreamNotContinued) {
+    RelayCompleteAnswer();
+    return;
+  }
   AvoidEndpoint();
   if (outcome == SendOutcome::kStreamBrokenOff ||
       outcome == SendOutcome::kAnswerBrokenOff) {
@@ -432,7 +435,7 @@
   const bool suspect = may_have_run &&
                        m_answer.EndsEarly(m_context.m_loop.Now()) &&
                        m_context.m_crash_guard.Suspects(m_parts);
-  const bool repeat = !suspect && (not_run() || MayRepeat());
+  const bool repeat = !m_may_be_whole && !suspect && (not_run() || MayRepeat());
   // A send without a connection put no load on an endpoint, so it is not
   // charged to the retry budget.
   const bool free = !may_have_run && reason == "connection_failed";
@@ -454,8 +457,7 @@
     return;
   }
   if (m_stream_started) {
-    m_exchange->Abort();
-    Finish("broken_off", reason);
+    BreakOff(reason);
     return;
   }
   if (not_run()) {
--- a/Source/host/request_flow.h
+++ b/Source/host/request_flow.h
@@ -90,6 +90,9 @@
   MonotonicTime deadline() const { return m_deadline; }
 
  private:
+  // Limit on the sends of one request, including those that were not executed.
+  static constexpr int kMaxSends = 4;
+
   enum class Phase { kNew, kWaiting, kSent, kStreaming, kFinished };
 
   bool Dispatch();
@@ -107,6 +110,12 @@
   // now that its connection has ended.
   void CheckUnframedEnd();
   void FinishUnframedAnswer(UnframedEnd end);
+  // Sends a stream that may have been cut to another endpoint for what follows
+  // the last event, if the route allows it and an endpoint is available now.
+  // Returns whether it did.
+  bool AskForRest();
+  // Ends a stream that has started without more of it.
+  void BreakOff(const std::string& reason);
   // Returns what the endpoint did after it ended its connection at `ended_at`.
   AfterEnd AfterEndOfConnection(ProbeResult result,
                                 MonotonicTime ended_at) const;
@@ -172,6 +181,9 @@
   ExecutionRecord m_executions;
   EventSplitter m_events;
   bool m_stream_started = false;
+  // The events that were relayed may be the whole stream; an endpoint has been
+  // asked for more of it and has sent none yet.
+  bool m_may_be_whole = false;
   // The request is let through although one of m_parts is held.
   bool m_is_trial = false;
   // Whether an answer has proved that the prompt does not crash endpoints.
--- a/Source/host/request_flow_end.cc
+++ b/Source/host/request_flow_end.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "host/endpoint_finder.h"
 #include "host/request_flow.h"
 #include "host/retry_after.h"
 
@@ -18,8 +19,7 @@
 void RequestFlow::Refuse(const std::string& reason,
                          std::optional<Duration> retry_after) {
   if (m_stream_started) {
-    m_exchange->Abort();
-    Finish("broken_off", reason);
+    BreakOff(reason);
     return;
   }
   AnswerWithProblem(not_run() ? 503 : 502, not_run() ? "refused" : "failed",
@@ -82,9 +82,41 @@
   if (end == UnframedEnd::kWhole) {
     RecordSoundAnswer();
   }
+  if (end == UnframedEnd::kMayBeCut && AskForRest()) {
+    return;
+  }
   RelayCompleteAnswer();
 }
 
+bool RequestFlow::AskForRest() {
+  if (!m_stream_started || !MayRepeat() || m_sends >= kMaxSends) {
+    return false;
+  }
+  const fleet::EndpointEntry* entry =
+      EndpointFinder(m_context, m_requirements).Choose();
+  if (entry == nullptr ||
+      !m_context.m_retry_budget(m_admitted.m_service)
+           .TryRetry(m_context.m_host_count(), m_context.m_loop.Now())) {
+    return false;
+  }
+  kLog.Info("asking another endpoint whether the stream goes on",
+            {{"id", m_admitted.m_request.m_id},
+             {"endpoint", m_endpoint.value()},
+             {"last_id", m_events.last_id()}});
+  m_may_be_whole = true;
+  Send(*entry);
+  return true;
+}
+
+void RequestFlow::BreakOff(const std::string& reason) {
+  if (m_may_be_whole) {
+    RelayCompleteAnswer();
+    return;
+  }
+  m_exchange->Abort();
+  Finish("broken_off", reason);
+}
+
 void RequestFlow::OnCallerDisconnected() {
   EndSend(SendEnd::kMayHaveRun);
   Finish("caller_left", "");
@@ -100,8 +132,7 @@
   }
   EndSend(SendEnd::kMayHaveRun);
   if (m_stream_started) {
-    m_exchange->Abort();
-    Finish("broken_off", "deadline");
+    BreakOff("deadline");
     return;
   }
   if (not_run()) {
@@ -168,8 +199,7 @@
              {"bytes", static_cast<std::uint64_t>(excess.m_bytes)},
              {"reason", reason}});
   EndSend(SendEnd::kMayHaveRun);
-  m_exchange->Abort();
-  Finish("broken_off", "answer_memory");
+  BreakOff("answer_memory");
 }
 
 }  // namespace hickoryloft::host
--- a/Source/host/unframed_end.h
+++ b/Source/host/unframed_end.h
@@ -20,6 +20,9 @@
 enum class UnframedEnd {
   kWhole,      // The endpoint ended the answer, which proves it sound.
   kUncertain,  // Nothing speaks against it; it proves nothing.
+  // The endpoint may have exited before or after the end of the answer. Another
+  // endpoint may know.
+  kMayBeCut,
   kBrokenOff,  // The answer was cut by the end of its endpoint.
 };
 
@@ -27,7 +30,7 @@
 // Thread-safe.
 constexpr UnframedEnd JudgeUnframedEnd(AfterEnd found) {
   constexpr std::array<UnframedEnd, 4> kEnds = {
-      UnframedEnd::kWhole, UnframedEnd::kUncertain, UnframedEnd::kUncertain,
+      UnframedEnd::kWhole, UnframedEnd::kUncertain, UnframedEnd::kMayBeCut,
       UnframedEnd::kBrokenOff};
   return kEnds.at(static_cast<std::size_t>(found));
 }
