wire: close links whose peer acknowledges nothing

What callers saw: while links between hosts are cut or silent, hosts plan with old reports, although new connections would work.

Cause: the inner protocol's connections had no keep-alive probes and no check of unacknowledged data; a silent link was replaced once 256 KB waited for it.

Change: wire::Connection uses DetectDeadPeer and OutputWatch, like the connections of callers and endpoints. OutputWatch also counts output from before its start.

Evidence: "A connection whose peer acknowledges nothing is closed in seconds" fails without the watch (open after 8 s).

--- a/Source/base/output_watch.cc
+++ b/Source/base/output_watch.cc
@@ -18,6 +18,10 @@
   m_buffer = buffer;
   m_written = 0;
   m_acknowledged = 0;
+  if (const std::size_t waiting =
+          evbuffer_get_length(bufferevent_get_output(buffer))) {
+    AddOutput(waiting);
+  }
 }
 
 void OutputWatch::Stop() {
--- a/Source/base/output_watch.h
+++ b/Source/base/output_watch.h
@@ -39,8 +39,8 @@
   OutputWatch(const OutputWatch&) = delete;
   OutputWatch& operator=(const OutputWatch&) = delete;
 
-  // Watches `buffer`, which has a socket and no output. It must not be freed
-  // before Stop().
+  // Watches `buffer`, whose socket is connected, with the output that it has.
+  // It must not be freed before Stop().
   void Start(bufferevent* buffer);
   // Ends the checks. The watch can be started again.
   void Stop();
--- a/Source/wire/connection.cc
+++ b/Source/wire/connection.cc
@@ -21,7 +21,16 @@
 Connection::Connection(EventLoop& loop,
                        bufferevent* buffer,
                        Callbacks callbacks)
-    : m_loop(loop), m_buffer(buffer), m_callbacks(std::move(callbacks)) {}
+    : m_loop(loop),
+      m_buffer(buffer),
+      m_output(loop,
+               [this](const OutputState& output) {
+                 if (output.m_peer_gone) {
+                   Fail(Error(ErrorCode::kOutcomeUnknown,
+                              "the peer acknowledges nothing"));
+                 }
+               }),
+      m_callbacks(std::move(callbacks)) {}
 
 Connection::~Connection() {
   ReleaseBuffer();
@@ -48,8 +57,7 @@
                                                  int socket,
                                                  Callbacks callbacks) {
   auto connection = Make(loop, socket, std::move(callbacks));
-  DisableNagle(socket);
-  connection->m_connected = true;
+  connection->BeginWatch();
   bufferevent_enable(connection->m_buffer, EV_READ | EV_WRITE);
   return connection;
 }
@@ -87,6 +95,7 @@
   m_bytes_sent += frame.size();
   ++m_messages_sent;
   bufferevent_write(m_buffer, frame.data(), frame.size());
+  m_output.AddOutput(frame.size());
 }
 
 void Connection::Request(EnvelopeT envelope,
@@ -126,8 +135,7 @@
 void Connection::OnEvent(bufferevent* /*buffer*/, short what, void* self) {
   auto* connection = static_cast<Connection*>(self);
   if ((what & BEV_EVENT_CONNECTED) != 0) {
-    DisableNagle(bufferevent_getfd(connection->m_buffer));
-    connection->m_connected = true;
+    connection->BeginWatch();
     if (connection->m_callbacks.m_connected) {
       connection->m_callbacks.m_connected();
     }
@@ -140,6 +148,14 @@
           : Error(ErrorCode::kUnavailable, "the peer cannot be reached"));
 }
 
+void Connection::BeginWatch() {
+  const int socket = bufferevent_getfd(m_buffer);
+  DisableNagle(socket);
+  DetectDeadPeer(socket);
+  m_output.Start(m_buffer);
+  m_connected = true;
+}
+
 void Connection::ReadFrames() {
   const std::shared_ptr<Connection> keep_alive = m_self.lock();
   try {
@@ -207,6 +223,7 @@
 }
 
 void Connection::ReleaseBuffer() {
+  m_output.Stop();
   if (m_buffer != nullptr) {
     bufferevent_free(std::exchange(m_buffer, nullptr));
   }
--- a/Source/wire/connection.h
+++ b/Source/wire/connection.h
@@ -11,6 +11,7 @@
 
 #include "base/error.h"
 #include "base/event_loop.h"
+#include "base/output_watch.h"
 #include "wire/frame.h"
 
 struct bufferevent;
@@ -88,6 +89,8 @@
   static void OnReadable(bufferevent* buffer, void* self);
   static void OnEvent(bufferevent* buffer, short what, void* self);
 
+  // The socket is connected.
+  void BeginWatch();
   void ReadFrames();
   bool ReadFrame();
   void Dispatch(EnvelopeT envelope);
@@ -98,6 +101,7 @@
 
   EventLoop& m_loop;
   bufferevent* m_buffer;
+  OutputWatch m_output;
   Callbacks m_callbacks;
   std::weak_ptr<Connection> m_self;
   bool m_connected = false;
--- a/Tests/wire/connection_test.cc
+++ b/Tests/wire/connection_test.cc
@@ -5,6 +5,8 @@
 #include <optional>
 #include <vector>
 
+#include "Tests/http/raw_caller.h"
+#include "base/socket_address.h"
 #include "wire/listener.h"
 
 using namespace hickoryloft;
@@ -147,3 +149,38 @@
   loop.Run();
   CHECK(failure == ErrorCode::kUnavailable);
 }
+
+// Guards against messages that go to a host which is gone, or over a connection
+// that has fallen silent for good: the system gives up after many minutes only.
+TEST_CASE("A connection whose peer acknowledges nothing is closed in seconds") {
+  EventLoop loop;
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  const SocketAddress any = ParseSocketAddress("127.0.0.1", 0);
+  REQUIRE(bind(listener, any.get(), static_cast<socklen_t>(any.size())) == 0);
+  REQUIRE(listen(listener, 1) == 0);
+  sockaddr_in bound{};
+  socklen_t size = sizeof(bound);
+  getsockname(listener, reinterpret_cast<sockaddr*>(&bound), &size);
+  int peer = -1;
+  std::optional<ErrorCode> closed_with;
+  std::shared_ptr<Connection> connection;
+  connection =
+      Connection::Connect(loop, "127.0.0.1", ntohs(bound.sin_port),
+                          {.m_connected =
+                               [&] {
+                                 peer = accept(listener, nullptr, nullptr);
+                                 http::DropInput(peer);
+                                 connection->Send(MakeServingQuery(1));
+                               },
+                           .m_message = {},
+                           .m_closed =
+                               [&](const Error& error) {
+                                 closed_with = error.code();
+                                 loop.Stop();
+                               }});
+  const auto limit = loop.After(seconds(8), [&] { loop.Stop(); });
+  loop.Run();
+  close(peer);
+  close(listener);
+  CHECK(closed_with == ErrorCode::kOutcomeUnknown);
+}
