--- a/Tests/process/scripted_server.py
+++ b/Tests/process/scripted_server.py
@@ -42,8 +42,9 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-def read_request(connection):
-    """Returns the next request; None if the connection has ended."""
+def read_request(connection, before_body=None):
+    """Returns the next request; None if the connection has ended. `before_body`
+    is called before the rest of a long body is read."""
     data = b""
     while b"\r\n\r\n" not in data and len(data) < HEAD_LIMIT:
         piece = connection.recv(4096)
@@ -55,6 +56,8 @@
     headers = {name.lower(): value for name, value in
                (field.split(": ", 1) for field in fields)}
     length = int(headers.get("content-length", 0))
+    if before_body is not None and len(body) < length:
+        before_body()
     while len(body) < length:
         piece = connection.recv(length - len(body))
         if not piece:
@@ -74,6 +77,7 @@
         self.models = models
         self.respond = respond
         self.control_status = "200 OK"  # Of reports and orders.
+        self.before_body = None
         self.requests = []
         self.kept = set()  # Connections that have carried a whole exchange.
         self._listener = socket.create_server(("127.0.0.1", 0))
@@ -107,6 +111,10 @@
 
     close = crash
 
+    def shrink_receive_buffers(self, size):
+        """Sets the receive buffers of the connections that follow."""
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
     def _accept(self):
         while True:
             try:
@@ -120,7 +128,7 @@
     def _serve(self, connection):
         try:
             with connection:
-                while request := read_request(connection):
+                while request := read_request(connection, self.before_body):
                     if not self._answer(connection, request):
                         return
                     self.kept.add(connection)
