base: count checks, not time, while a peer acknowledges nothing

By reading the diff: a host that was suspended, or a process that was stopped, with data in flight would find a stall of that length at its next check, and before the system has sent the data again it would take the peer for gone. The time on the clock of the process is no time in which the peer could answer.

Change: the stall is the number of checks without progress times their interval. A suspension itself was not played.

--- a/Source/base/output_watch.cc
+++ b/Source/base/output_watch.cc
@@ -35,7 +35,7 @@
   }
   m_written += bytes;
   if (m_timer == nullptr) {
-    m_progress_at = m_loop.Now();
+    m_stalled_checks = 0;
     m_timer = m_loop.Every(kInterval, [this] { Check(); });
   }
 }
@@ -48,18 +48,17 @@
 }
 
 void OutputWatch::Check() {
-  const MonotonicTime now = m_loop.Now();
   OutputState state{.m_unacknowledged = Unacknowledged()};
   const std::uint64_t acknowledged =
       m_written - std::min<std::uint64_t>(m_written, state.m_unacknowledged);
-  if (acknowledged > m_acknowledged) {
-    m_acknowledged = acknowledged;
-    m_progress_at = now;
-  }
+  // Counts checks, because time also passes while this host is suspended or
+  // this process is stopped.
+  m_stalled_checks = acknowledged > m_acknowledged ? 0 : m_stalled_checks + 1;
+  m_acknowledged = std::max(m_acknowledged, acknowledged);
   if (state.m_unacknowledged == 0) {
     m_timer.reset();
   } else {
-    state.m_stalled_for = now - m_progress_at;
+    state.m_stalled_for = m_stalled_checks * kInterval;
     state.m_peer_gone = state.m_stalled_for > Duration{} &&
                         IsPeerGone(ReadPeerSilence(bufferevent_getfd(m_buffer),
                                                    state.m_stalled_for));
--- a/Source/base/output_watch.h
+++ b/Source/base/output_watch.h
@@ -17,8 +17,8 @@
   // Bytes that the peer has not acknowledged, in this process and in the
   // system. The end of the output counts as one byte.
   std::size_t m_unacknowledged = 0;
-  // Since the peer acknowledged any byte, or since there was none to
-  // acknowledge.
+  // The time in which the peer acknowledged nothing, in whole intervals in
+  // which this process ran.
   Duration m_stalled_for{};
   bool m_peer_gone = false;
 };
@@ -61,7 +61,7 @@
   bufferevent* m_buffer = nullptr;
   std::uint64_t m_written = 0;
   std::uint64_t m_acknowledged = 0;
-  MonotonicTime m_progress_at;
+  int m_stalled_checks = 0;
   std::unique_ptr<Timer> m_timer;
 };
 
