host: ask for the rest of a stream only if a request may be sent now

By reading the diff: the question whether a stream goes on bypassed the checks of Dispatch(): an account whose key may have been withdrawn, a prompt part that crashes endpoints, a deadline that has passed. In these cases the stream is complete without a question, as where no endpoint is available.

--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -430,6 +430,12 @@
          static_cast<int>(m_executions.endpoints()) < route.m_max_endpoints;
 }
 
+bool RequestFlow::MaySendNow() const {
+  return (m_admitted.m_account.empty() || m_context.m_keys_current()) &&
+         !m_context.m_crash_guard.HeldPart(m_parts) &&
+         m_deadline - m_context.m_loop.Now() >= kMinSendTime;
+}
+
 void RequestFlow::RetryOrFinish(bool may_have_run, const std::string& reason) {
   // What may have crashed this endpoint must not reach another one.
   const bool suspect = may_have_run &&
--- a/Source/host/request_flow.h
+++ b/Source/host/request_flow.h
@@ -146,6 +146,9 @@
   // ends it.
   void RetryOrFinish(bool may_have_run, const std::string& reason);
   bool MayRepeat() const;
+  // Whether the account's key and the prompt are valid as far as is known now,
+  // and an endpoint can still answer in time.
+  bool MaySendNow() const;
   // Ends the send that is under way, if any. Every end of a send comes here:
   // what `end` says decides about refusals, repeats and the account's tokens.
   void EndSend(SendEnd end);
--- a/Source/host/request_flow_end.cc
+++ b/Source/host/request_flow_end.cc
@@ -89,7 +89,8 @@
 }
 
 bool RequestFlow::AskForRest() {
-  if (!m_stream_started || !MayRepeat() || m_sends >= kMaxSends) {
+  if (!m_stream_started || !MayRepeat() || m_sends >= kMaxSends ||
+      !MaySendNow()) {
     return false;
   }
   const fleet::EndpointEntry* entry =
