--- a/Tests/endpoint/slow_server_test.cc
+++ b/Tests/endpoint/slow_server_test.cc
@@ -28,7 +28,8 @@
                  sizeof(receive_buffer));
     }
     const SocketAddress any = ParseSocketAddress("127.0.0.1", 0);
-    bind(m_listener, any.get(), static_cast<socklen_t>(any.size()));
+    REQUIRE(bind(m_listener, any.get(), static_cast<socklen_t>(any.size())) ==
+            0);
     listen(m_listener, 1);
     sockaddr_in bound{};
     socklen_t size = sizeof(bound);
