tests: a scripted server that has crashed answers no report

Seen: process_jarro_crashing_requests, "[Reply(200, complete=True, 'do')] is not false", on and with the host of alike; alone, eight plays at once, in 1 of 8 and 1 of 16 on.

Cause, by a trace of the play that failed: the scripted server ends its connections one after the other while its threads go on. The host's check came over an idle connection and was answered 0.4 ms before the crash was over, so the answer counted as ended by a server that lives. A process that has crashed has no thread that could answer. The host's judgement is right; the stand-in was not.

Change: the stand-in ends all connections under a lock, and answers no report after that. No check is changed.

--- a/Tests/process/scripted_server.py
+++ b/Tests/process/scripted_server.py
@@ -83,6 +83,8 @@
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.port = self._listener.getsockname()[1]
         self._connections = []
+        self._crash_lock = threading.Lock()
+        self._crashed = False
         threading.Thread(target=self._accept, daemon=True).start()
 
     def entry(self, **more):
@@ -101,13 +103,17 @@
         fleet.control("remove-entry", {"id": self.name})
 
     def crash(self):
-        """Refuses new connections and ends all open ones."""
-        for end in (self._listener, *self._connections):
-            try:
-                end.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass  # Ended already.
-            end.close()
+        """Refuses new connections and ends all open ones. No report is answered
+        once the first connection has ended, as none of the threads of a process
+        that has crashed goes on."""
+        with self._crash_lock:
+            self._crashed = True
+            for end in (self._listener, *self._connections):
+                try:
+                    end.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass  # Ended already.
+                end.close()
 
     close = crash
 
@@ -139,9 +145,12 @@
         if request.target in ("/-/order", "/-/report"):
             body = json.dumps({"stage": "unified", "busy": False, "seq": 0,
                                "models": self.entry()["models"]}).encode()
-            connection.sendall(
-                head(request, self.control_status,
-                     f"Content-Length: {len(body)}", signed=False) + body)
+            with self._crash_lock:
+                if self._crashed:
+                    return False
+                connection.sendall(
+                    head(request, self.control_status,
+                         f"Content-Length: {len(body)}", signed=False) + body)
             return True
         self.requests.append(request)
         return self.respond(connection, request)
