tests: one player for the callers of whole answers

The tests of slow callers repeated the set-up of their caller and server; the count of unread answers moves to them from server_test.

--- a/Tests/http/server_test.cc
+++ b/Tests/http/server_test.cc
@@ -341,25 +341,3 @@
   });
   CHECK(got.size() > kAnswerBytes);
 }
-
-// Guards against answers that are lost without a trace in logs and metrics: the
-// system ends the connection after the process has closed it (review/12).
-TEST_CASE("A connection that ends with an unread answer is counted") {
-  constexpr std::size_t kAnswerBytes = std::size_t{6} * 1024 * 1024;
-  EventLoop loop;
-  Server server(loop, "127.0.0.1", 0,
-                [&](const std::shared_ptr<ServerExchange>& exchange) {
-                  exchange->Answer(200, {}, std::string(kAnswerBytes, 'x'));
-                });
-  Serve(loop, [&] {
-    RawCaller reader(server.port());
-    reader.Send(kGet);
-    reader.Read(std::string(kAnswerBytes, 'x'));
-    RawCaller leaver(server.port(), 4096);
-    leaver.Send(kGet);
-    std::this_thread::sleep_for(milliseconds(50));
-    leaver.Close();
-    std::this_thread::sleep_for(milliseconds(50));
-  });
-  CHECK(server.unread_answers() == 1);
-}
--- a/Tests/http/slow_caller_test.cc
+++ b/Tests/http/slow_caller_test.cc
@@ -97,14 +97,32 @@
 
 // Answers each request at once with a body of `bytes`.
 struct WholeAnswers {
-  explicit WholeAnswers(std::size_t bytes)
+  WholeAnswers(std::size_t bytes, Duration idle_timeout, bool draining)
       : m_server(m_loop,
                  "127.0.0.1",
                  0,
                  [bytes](const std::shared_ptr<ServerExchange>& exchange) {
                    exchange->Answer(200, {}, std::string(bytes, 'x'));
                  }) {
-    m_server.SetLimits({.m_idle_timeout = kIdleTimeout});
+    m_server.SetLimits({.m_idle_timeout = idle_timeout});
+    if (draining) {
+      m_server.BeginDrain();
+    }
+  }
+
+  // Sends a request, then runs `script`, which returns what the caller reads.
+  std::string Play(const std::function<std::string(RawCaller&)>& script,
+                   int receive_buffer = kSmallBuffer) {
+    std::string got;
+    Serve(
+        m_loop,
+        [&] {
+          RawCaller caller(m_server.port(), receive_buffer);
+          caller.Send(kGet);
+          got = script(caller);
+        },
+        kLimit);
+    return got;
   }
 
   EventLoop m_loop;
@@ -113,25 +131,36 @@
 
 }  // namespace
 
+// Guards against answers that are lost without a trace in logs and metrics: the
+// system ends the connection after the process has closed it (review/12).
+TEST_CASE("A connection that ends with an unread answer is counted") {
+  WholeAnswers answers(kLargeAnswerBytes, kLimit, /*draining=*/false);
+  answers.Play(
+      [](RawCaller& caller) {
+        return caller.Read(std::string(kLargeAnswerBytes, 'x'));
+      },
+      /*receive_buffer=*/0);
+  CHECK(answers.m_server.unread_answers() == 0);
+  answers.Play([](RawCaller& caller) {
+    std::this_thread::sleep_for(milliseconds(50));
+    caller.Close();
+    std::this_thread::sleep_for(milliseconds(50));
+    return "";
+  });
+  CHECK(answers.m_server.unread_answers() == 1);
+}
+
 // Guards against answers that are lost when their callers send the next request
 // while they read (LOST): a closed connection answers input with a reset, which
 // takes what the system still holds with it.
 TEST_CASE("A caller that sends while it reads its last answer loses nothing") {
-  WholeAnswers answers(kAnswerBytes);
-  answers.m_server.SetLimits({.m_idle_timeout = kLimit});
-  answers.m_server.BeginDrain();
-  std::string got;
-  Serve(
-      answers.m_loop,
-      [&] {
-        RawCaller caller(answers.m_server.port(), kSmallBuffer);
-        caller.Send(kGet);
-        std::this_thread::sleep_for(milliseconds(2500));
-        caller.Send(kGet);
-        std::this_thread::sleep_for(milliseconds(100));
-        got = caller.Read();
-      },
-      kLimit);
+  WholeAnswers answers(kAnswerBytes, kLimit, /*draining=*/true);
+  const std::string got = answers.Play([](RawCaller& caller) {
+    std::this_thread::sleep_for(milliseconds(2500));
+    caller.Send(kGet);
+    std::this_thread::sleep_for(milliseconds(100));
+    return caller.Read();
+  });
   CHECK(BodyBytes(got) == kAnswerBytes);
 }
 
@@ -140,23 +169,15 @@
 TEST_CASE("A caller that reads for longer than the idle time loses nothing") {
   const bool draining = GENERATE(false, true);
   CAPTURE(draining);
-  WholeAnswers answers(kLargeAnswerBytes);
-  if (draining) {
-    answers.m_server.BeginDrain();
-  }
-  std::string got;
-  Serve(
-      answers.m_loop,
-      [&] {
-        RawCaller caller(answers.m_server.port(), kSmallBuffer);
-        caller.Send(kGet);
-        for (std::size_t share = 1; share <= 8; ++share) {
-          std::this_thread::sleep_for(kIdleTimeout / 4);
-          got += caller.Read("", share * kLargeAnswerBytes / 8 - got.size());
-        }
-        got += caller.Read("", kLargeAnswerBytes);
-      },
-      kLimit);
+  WholeAnswers answers(kLargeAnswerBytes, kIdleTimeout, draining);
+  const std::string got = answers.Play([](RawCaller& caller) {
+    std::string read;
+    for (std::size_t share = 1; share <= 8; ++share) {
+      std::this_thread::sleep_for(kIdleTimeout / 4);
+      read += caller.Read("", share * kLargeAnswerBytes / 8 - read.size());
+    }
+    return read + caller.Read("", kLargeAnswerBytes);
+  });
   CHECK(BodyBytes(got) == kLargeAnswerBytes);
   CHECK(answers.m_server.unread_answers() == 0);
 }
@@ -165,18 +186,11 @@
 TEST_CASE("A caller that reads nothing for the idle time is disconnected") {
   const bool draining = GENERATE(false, true);
   CAPTURE(draining);
-  WholeAnswers answers(kLargeAnswerBytes);
-  if (draining) {
-    answers.m_server.BeginDrain();
-  }
-  Serve(
-      answers.m_loop,
-      [&] {
-        RawCaller caller(answers.m_server.port(), kSmallBuffer);
-        caller.Send(kGet);
-        std::this_thread::sleep_for(3 * kIdleTimeout);
-      },
-      kLimit);
+  WholeAnswers answers(kLargeAnswerBytes, kIdleTimeout, draining);
+  answers.Play([](RawCaller& /*caller*/) {
+    std::this_thread::sleep_for(3 * kIdleTimeout);
+    return "";
+  });
   CHECK(answers.m_server.unread_answers() == 1);
   CHECK(answers.m_server.connections() == 0);
 }
@@ -184,24 +198,17 @@
 // Guards against answers on kept connections that a planned stop cuts: the
 // answer is finished for the server, but not read by its caller (LOST).
 TEST_CASE("A connection with unread output is not closed as idle") {
-  WholeAnswers answers(kAnswerBytes);
-  answers.m_server.SetLimits({.m_idle_timeout = kLimit});
-  std::string got;
-  Serve(
-      answers.m_loop,
-      [&] {
-        RawCaller caller(answers.m_server.port(), kSmallBuffer);
-        caller.Send(kGet);
-        std::this_thread::sleep_for(2 * Server::kMinIdleTime);
-        answers.m_loop.Post([&] {
-          answers.m_server.BeginDrain();
-          answers.m_server.CloseIdle();
-        });
-        std::this_thread::sleep_for(milliseconds(100));
-        caller.Send(kGet);
-        std::this_thread::sleep_for(milliseconds(100));
-        got = caller.Read();
-      },
-      kLimit);
+  WholeAnswers answers(kAnswerBytes, kLimit, /*draining=*/false);
+  const std::string got = answers.Play([&](RawCaller& caller) {
+    std::this_thread::sleep_for(2 * Server::kMinIdleTime);
+    answers.m_loop.Post([&] {
+      answers.m_server.BeginDrain();
+      answers.m_server.CloseIdle();
+    });
+    std::this_thread::sleep_for(milliseconds(100));
+    caller.Send(kGet);
+    std::this_thread::sleep_for(milliseconds(100));
+    return caller.Read();
+  });
   CHECK(got.size() > 2 * kAnswerBytes);
 }
