membership: the successor of a leader that a restore has ended waits for it

The winner's wait was counted from its win, as if the earlier lease had expired, so servers got orders of two leaders less than leaseMs apart.

Change: a lease that is acquired after a restore waits until the leader of the era before has stopped (TTL less margin after this host has heard of the restore), and then for the gap. A lease that is kept over a restore waits for nothing, as before.

In "A placement lease that was lost is given up, and not revoked" the new leader is asked for after that time.

--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -273,6 +273,7 @@
 void HostDaemon::OnStoreRestored(Era era) {
   m_knowledge.ObserveEra(era);
   m_registration.ConfirmNow();
+  m_placement_lease.RecordRestore();
   m_placement_lease.ConfirmNow();
 }
 
--- a/Source/membership/placement_lease.cc
+++ b/Source/membership/placement_lease.cc
@@ -1,5 +1,6 @@
 #include "membership/placement_lease.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/history.h"
@@ -84,7 +85,8 @@
         }
         m_lease = lease;
         m_fence = reply.value().m_revision;
-        m_valid_from = m_loop.Now() + m_timing.m_gap;
+        m_valid_from =
+            std::max(m_loop.Now(), m_earlier_leader_until) + m_timing.m_gap;
         m_valid_until = sent + m_timing.m_ttl - m_timing.m_margin;
         kLog.Info("placement lease won",
                   {{"fence", m_fence}, {"lease", LeaseNumber(m_lease)}});
@@ -147,6 +149,11 @@
   }
 }
 
+void PlacementLease::RecordRestore() {
+  // Its last renewal was sent before the restore.
+  m_earlier_leader_until = m_loop.Now() + m_timing.m_ttl - m_timing.m_margin;
+}
+
 void PlacementLease::Lose(const std::string& reason) {
   kLog.Warn("placement lease lost", {{"fence", m_fence}, {"reason", reason}});
   m_fence = 0;
--- a/Source/membership/placement_lease.h
+++ b/Source/membership/placement_lease.h
@@ -44,6 +44,10 @@
 
   // Renews the lease at once, because the service may have lost it.
   void ConfirmNow();
+  // The service was restored from an older copy, which may have ended the lease
+  // of a leader that is cut off and does not know. A lease that is acquired
+  // from now on waits until that leader has stopped.
+  void RecordRestore();
 
   // Returns whether orders may be sent now. Check right before each order.
   bool valid() const;
@@ -76,6 +80,8 @@
   bool m_ended = false;
   keyvalue::LeaseId m_lease = 0;
   FencingNumber m_fence = 0;
+  // Until then, a leader whose lease a restore has ended may send orders.
+  MonotonicTime m_earlier_leader_until;
   MonotonicTime m_valid_from;
   MonotonicTime m_valid_until;
   std::unique_ptr<Timer> m_attempt;
--- a/Tests/membership/restorable_store.h
+++ b/Tests/membership/restorable_store.h
@@ -82,6 +82,9 @@
   void SetRestoredHandler(const std::function<void(Era)>& handler) override {
     m_restored = handler;
   }
+  // Whether calls and answers are lost.
+  bool m_cut = false;
+
   // Learns the store's era, as from a watch's answer.
   void Hear() { RecordEra(m_store.m_era); }
 
@@ -147,7 +150,7 @@
                                  std::move(callback));
   }
   void RevokeLease(keyvalue::LeaseId lease, Callback<Done> callback) override {
-    if (!Refuse({.m_lease = lease}, callback)) {
+    if (!m_cut && !Refuse({.m_lease = lease}, callback)) {
       m_store.EndLease(LeaseNumber(lease));
       Answer<Done>({}, Done{}, std::move(callback));
     }
@@ -201,6 +204,9 @@
   // Delivers an answer that the store gives now.
   template <typename T>
   void Answer(const Named& named, Result<T> result, Callback<T> callback) {
+    if (m_cut) {
+      return;
+    }
     m_answers.push_back(m_loop.After(
         kTransit, [this, named, era = m_store.m_era, result = std::move(result),
                    callback = std::move(callback)] {
--- a/Tests/membership/restored_leases_test.cc
+++ b/Tests/membership/restored_leases_test.cc
@@ -34,6 +34,7 @@
         m_registration(loop, m_session, "host/" + name, name, kLongTtl) {
     m_session.SetRestoredHandler([this](Era) {
       m_registration.ConfirmNow();
+      m_lease.RecordRestore();
       m_lease.ConfirmNow();
     });
   }
@@ -127,6 +128,7 @@
   REQUIRE(fleet.LeaseOf("holder") == id);
   fleet.Run(kTiming.m_ttl / 2);
   CHECK_FALSE(fleet.m_a.m_lease.held());
+  fleet.Run(kTiming.m_ttl / 2 + kTiming.m_gap);
   CHECK(fleet.m_b.m_lease.valid());
   CHECK(fleet.m_b.m_lease.fence() > fence);
   CHECK(fleet.m_store.At("holder").m_value == "b");
@@ -134,6 +136,38 @@
 }
 
 // Guards against the loss of the placement leader when another host stops.
+// Guards against orders of two leaders less than the gap apart: a restore ends
+// the lease of a leader that is cut off and goes on until it would expire.
+TEST_CASE("The successor of a leader that a restore has ended waits for it") {
+  Fleet fleet;
+  fleet.m_store.Write("config", "1");
+  fleet.m_store.KeepCopy();
+  fleet.Acquire(fleet.m_a);
+  fleet.m_b.m_session.Hear();
+  fleet.Run(kTiming.m_gap);
+  REQUIRE(fleet.m_a.m_lease.valid());
+  fleet.m_a.m_session.m_cut = true;
+  fleet.m_store.Restore();
+  SECTION("which hears of the restore first") {
+    fleet.m_b.m_session.Hear();
+  }
+  SECTION("which hears of the restore as it takes the lease") {}
+  MonotonicTime last_of_a;
+  MonotonicTime first_of_b;
+  const auto tick = fleet.m_loop.Every(milliseconds(2), [&] {
+    fleet.m_b.m_lease.Observe(fleet.m_store.Has("holder"), Duration{});
+    if (fleet.m_a.m_lease.valid()) {
+      last_of_a = fleet.m_loop.Now();
+    }
+    if (fleet.m_b.m_lease.valid() && first_of_b == MonotonicTime{}) {
+      first_of_b = fleet.m_loop.Now();
+    }
+  });
+  fleet.Run(2 * kTiming.m_ttl);
+  REQUIRE(first_of_b != MonotonicTime{});
+  CHECK(first_of_b - last_of_a >= kTiming.m_gap);
+}
+
 TEST_CASE("A stopping host does not end the placement lease of another") {
   Fleet fleet;
   fleet.m_store.KeepCopy();
