membership: a leader that takes its own lost lease again waits for the gap only

A host that held the lease when it heard of the restore was the leader itself; it waits for the gap, as before.

--- a/Source/membership/placement_lease.cc
+++ b/Source/membership/placement_lease.cc
@@ -150,8 +150,12 @@
 }
 
 void PlacementLease::RecordRestore() {
-  // Its last renewal was sent before the restore.
-  m_earlier_leader_until = m_loop.Now() + m_timing.m_ttl - m_timing.m_margin;
+  const MonotonicTime now = m_loop.Now();
+  if (held() && now < m_valid_until) {
+    return;  // This host was the leader, so no other one was.
+  }
+  // The last renewal of the earlier leader was sent before the restore.
+  m_earlier_leader_until = now + m_timing.m_ttl - m_timing.m_margin;
 }
 
 void PlacementLease::Lose(const std::string& reason) {
--- a/Tests/membership/restored_leases_test.cc
+++ b/Tests/membership/restored_leases_test.cc
@@ -168,6 +168,21 @@
   CHECK(first_of_b - last_of_a >= kTiming.m_gap);
 }
 
+// Guards against longer pauses without orders than the leases ask for.
+TEST_CASE("A leader that takes its lost lease again waits for the gap only") {
+  Fleet fleet;
+  fleet.m_store.Write("config", "1");
+  fleet.m_store.KeepCopy();
+  fleet.Acquire(fleet.m_a);
+  fleet.m_store.Restore();
+  fleet.m_a.m_session.Hear();
+  fleet.Run(kAWhile);
+  REQUIRE_FALSE(fleet.m_a.m_lease.held());
+  fleet.Acquire(fleet.m_a);
+  fleet.Run(kTiming.m_gap);
+  CHECK(fleet.m_a.m_lease.valid());
+}
+
 TEST_CASE("A stopping host does not end the placement lease of another") {
   Fleet fleet;
   fleet.m_store.KeepCopy();
