host: ask for a plain answer again that a leaving server may have cut

Change: the question of holds for all answers without a length: on a route that may be repeated, a server that is available at once is asked, and its answer is relayed; if it fails, the first answer is. One mechanism keeps the doubtful answer of streams and of plain answers (RelayDoubtfulAnswer).

--- a/Source/host/request_flow.cc
+++ b/Source/host/request_flow.cc
@@ -276,7 +276,7 @@
     m_prompt_proved = true;
     m_context.m_crash_guard.RecordProof(m_parts, AnswerProgress::kGoesOn);
   }
-  m_may_be_whole = false;
+  m_doubtful_answer.reset();
   if (!m_stream_started) {
     m_stream_started = true;
     m_phase = Phase::kStreaming;
@@ -335,8 +335,7 @@
 }
 
 void RequestFlow::OnUnusableAnswer(SendOutcome outcome) {
-  if (m_may_be_whole && outcome == SendOutcome::kStreamNotContinued) {
-    RelayCompleteAnswer();
+  if (outcome == SendOutcome::kStreamNotContinued && RelayDoubtfulAnswer()) {
     return;
   }
   AvoidEndpoint();
@@ -345,7 +344,7 @@
     ReportEarlyEnd();
   }
   // The endpoint's own failure is its answer if no other endpoint may be asked.
-  if (outcome == SendOutcome::kFailed &&
+  if (outcome == SendOutcome::kFailed && !m_doubtful_answer &&
       !(MayRepeat() && m_sends < kMaxSends)) {
     RelayWholeAnswer();
     return;
@@ -437,11 +436,14 @@
 }
 
 void RequestFlow::RetryOrFinish(bool may_have_run, const std::string& reason) {
+  if (RelayDoubtfulAnswer()) {
+    return;
+  }
   // What may have crashed this endpoint must not reach another one.
   const bool suspect = may_have_run &&
                        m_answer.EndsEarly(m_context.m_loop.Now()) &&
                        m_context.m_crash_guard.Suspects(m_parts);
-  const bool repeat = !m_may_be_whole && !suspect && (not_run() || MayRepeat());
+  const bool repeat = !suspect && (not_run() || MayRepeat());
   // A send without a connection put no load on an endpoint, so it is not
   // charged to the retry budget.
   const bool free = !may_have_run && reason == "connection_failed";
--- a/Source/host/request_flow.h
+++ b/Source/host/request_flow.h
@@ -110,10 +110,13 @@
   // now that its connection has ended.
   void CheckUnframedEnd();
   void FinishUnframedAnswer(UnframedEnd end);
-  // Sends a stream that may have been cut to another endpoint for what follows
-  // the last event, if the route allows it and an endpoint is available now.
-  // Returns whether it did.
-  bool AskForRest();
+  // Asks another endpoint for an answer that may have been cut, or for what
+  // follows the last event of a stream, if the route allows it and an endpoint
+  // is available now. Returns whether it did.
+  bool AskAgainInDoubt();
+  // Ends the request with the answer that may have been cut, if there is one
+  // and no more has come. Returns whether it did.
+  bool RelayDoubtfulAnswer();
   // Ends a stream that has started without more of it.
   void BreakOff(const std::string& reason);
   // Returns what the endpoint did after it ended its connection at `ended_at`.
@@ -184,9 +187,9 @@
   ExecutionRecord m_executions;
   EventSplitter m_events;
   bool m_stream_started = false;
-  // The events that were relayed may be the whole stream; an endpoint has been
-  // asked for more of it and has sent none yet.
-  bool m_may_be_whole = false;
+  // An answer, or the last part of a stream, that may be whole, while another
+  // endpoint is asked.
+  std::optional<ReceivedAnswer> m_doubtful_answer;
   // The request is let through although one of m_parts is held.
   bool m_is_trial = false;
   // Whether an answer has proved that the prompt does not crash endpoints.
--- a/Source/host/request_flow_end.cc
+++ b/Source/host/request_flow_end.cc
@@ -18,6 +18,9 @@
 
 void RequestFlow::Refuse(const std::string& reason,
                          std::optional<Duration> retry_after) {
+  if (RelayDoubtfulAnswer()) {
+    return;
+  }
   if (m_stream_started) {
     BreakOff(reason);
     return;
@@ -82,15 +85,14 @@
   if (end == UnframedEnd::kWhole) {
     RecordSoundAnswer();
   }
-  if (end == UnframedEnd::kMayBeCut && AskForRest()) {
+  if (end == UnframedEnd::kMayBeCut && AskAgainInDoubt()) {
     return;
   }
   RelayCompleteAnswer();
 }
 
-bool RequestFlow::AskForRest() {
-  if (!m_stream_started || !MayRepeat() || m_sends >= kMaxSends ||
-      !MaySendNow()) {
+bool RequestFlow::AskAgainInDoubt() {
+  if (!MayRepeat() || m_sends >= kMaxSends || !MaySendNow()) {
     return false;
   }
   const fleet::EndpointEntry* entry =
@@ -100,20 +102,25 @@
            .TryRetry(m_context.m_host_count(), m_context.m_loop.Now())) {
     return false;
   }
-  kLog.Info("asking another endpoint whether the stream goes on",
+  kLog.Info("answer may have been cut; asking another endpoint",
             {{"id", m_admitted.m_request.m_id},
              {"endpoint", m_endpoint.value()},
              {"last_id", m_events.last_id()}});
-  m_may_be_whole = true;
+  m_doubtful_answer = std::move(m_answer);
   Send(*entry);
   return true;
 }
 
-void RequestFlow::BreakOff(const std::string& reason) {
-  if (m_may_be_whole) {
-    RelayCompleteAnswer();
-    return;
+bool RequestFlow::RelayDoubtfulAnswer() {
+  if (!m_doubtful_answer) {
+    return false;
   }
+  m_answer = *std::exchange(m_doubtful_answer, std::nullopt);
+  RelayCompleteAnswer();
+  return true;
+}
+
+void RequestFlow::BreakOff(const std::string& reason) {
   m_exchange->Abort();
   Finish("broken_off", reason);
 }
@@ -132,6 +139,9 @@
     AvoidEndpoint();
   }
   EndSend(SendEnd::kMayHaveRun);
+  if (RelayDoubtfulAnswer()) {
+    return;
+  }
   if (m_stream_started) {
     BreakOff("deadline");
     return;
@@ -200,7 +210,9 @@
              {"bytes", static_cast<std::uint64_t>(excess.m_bytes)},
              {"reason", reason}});
   EndSend(SendEnd::kMayHaveRun);
-  BreakOff("answer_memory");
+  if (!RelayDoubtfulAnswer()) {
+    BreakOff("answer_memory");
+  }
 }
 
 }  // namespace hickoryloft::host
--- a/Tests/process/jarro_stream_ends_test.py
+++ b/Tests/process/jarro_stream_ends_test.py
@@ -227,6 +227,51 @@
         reply = self.fleet.post("/pay/last")
         self.assertEqual((reply.status, reply.body), (200, "a receipt"))
 
+    def ask_server_that_leaves(self, first, second):
+        """Returns the reply to a request whose first server says that it leaves,
+        writes `first`, and exits, and whose second one calls `second`."""
+        asked = []
+
+        def respond(connection, request):
+            if not request.target.endswith("/cut"):
+                connection.sendall(head(request) + b"a receipt")
+                return False
+            asked.append(request)
+            if len(asked) == 2:
+                return second(connection, request)
+            connection.sendall(head(request, "200 OK", "Server-Leaving: 1")
+                               + first)
+            connection.shutdown(socket.SHUT_WR)
+            for server in servers:
+                if request in server.requests:
+                    server.crash()
+            return False
+        servers = []
+        servers += self.start_ledgers(respond)
+        reply = self.fleet.post("/look/cut")
+        self.assertEqual(len(asked), 2)
+        return reply
+
+    def test_plain_answer_that_a_leaving_server_cut_is_repeated(self):
+        """Guards against half of a plain answer that passes for the whole,
+        because its server had announced that it exits (MIXED; the cause of
+        review/11)."""
+        def whole(connection, request):
+            connection.sendall(head(request) + b"a receipt")
+            return False
+        reply = self.ask_server_that_leaves(b"a rec", whole)
+        self.assertEqual((reply.status, reply.body), (200, "a receipt"))
+
+    def test_plain_answer_is_whole_if_the_other_server_fails(self):
+        """Guards against LOST: who fails to answer does not show that the answer
+        was cut."""
+        def fail(connection, request):
+            connection.sendall(head(request, "500 Internal Server Error",
+                                    "Content-Length: 0"))
+            return False
+        reply = self.ask_server_that_leaves(b"a receipt", fail)
+        self.assertEqual((reply.status, reply.body), (200, "a receipt"))
+
     def test_unframed_plain_answer(self):
         def respond(connection, request):
             if request.target.endswith("/reset"):
