membership: a leader that cannot confirm its lease after a restore stops

A leader that heard of a restore, from the store or in another host's report, went on to give orders on a lease of the era before until it would have expired.

Change: the lease is valid only if it is one of the newest era that the host has heard of; a renewal confirms it. FleetStateFeed::ObserveEra() says whether the era was new.

Test: "A leader that cannot confirm its lease after a restore stops" fails without the check.

--- a/Source/fleet/fleet_state_feed.cc
+++ b/Source/fleet/fleet_state_feed.cc
@@ -87,10 +87,12 @@
   });
 }
 
-void FleetStateFeed::ObserveEra(Era era) {
-  if (m_complete && era > EraOf(m_revision)) {
-    ReadAll();
+bool FleetStateFeed::ObserveEra(Era era) {
+  if (!m_complete || era <= EraOf(m_revision)) {
+    return false;
   }
+  ReadAll();
+  return true;
 }
 
 void FleetStateFeed::ObserveConfiguration(std::int64_t version, Revision at) {
--- a/Source/fleet/fleet_state_feed.h
+++ b/Source/fleet/fleet_state_feed.h
@@ -76,8 +76,9 @@
   // this host does not watch the service itself.
   void ApplyProof(Revision revision, MonotonicTime as_of);
   // Reads everything again if this host's copy is of an earlier era than `era`,
-  // in which the service has answered or another host has read.
-  void ObserveEra(Era era);
+  // in which the service has answered or another host has read. Returns whether
+  // it is.
+  bool ObserveEra(Era era);
   // Applies that another host at revision `at` has version `version` of the
   // configuration.
   void ObserveConfiguration(std::int64_t version, Revision at);
--- a/Source/host/host_daemon.cc
+++ b/Source/host/host_daemon.cc
@@ -89,7 +89,10 @@
                [this](Revision known) { return m_changes.Since(known); },
            .m_on_peer_knowledge =
                [this](const StoreKnowledge& known) {
-                 m_knowledge.ObserveEra(EraOf(known.m_revision));
+                 const Era era = EraOf(known.m_revision);
+                 if (m_knowledge.ObserveEra(era)) {
+                   m_placement_lease.RecordRestore(era);
+                 }
                  m_knowledge.ObserveConfiguration(known.m_configuration,
                                                   known.m_revision);
                  m_readiness.RecordPeerConfiguration(known.m_configuration);
@@ -273,7 +276,7 @@
 void HostDaemon::OnStoreRestored(Era era) {
   m_knowledge.ObserveEra(era);
   m_registration.ConfirmNow();
-  m_placement_lease.RecordRestore();
+  m_placement_lease.RecordRestore(era);
   m_placement_lease.ConfirmNow();
 }
 
--- a/Source/membership/placement_lease.cc
+++ b/Source/membership/placement_lease.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "base/history.h"
 #include "base/log.h"
 
 namespace hickoryloft::membership {
@@ -44,7 +43,9 @@
 
 bool PlacementLease::valid() const {
   const MonotonicTime now = m_loop.Now();
-  return held() && now >= m_valid_from && now < m_valid_until;
+  const bool confirmed =
+      m_restored_era == 0 || IsLeaseOf(m_restored_era, m_lease);
+  return held() && confirmed && now >= m_valid_from && now < m_valid_until;
 }
 
 void PlacementLease::RequestLease() {
@@ -149,7 +150,11 @@
   }
 }
 
-void PlacementLease::RecordRestore() {
+void PlacementLease::RecordRestore(Era era) {
+  if (era <= m_restored_era) {
+    return;
+  }
+  m_restored_era = era;
   const MonotonicTime now = m_loop.Now();
   if (held() && now < m_valid_until) {
     return;  // This host was the leader, so no other one was.
--- a/Source/membership/placement_lease.h
+++ b/Source/membership/placement_lease.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "base/event_loop.h"
+#include "base/history.h"
 #include "base/ids.h"
 #include "keyvalue/key_value_service.h"
 
@@ -44,10 +45,12 @@
 
   // Renews the lease at once, because the service may have lost it.
   void ConfirmNow();
-  // The service was restored from an older copy, which may have ended the lease
-  // of a leader that is cut off and does not know. A lease that is acquired
-  // from now on waits until that leader has stopped.
-  void RecordRestore();
+  // The service was restored from an older copy, which may have ended the
+  // leader's lease. This host's own lease is not valid until a renewal has
+  // confirmed it in `era`. A lease that is acquired from now on waits until a
+  // leader of the era before has stopped, which may be cut off and not know.
+  // Has no effect if `era` or a later one has been recorded.
+  void RecordRestore(Era era);
 
   // Returns whether orders may be sent now. Check right before each order.
   bool valid() const;
@@ -80,6 +83,7 @@
   bool m_ended = false;
   keyvalue::LeaseId m_lease = 0;
   FencingNumber m_fence = 0;
+  Era m_restored_era = 0;
   // Until then, a leader whose lease a restore has ended may send orders.
   MonotonicTime m_earlier_leader_until;
   MonotonicTime m_valid_from;
--- a/Tests/membership/restored_leases_test.cc
+++ b/Tests/membership/restored_leases_test.cc
@@ -32,9 +32,9 @@
       : m_session(loop, store),
         m_lease(loop, m_session, "holder", HostId(name), kTiming),
         m_registration(loop, m_session, "host/" + name, name, kLongTtl) {
-    m_session.SetRestoredHandler([this](Era) {
+    m_session.SetRestoredHandler([this](Era era) {
       m_registration.ConfirmNow();
-      m_lease.RecordRestore();
+      m_lease.RecordRestore(era);
       m_lease.ConfirmNow();
     });
   }
@@ -168,6 +168,25 @@
   CHECK(first_of_b - last_of_a >= kTiming.m_gap);
 }
 
+// Guards against a leader that goes on without knowing whether a restore has
+// ended its lease: other hosts may tell it of the restore.
+TEST_CASE("A leader that cannot confirm its lease after a restore stops") {
+  Fleet fleet;
+  fleet.Acquire(fleet.m_a);
+  fleet.Run(kTiming.m_gap);
+  const FencingNumber fence = fleet.m_a.m_lease.fence();
+  fleet.m_store.KeepCopy();
+  fleet.m_store.Restore();
+  fleet.m_a.m_session.m_cut = true;
+  REQUIRE(fleet.m_a.m_lease.valid());
+  fleet.m_a.m_lease.RecordRestore(fleet.m_store.m_era);
+  CHECK_FALSE(fleet.m_a.m_lease.valid());
+  fleet.m_a.m_session.m_cut = false;
+  fleet.Run(kTiming.m_ttl / 2);
+  CHECK(fleet.m_a.m_lease.valid());
+  CHECK(fleet.m_a.m_lease.fence() == fence);
+}
+
 // Guards against longer pauses without orders than the leases ask for.
 TEST_CASE("A leader that takes its lost lease again waits for the gap only") {
   Fleet fleet;
