membership: which registrations count is a class of its own

Work in the wrong place: which registrations count over an outage is a decision of membership, but stood in host/member_view beside the parsing. KeptRegistrations decides it without a socket or a clock; MemberView parses what counts.

--- a/Source/host/member_view.cc
+++ b/Source/host/member_view.cc
@@ -44,29 +44,8 @@
 
 }  // namespace
 
-bool MemberView::RemoveMissing(
-    const std::map<std::string, keyvalue::KeyValue>& keys,
-    std::optional<MonotonicTime> keep_until) {
-  const std::size_t before = m_registered.size();
-  for (auto at = m_registered.begin(); at != m_registered.end();) {
-    auto& [key, registered] = *at;
-    if (!keys.contains(key) && keep_until && !registered.m_kept_until) {
-      kLog.Info("host registration lapsed; kept for a grace period",
-                {{"key", key}});
-      registered.m_kept_until = keep_until;
-    }
-    const bool remove = !keys.contains(key) && !registered.m_kept_until;
-    at = remove ? m_registered.erase(at) : std::next(at);
-  }
-  return m_registered.size() < before;
-}
-
 bool MemberView::RemoveLapsed(MonotonicTime now) {
-  const bool removed =
-      std::erase_if(m_registered, [now](const auto& registered) {
-        const auto& kept_until = registered.second.m_kept_until;
-        return kept_until && now >= *kept_until;
-      }) > 0;
+  const bool removed = m_registrations.RemoveLapsed(now);
   if (removed) {
     BuildPeers();
   }
@@ -75,40 +54,39 @@
 
 bool MemberView::Update(const std::map<std::string, keyvalue::KeyValue>& keys,
                         std::optional<MonotonicTime> keep_until) {
-  bool changed = RemoveMissing(keys, keep_until);
-  for (auto item = keys.lower_bound(kPrefix);
-       item != keys.end() && item->first.starts_with(kPrefix); ++item) {
-    Registered& registered = m_registered[item->first];
-    const bool lapsed = registered.m_kept_until.has_value();
-    registered.m_kept_until.reset();
-    if (registered.m_revision == item->second.m_mod_revision && !lapsed) {
-      continue;
-    }
-    registered = {.m_revision = item->second.m_mod_revision,
-                  .m_peer = ParseMember(item->second.m_value)};
-    changed = true;
-  }
+  const bool changed = m_registrations.Update(keys, keep_until);
   if (changed) {
     BuildPeers();
   }
   return changed;
 }
 
+const std::optional<PeerAddress>& MemberView::Parse(const std::string& key,
+                                                    const Entry& entry) {
+  Parsed& parsed = m_parsed[key];
+  if (parsed.m_revision != entry.m_revision) {
+    parsed = {.m_revision = entry.m_revision,
+              .m_peer = ParseMember(entry.m_value)};
+  }
+  return parsed.m_peer;
+}
+
 void MemberView::BuildPeers() {
+  std::erase_if(m_parsed, [this](const auto& item) {
+    return !m_registrations.entries().contains(item.first);
+  });
   std::map<HostId, PeerAddress> peers;
-  std::map<HostId, std::pair<bool, Revision>> newest;
-  for (const auto& [key, registered] : m_registered) {
-    if (!registered.m_peer || registered.m_peer->m_host == m_own) {
+  std::map<HostId, const Entry*> newest;
+  for (const auto& [key, entry] : m_registrations.entries()) {
+    const std::optional<PeerAddress>& peer = Parse(key, entry);
+    if (!peer || peer->m_host == m_own) {
       continue;
     }
-    // A restarted host has two registrations until the old lease expires. A
-    // restored service may give a new one a lower revision than a lapsed one.
-    const std::pair<bool, Revision> rank = {
-        !registered.m_kept_until.has_value(), registered.m_revision};
-    std::pair<bool, Revision>& best = newest[registered.m_peer->m_host];
-    if (rank > best) {
-      best = rank;
-      peers[registered.m_peer->m_host] = *registered.m_peer;
+    // A restarted host has two registrations until the old lease expires.
+    const Entry*& best = newest[peer->m_host];
+    if (best == nullptr || entry.Supersedes(*best)) {
+      best = &entry;
+      peers[peer->m_host] = *peer;
     }
   }
   const auto before = std::exchange(m_peers, std::move(peers));
--- a/Source/host/member_view.h
+++ b/Source/host/member_view.h
@@ -10,6 +10,7 @@
 #include "host/host_settings.h"
 #include "host/peer_links.h"
 #include "keyvalue/key_value_service.h"
+#include "membership/kept_registrations.h"
 
 namespace hickoryloft::host {
 
@@ -23,32 +24,31 @@
   explicit MemberView(HostId own) : m_own(std::move(own)) {}
 
   // Applies the product's own keys. Returns whether a registration has changed.
-  // `keep_until`: registrations that are gone are kept until then, because they
-  // may have lapsed in an outage of the key-value service while their hosts
-  // went on. Without it they are removed.
+  // `keep_until`: see KeptRegistrations.
   bool Update(const std::map<std::string, keyvalue::KeyValue>& keys,
               std::optional<MonotonicTime> keep_until);
-  // Removes the kept registrations whose time is over at `now`. Returns whether
-  // there were any.
+  // Removes the lapsed registrations whose time is over at `now`. Returns
+  // whether there were any.
   bool RemoveLapsed(MonotonicTime now);
 
   // The newest registration of each host except this one.
   const std::map<HostId, PeerAddress>& peers() const { return m_peers; }
 
  private:
-  struct Registered {
+  using Entry = membership::KeptRegistrations::Entry;
+  struct Parsed {
     Revision m_revision = 0;
     std::optional<PeerAddress> m_peer;  // Absent if unreadable.
-    std::optional<MonotonicTime> m_kept_until;
   };
 
-  bool RemoveMissing(const std::map<std::string, keyvalue::KeyValue>& keys,
-                     std::optional<MonotonicTime> keep_until);
+  const std::optional<PeerAddress>& Parse(const std::string& key,
+                                          const Entry& entry);
   void BuildPeers();
   void LogChanges(const std::map<HostId, PeerAddress>& before) const;
 
   HostId m_own;
-  std::map<std::string, Registered> m_registered;
+  membership::KeptRegistrations m_registrations{kPrefix};
+  std::map<std::string, Parsed> m_parsed;
   std::map<HostId, PeerAddress> m_peers;
 };
 
